--- /dev/null
+++ b/marlsill/base/socket_options.h
@@ -0,0 +1,19 @@
+#pragma once
+
+// Socket options that the project sets on its TCP connections.
+//
+//     setNoDelay(socket.native_handle());
+//     detectDeadPeer(socket.native_handle(), std::chrono::milliseconds(1500));
+
+#include <chrono>
+
+namespace marlsill {
+
+// Sends small writes at once.
+void setNoDelay(int descriptor);
+
+// Ends the connection when the other side has acknowledged nothing for about `limit`, both while data is in
+// flight and while the connection is idle.
+void detectDeadPeer(int descriptor, std::chrono::milliseconds limit);
+
+}
--- /dev/null
+++ b/marlsill/cluster/fleet_knowledge.h
@@ -0,0 +1,93 @@
+#pragma once
+
+// Spreads what the store says through the fleet, so that a few VMs watch it for all.
+//
+//     fleet_knowledge knowledge(mesh.members(), options, actions);
+//     knowledge.noteStoreContact(now);
+//     knowledge.setUpstreams(entries, storeVersion);
+//     knowledge.tick(now); // Sends beacons as a watcher; else decides whether to watch by itself.
+//
+// In each failure domain the VMs with the highest scores watch the store and send beacons to the others. A
+// VM without a fresh beacon watches by itself until it has one again. Nothing goes back: older versions are
+// ignored. Used by one event loop.
+
+#include "marlsill/cluster/peer_message.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace marlsill::cluster {
+
+// Settings of the exchange.
+struct fleet_knowledge_options {
+    std::size_t watchersPerDomain = 1;
+    std::chrono::milliseconds startWait { 500 }; // To hear of other VMs before this one decides to watch.
+    std::chrono::milliseconds beaconPause { 250 };
+    std::chrono::milliseconds patience { 700 }; // Two beacons may be lost; news must be in force within 2 s.
+    std::chrono::milliseconds maxContactAge { 1'400 }; // One watch of a second, and its answer.
+    std::chrono::milliseconds settleTime { 2'000 }; // Of fresh beacons, before an own watch ends.
+    std::size_t entriesPerDatagram = 10; // About a kilobyte.
+    std::size_t maxConfigurationBytes = 48 * 1024; // Larger ones are read from the store.
+};
+
+// What the exchange does through others.
+struct fleet_knowledge_actions {
+    std::function<void(const std::string& host, peer_message)> send;
+    std::function<void(bool isWatching)> watchStore;
+    std::function<void(const std::string& text, std::uint64_t version)> takeConfiguration;
+    std::function<void(const std::vector<placement::upstream_entry>&)> takeUpstreams;
+};
+
+class fleet_knowledge {
+public:
+    fleet_knowledge(const member_list& members, fleet_knowledge_options options, fleet_knowledge_actions actions,
+        steady_clock::time_point now);
+
+    // Notes an answer of the store to this VM.
+    void noteStoreContact(steady_clock::time_point now) { m_contactAt = now; }
+
+    // Sets what this VM has read from the store, and tells the others of its domain.
+    void setConfiguration(std::string text, std::uint64_t version);
+    void setUpstreams(std::vector<placement::upstream_entry> entries, std::uint64_t storeVersion);
+
+    // Takes the parts of a peer's message that concern knowledge.
+    void take(const peer_message& message, steady_clock::time_point now);
+
+    // Does what is due. Call about as often as beacons go out.
+    void tick(steady_clock::time_point now);
+
+    bool isWatching() const { return m_isWatching; }
+    std::uint64_t storeVersion() const { return m_storeVersion; }
+
+private:
+    bool isElected() const;
+    std::vector<std::string> domainHosts() const;
+    knowledge_stamp stamp(steady_clock::time_point now) const;
+    void takeStamp(const peer_message& message, steady_clock::time_point now);
+    void takeUpstreams(const peer_message& message);
+    void sendAll(const std::string& host, steady_clock::time_point now);
+    void announce();
+    void setWatching(bool isWatching);
+
+    const member_list& m_members;
+    const fleet_knowledge_options m_options;
+    const fleet_knowledge_actions m_actions;
+    const steady_clock::time_point m_startedAt;
+    std::string m_configuration;
+    std::uint64_t m_configurationVersion = 0;
+    std::vector<placement::upstream_entry> m_upstreams;
+    std::uint64_t m_upstreamDigest = 0;
+    std::uint64_t m_storeVersion = 0; // Of the list of upstreams.
+    steady_clock::time_point m_contactAt {};
+    steady_clock::time_point m_freshBeaconAt {};
+    steady_clock::time_point m_freshSince {};
+    std::map<std::string, placement::upstream_entry> m_partial; // Of a list that is still arriving.
+    std::uint64_t m_partialVersion = 0;
+    bool m_isWatching = false;
+};
+
+// Returns a number that is the same for equal lists, almost surely.
+std::uint64_t digestOf(const std::vector<placement::upstream_entry>& entries);
+
+}
--- /dev/null
+++ b/marlsill/cluster/member_list.cc
@@ -0,0 +1,191 @@
+#include "marlsill/cluster/member_list.h"
+
+#include "marlsill/base/hash.h"
+#include "marlsill/routing/serving_set.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace marlsill::cluster {
+
+namespace {
+
+    bool isNewer(const member& left, const member& right)
+    {
+        return std::pair(left.incarnation, left.version) > std::pair(right.incarnation, right.version);
+    }
+
+    std::uint64_t hashOf(const member& each)
+    {
+        return fastHash(each.host, each.incarnation * 31 + each.version);
+    }
+
+}
+
+member_list::member_list(member self, member_list_options options)
+    : m_self(std::move(self))
+    , m_options(options)
+{
+}
+
+void member_list::setState(member_state state)
+{
+    if (m_self.state != state) {
+        m_self.state = state;
+        ++m_self.version;
+    }
+}
+
+bool member_list::learn(const member& record, steady_clock::time_point now)
+{
+    if (record.host == m_self.host) {
+        // An earlier life of this VM is remembered, whose clock was ahead.
+        if (record.incarnation > m_self.incarnation) {
+            m_self.incarnation = record.incarnation + 1;
+        }
+        return false;
+    }
+    auto [found, isNew] = m_others.try_emplace(record.host);
+    auto& known = found->second;
+    if (!isNew && !isNewer(record, known.record)) {
+        return false;
+    }
+    bool isNewLife = isNew || record.incarnation != known.record.incarnation;
+    known.record = record;
+    if (isNewLife) {
+        known.lastHeard = now;
+        known.owesAnswer = false;
+        known.missed = 0;
+        known.isUnreachable = false;
+    }
+    return true;
+}
+
+void member_list::noteHeard(const std::string& host, steady_clock::time_point now)
+{
+    auto found = m_others.find(host);
+    if (found == m_others.end()) {
+        return;
+    }
+    auto& each = found->second;
+    each.lastHeard = now;
+    each.owesAnswer = false;
+    each.isReported = false;
+    each.isUnreachable = false;
+    each.missed = 0;
+}
+
+void member_list::noteMissed(entry& each, steady_clock::time_point now)
+{
+    each.owesAnswer = false;
+    ++each.missed;
+    if (each.missed >= m_options.maxMissed && !each.isUnreachable) {
+        each.isUnreachable = true;
+        each.unreachableSince = now;
+        m_lost.push_back(each.record.host);
+    }
+}
+
+std::vector<std::string> member_list::duePings(steady_clock::time_point now)
+{
+    std::erase_if(m_others, [&](const auto& each) {
+        return each.second.isUnreachable && each.second.unreachableSince + m_options.forgetAfter < now;
+    });
+    std::vector<std::string> due;
+    for (auto& [host, each] : m_others) {
+        if (each.owesAnswer && each.pingedAt + m_options.pingAnswer <= now) {
+            noteMissed(each, now);
+        }
+        bool isInDoubt = each.missed > 0 && !each.isUnreachable;
+        if (!each.owesAnswer && (isInDoubt || std::exchange(each.isReported, false))) {
+            due.push_back(host);
+        }
+    }
+    auto next = m_others.upper_bound(m_lastPinged);
+    if (next == m_others.end()) {
+        next = m_others.begin();
+    }
+    if (next != m_others.end()) {
+        m_lastPinged = next->first;
+        bool isListed = std::find(due.begin(), due.end(), next->first) != due.end();
+        if (!isListed && !next->second.owesAnswer) {
+            due.push_back(next->first);
+        }
+    }
+    for (const auto& host : due) {
+        auto& each = m_others.find(host)->second;
+        each.owesAnswer = true;
+        each.pingedAt = now;
+    }
+    return due;
+}
+
+std::vector<std::string> member_list::takeLost() { return std::exchange(m_lost, {}); }
+
+void member_list::noteReported(const std::string& host, steady_clock::time_point now)
+{
+    auto found = m_others.find(host);
+    bool isFresh = found != m_others.end() && found->second.lastHeard + m_options.pingAnswer > now;
+    if (found != m_others.end() && !isFresh && !found->second.isUnreachable) {
+        found->second.isReported = true;
+    }
+}
+
+std::vector<member> member_list::records() const
+{
+    std::vector<member> all { m_self };
+    for (const auto& [host, each] : m_others) {
+        if (!each.isUnreachable) {
+            all.push_back(each.record);
+        }
+    }
+    return all;
+}
+
+std::vector<std::string> member_list::reachableHosts() const
+{
+    std::vector<std::string> hosts;
+    for (const auto& [host, each] : m_others) {
+        if (!each.isUnreachable) {
+            hosts.push_back(host);
+        }
+    }
+    return hosts;
+}
+
+std::vector<const member*> member_list::servingSet(std::string_view hostName) const
+{
+    std::vector<const member*> candidates;
+    if (m_self.state == member_state::ready) {
+        candidates.push_back(&m_self);
+    }
+    for (const auto& [host, each] : m_others) {
+        if (each.record.state == member_state::ready && !each.isUnreachable && each.missed == 0) {
+            candidates.push_back(&each.record);
+        }
+    }
+    std::vector<routing::node_place> places;
+    std::set<std::string_view> domains;
+    for (const auto* each : candidates) {
+        places.push_back({ each->host, each->failureDomain });
+        domains.insert(each->failureDomain);
+    }
+    auto size = static_cast<int>(m_options.servingPerDomain * domains.size());
+    std::vector<const member*> chosen;
+    for (auto index : routing::servingSet(hostName, size, places)) {
+        chosen.push_back(candidates[index]);
+    }
+    return chosen;
+}
+
+std::uint64_t member_list::digest() const
+{
+    auto sum = hashOf(m_self);
+    for (const auto& [host, each] : m_others) {
+        sum += each.isUnreachable ? 0 : hashOf(each.record);
+    }
+    return sum;
+}
+
+}
--- /dev/null
+++ b/marlsill/cluster/peer_mesh.cc
@@ -0,0 +1,289 @@
+#include "marlsill/cluster/peer_mesh.h"
+
+#include "marlsill/events/events.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace marlsill::cluster {
+
+namespace {
+
+    constexpr std::size_t membersPerDatagram = 16; // About a kilobyte, below the usual packet size.
+
+    asio::awaitable<void> pauseFor(asio::io_context& io, std::chrono::milliseconds length)
+    {
+        asio::steady_timer timer(io, length);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+
+    std::string_view toText(member_state state)
+    {
+        constexpr std::string_view names[] = { "joining", "ready", "leaving" };
+        return names[static_cast<int>(state)];
+    }
+
+}
+
+peer_mesh::peer_mesh(asio::io_context& io, peer_mesh_options options, member self,
+    member_list_options memberOptions, peer_mesh_handler handler)
+    : m_io(io)
+    , m_options(std::move(options))
+    , m_handler(std::move(handler))
+    , m_members(std::move(self), memberOptions)
+    , m_socket(io)
+    , m_batchTimer(io)
+{
+}
+
+std::string peer_mesh::start()
+{
+    boost::system::error_code error;
+    asio::ip::udp::endpoint local(asio::ip::make_address_v4(m_members.self().host, error), m_options.port);
+    m_socket.open(local.protocol(), error);
+    m_socket.bind(local, error);
+    if (error) {
+        return error.message();
+    }
+    m_socket.non_blocking(true, error);
+    asio::co_spawn(m_io, receiveLoop(), asio::detached);
+    asio::co_spawn(m_io, tickLoop(), asio::detached);
+    asio::co_spawn(m_io, loadLoop(), asio::detached);
+    return {};
+}
+
+void peer_mesh::setState(member_state state)
+{
+    if (m_members.self().state != state) {
+        m_members.setState(state);
+        announceSelf();
+    }
+}
+
+void peer_mesh::announceSelf()
+{
+    peer_message message;
+    message.members.push_back(m_members.self());
+    for (const auto& host : m_members.reachableHosts()) {
+        send(host, message);
+    }
+}
+
+void peer_mesh::send(const std::string& host, peer_message message)
+{
+    boost::system::error_code error;
+    asio::ip::udp::endpoint to(asio::ip::make_address_v4(host, error), m_options.port);
+    if (error) {
+        return;
+    }
+    message.sender = m_members.self().host;
+    auto bytes = encode(message);
+    m_socket.send_to(asio::buffer(bytes), to, 0, error); // What does not fit the socket's buffer is lost.
+    ++m_counters.sent;
+    m_counters.bytesSent += bytes.size();
+}
+
+void peer_mesh::sendMembers(const std::string& host)
+{
+    auto records = m_members.records();
+    for (std::size_t start = 0; start < records.size(); start += membersPerDatagram) {
+        peer_message message;
+        auto end = std::min(records.size(), start + membersPerDatagram);
+        message.members.assign(records.begin() + static_cast<std::ptrdiff_t>(start),
+            records.begin() + static_cast<std::ptrdiff_t>(end));
+        send(host, std::move(message));
+    }
+}
+
+asio::awaitable<void> peer_mesh::receiveLoop()
+{
+    while (true) {
+        asio::ip::udp::endpoint from;
+        boost::system::error_code error;
+        auto size = co_await m_socket.async_receive_from(
+            asio::buffer(m_buffer), from, asio::redirect_error(asio::use_awaitable, error));
+        if (error == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (error) {
+            continue; // An earlier datagram met a closed port.
+        }
+        reason why;
+        auto message = decodePeerMessage(std::span(m_buffer).first(size), why);
+        if (!message) {
+            ++m_counters.malformed;
+            logEvent(event::peerMessageDropped, { { "from", from.address().to_string() }, { "cause", why.text } });
+            continue;
+        }
+        ++m_counters.received;
+        take(*message, from);
+    }
+}
+
+void peer_mesh::takeMembers(const std::vector<member>& records, steady_clock::time_point now)
+{
+    for (const auto& each : records) {
+        if (!m_members.learn(each, now)) {
+            continue;
+        }
+        logEvent(event::memberListed,
+            { { "host", each.host }, { "state", std::string(toText(each.state)) },
+                { "incarnation", std::to_string(each.incarnation) }, { "version", std::to_string(each.version) } });
+    }
+}
+
+void peer_mesh::take(const peer_message& message, const asio::ip::udp::endpoint&)
+{
+    auto now = steady_clock::now();
+    takeMembers(message.members, now);
+    m_members.noteHeard(message.sender, now);
+    if (message.ping) {
+        peer_message answer;
+        answer.pong = message.ping;
+        answer.digest = m_members.digest();
+        send(message.sender, std::move(answer));
+    }
+    bool isDifferent = message.digest && message.digest != m_members.digest();
+    if (message.wantsMembers || (message.pong && isDifferent)) {
+        sendMembers(message.sender);
+    }
+    for (const auto& host : message.lost) {
+        m_members.noteReported(host, now);
+    }
+    if (!message.evidence.empty() || !message.loads.empty()) {
+        m_interested[message.sender] = now + m_options.interestLife;
+    }
+    for (const auto& each : message.evidence) {
+        m_handler.evidence(each);
+    }
+    for (const auto& each : message.loads) {
+        m_handler.load(message.sender, each);
+    }
+    for (const auto& each : message.crashes) {
+        m_handler.crash(each);
+    }
+    m_handler.knowledge(message);
+}
+
+asio::awaitable<void> peer_mesh::tickLoop()
+{
+    while (true) {
+        tick();
+        co_await pauseFor(m_io, m_options.tick);
+    }
+}
+
+void peer_mesh::tick()
+{
+    auto now = steady_clock::now();
+    callSeeds(now);
+    for (const auto& host : m_members.duePings(now)) {
+        peer_message message;
+        message.ping = ++m_lastPing;
+        message.digest = m_members.digest();
+        send(host, std::move(message));
+    }
+    auto lost = m_members.takeLost();
+    if (lost.empty()) {
+        return;
+    }
+    for (const auto& host : lost) {
+        logEvent(event::memberGone, { { "host", host }, { "cause", "pings unanswered" } });
+    }
+    peer_message message;
+    message.lost = std::move(lost);
+    for (const auto& host : m_members.reachableHosts()) {
+        send(host, message);
+    }
+}
+
+void peer_mesh::callSeeds(steady_clock::time_point now)
+{
+    bool isAlone = m_members.size() == 1;
+    if (m_options.seeds.empty() || (!isAlone && !hasPassed(m_nextSeedCall, now))) {
+        return;
+    }
+    m_nextSeedCall = now + m_options.seedPause;
+    auto count = isAlone ? m_options.seeds.size() : 1;
+    for (std::size_t each = 0; each < count; ++each) {
+        const auto& seed = m_options.seeds[m_nextSeed++ % m_options.seeds.size()];
+        if (seed == m_members.self().host) {
+            continue;
+        }
+        peer_message message;
+        message.members.push_back(m_members.self());
+        message.wantsMembers = isAlone;
+        message.ping = isAlone ? 0 : ++m_lastPing;
+        message.digest = isAlone ? 0 : m_members.digest();
+        send(seed, std::move(message));
+    }
+}
+
+asio::awaitable<void> peer_mesh::loadLoop()
+{
+    while (true) {
+        co_await pauseFor(m_io, m_options.loadPause);
+        sendLoads();
+    }
+}
+
+void peer_mesh::sendLoads()
+{
+    for (const auto& load : m_handler.changedLoads()) {
+        for (const auto& host : m_handler.sharers(load.upstream)) {
+            m_outbox[host].loads.push_back(load);
+        }
+    }
+    sendBatch();
+}
+
+void peer_mesh::tell(const placement::upstream_evidence& evidence)
+{
+    auto hosts = m_handler.sharers(evidence.upstream);
+    auto now = steady_clock::now();
+    for (const auto& [host, until] : m_interested) {
+        bool isListed = std::find(hosts.begin(), hosts.end(), host) != hosts.end();
+        if (!isListed && !hasPassed(until, now)) {
+            hosts.push_back(host);
+        }
+    }
+    for (const auto& host : hosts) {
+        m_outbox[host].evidence.push_back(evidence);
+    }
+    scheduleBatch();
+}
+
+void peer_mesh::tell(const crash_notice& crash)
+{
+    for (const auto& host : m_members.reachableHosts()) {
+        m_outbox[host].crashes.push_back(crash);
+    }
+    scheduleBatch();
+}
+
+void peer_mesh::scheduleBatch()
+{
+    if (std::exchange(m_isBatchPending, true)) {
+        return;
+    }
+    m_batchTimer.expires_after(m_options.batch);
+    m_batchTimer.async_wait([this](const boost::system::error_code& error) {
+        if (!error) {
+            sendBatch();
+        }
+    });
+}
+
+void peer_mesh::sendBatch()
+{
+    m_isBatchPending = false;
+    for (auto& [host, message] : std::exchange(m_outbox, {})) {
+        send(host, std::move(message));
+    }
+}
+
+}
--- /dev/null
+++ b/marlsill/gateway/configuration.cc
@@ -0,0 +1,83 @@
+#include "marlsill/gateway/configuration.h"
+
+#include <Poco/String.h>
+#include <algorithm>
+
+namespace marlsill::gateway {
+
+namespace {
+
+    std::string_view withoutPort(std::string_view host) { return host.substr(0, host.find(':')); }
+
+    bool leadsTo(const route& from, std::string_view service)
+    {
+        return std::any_of(from.parts.begin(), from.parts.end(),
+            [&](const weighted_service& part) { return part.service == service; });
+    }
+
+    bool isSameHost(std::string_view left, std::string_view right)
+    {
+        return Poco::icompare(std::string(withoutPort(left)), std::string(withoutPort(right))) == 0;
+    }
+
+}
+
+const route* configuration::findRoute(std::string_view host, std::string_view path) const
+{
+    path = path.substr(0, path.find('?'));
+    const route* longest = nullptr;
+    for (const auto& each : routes) {
+        bool isLonger = !longest || each.pathPrefix.size() > longest->pathPrefix.size();
+        if (isLonger && path.starts_with(each.pathPrefix) && isSameHost(each.host, host)) {
+            longest = &each;
+        }
+    }
+    return longest;
+}
+
+bool configuration::hasHost(std::string_view host) const
+{
+    return std::any_of(
+        routes.begin(), routes.end(), [&](const route& each) { return isSameHost(each.host, host); });
+}
+
+std::vector<std::string> configuration::hostsLeadingTo(std::string_view service) const
+{
+    std::vector<std::string> hosts;
+    for (const auto& each : routes) {
+        bool isListed = std::find(hosts.begin(), hosts.end(), each.host) != hosts.end();
+        if (!isListed && leadsTo(each, service)) {
+            hosts.push_back(each.host);
+        }
+    }
+    return hosts;
+}
+
+bool configuration::isAtMostOnce(std::string_view service) const
+{
+    return std::any_of(routes.begin(), routes.end(),
+        [&](const route& each) { return each.isAtMostOnce && leadsTo(each, service); });
+}
+
+const weighted_service* pickPart(const route& from, double fraction)
+{
+    double sum = 0;
+    for (const auto& each : from.parts) {
+        sum += each.weight;
+    }
+    double point = fraction * sum;
+    const weighted_service* last = nullptr;
+    for (const auto& each : from.parts) {
+        if (each.weight <= 0) {
+            continue;
+        }
+        last = &each;
+        point -= each.weight;
+        if (point < 0) {
+            break;
+        }
+    }
+    return last;
+}
+
+}
--- /dev/null
+++ b/marlsill/http/message_parser.cc
@@ -0,0 +1,245 @@
+#include "marlsill/http/message_parser.h"
+
+#include "marlsill/http/internal/header_check.h"
+
+#include <Poco/Exception.h>
+#include <Poco/MemoryStream.h>
+#include <Poco/String.h>
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace marlsill::http {
+
+namespace {
+
+    constexpr std::size_t maxLineBytes = 256; // of a chunk size or one trailer field
+    constexpr int maxFields = 100;
+
+    // Returns the size of the header block at the start of `buffer` in `length`.
+    parse_status findHead(std::string_view buffer, std::size_t maxBytes, std::size_t& length)
+    {
+        auto end = buffer.find("\r\n\r\n");
+        if (end != std::string_view::npos) {
+            length = end + 4;
+            return length > maxBytes ? parse_status::headTooLarge : parse_status::complete;
+        }
+        if (buffer.find("\n\n") != std::string_view::npos || buffer.find("\n\r\n") != std::string_view::npos) {
+            return parse_status::malformed;
+        }
+        return buffer.size() > maxBytes ? parse_status::headTooLarge : parse_status::needMore;
+    }
+
+    template <typename Head> parse_status takeHead(std::string& buffer, Head& head, std::size_t maxBytes)
+    {
+        std::size_t length = 0;
+        auto status = findHead(buffer, maxBytes, length);
+        if (status != parse_status::complete) {
+            return status;
+        }
+        auto block = std::string_view(buffer).substr(0, length);
+        if (!internal::isWellFormed(block)) {
+            return parse_status::malformed;
+        }
+        try {
+            Poco::MemoryInputStream stream(block.data(), static_cast<std::streamsize>(block.size()));
+            head.clear();
+            head.setFieldLimit(maxFields);
+            head.read(stream);
+        } catch (const Poco::Exception&) {
+            return parse_status::malformed;
+        }
+        buffer.erase(0, length);
+        return parse_status::complete;
+    }
+
+    bool hasOneHost(const Poco::Net::HTTPRequest& head)
+    {
+        auto count = std::count_if(head.begin(), head.end(),
+            [](const auto& field) { return Poco::icompare(field.first, "Host") == 0; });
+        return count == 1;
+    }
+
+    bool hasNoBody(int status, bool isHead) { return isHead || status == 204 || status == 304; }
+
+    body_decoder decoderFor(const internal::body_framing& framing)
+    {
+        switch (framing.kind) {
+        case internal::framing::fixedLength:
+            return body_decoder::ofLength(framing.length);
+        case internal::framing::chunked:
+            return body_decoder::ofChunks();
+        default:
+            return {};
+        }
+    }
+
+}
+
+body_decoder body_decoder::ofLength(std::uint64_t length)
+{
+    body_decoder decoder;
+    decoder.m_part = part::fixed;
+    decoder.m_left = length;
+    return decoder;
+}
+
+body_decoder body_decoder::ofChunks()
+{
+    body_decoder decoder;
+    decoder.m_part = part::chunkSize;
+    return decoder;
+}
+
+body_decoder body_decoder::untilEnd()
+{
+    body_decoder decoder;
+    decoder.m_part = part::untilEnd;
+    return decoder;
+}
+
+parse_status body_decoder::take(std::string& buffer, std::string& out, std::size_t maxBytes)
+{
+    auto room = std::min<std::uint64_t>(m_left, maxBytes - std::min(maxBytes, out.size()));
+    auto count = static_cast<std::size_t>(std::min<std::uint64_t>(room, buffer.size()));
+    out.append(buffer, 0, count);
+    buffer.erase(0, count);
+    m_left -= count;
+    if (m_left == 0) {
+        return parse_status::complete;
+    }
+    return out.size() >= maxBytes ? parse_status::bodyTooLarge : parse_status::needMore;
+}
+
+parse_status body_decoder::decodeLine(std::string& buffer)
+{
+    auto end = buffer.find('\n');
+    if (end == std::string::npos) {
+        return buffer.size() > maxLineBytes ? parse_status::malformed : parse_status::needMore;
+    }
+    if (end == 0 || buffer[end - 1] != '\r' || end > maxLineBytes) {
+        return parse_status::malformed;
+    }
+    auto line = std::string_view(buffer).substr(0, end - 1);
+    bool isEmpty = line.empty();
+    if (m_part == part::chunkSize) {
+        auto digits = line.substr(0, line.find(';'));
+        auto [rest, error] = std::from_chars(digits.data(), digits.data() + digits.size(), m_left, 16);
+        if (digits.empty() || error != std::errc() || rest != digits.data() + digits.size()) {
+            return parse_status::malformed;
+        }
+        m_part = m_left == 0 ? part::trailer : part::chunkData;
+    } else if (m_part == part::chunkEnd) {
+        if (!isEmpty) {
+            return parse_status::malformed;
+        }
+        m_part = part::chunkSize;
+    } else if (isEmpty) {
+        m_part = part::none;
+    }
+    buffer.erase(0, end + 1);
+    return parse_status::complete;
+}
+
+parse_status body_decoder::decode(std::string& buffer, std::string& out, std::size_t maxBytes)
+{
+    while (true) {
+        parse_status status = parse_status::complete;
+        switch (m_part) {
+        case part::none:
+            return parse_status::complete;
+        case part::fixed:
+            return take(buffer, out, maxBytes);
+        case part::untilEnd:
+            out.append(buffer);
+            buffer.clear();
+            return out.size() > maxBytes ? parse_status::bodyTooLarge : parse_status::needMore;
+        case part::chunkData:
+            status = take(buffer, out, maxBytes);
+            if (status == parse_status::complete) {
+                m_part = part::chunkEnd;
+            }
+            break;
+        default:
+            status = decodeLine(buffer);
+            break;
+        }
+        if (status != parse_status::complete) {
+            return status;
+        }
+    }
+}
+
+parse_status request_parser::parse(std::string& buffer, request_message& message, const read_limits& limits)
+{
+    if (!m_hasHead) {
+        auto status = takeHead(buffer, message.head, limits.maxHeaderBytes);
+        if (status != parse_status::complete) {
+            return status;
+        }
+        auto framing = internal::statedFraming(message.head);
+        if (!framing || message.head.getVersion() != "HTTP/1.1" || !hasOneHost(message.head)) {
+            return parse_status::malformed;
+        }
+        if (framing->kind == internal::framing::fixedLength && framing->length > limits.maxBodyBytes) {
+            return parse_status::bodyTooLarge;
+        }
+        bool hasBody = framing->kind != internal::framing::none;
+        m_wantsContinue = hasBody && Poco::icompare(message.head.get("Expect", ""), "100-continue") == 0;
+        m_body = decoderFor(*framing);
+        m_hasHead = true;
+        message.body.clear();
+    }
+    auto status = m_body.decode(buffer, message.body, limits.maxBodyBytes);
+    if (status == parse_status::complete) {
+        m_hasHead = false;
+    }
+    return status;
+}
+
+bool request_parser::takeContinueWish() { return std::exchange(m_wantsContinue, false); }
+
+parse_status response_parser::parseHead(
+    std::string& buffer, response_message& message, const read_limits& limits)
+{
+    while (true) {
+        auto status = takeHead(buffer, message.head, limits.maxHeaderBytes);
+        if (status != parse_status::complete) {
+            return status;
+        }
+        int code = message.head.getStatus();
+        if (code < 100 || code == 101 || code > 599) {
+            return parse_status::malformed;
+        }
+        if (code >= 200) {
+            break;
+        }
+    }
+    auto framing = internal::statedFraming(message.head);
+    if (!framing) {
+        return parse_status::malformed;
+    }
+    if (hasNoBody(message.head.getStatus(), m_isHead)) {
+        m_body = {};
+    } else if (framing->kind == internal::framing::none) {
+        m_body = body_decoder::untilEnd();
+    } else {
+        m_body = decoderFor(*framing);
+    }
+    m_hasHead = true;
+    message.body.clear();
+    return parse_status::complete;
+}
+
+parse_status response_parser::parse(std::string& buffer, response_message& message, const read_limits& limits)
+{
+    if (!m_hasHead) {
+        auto status = parseHead(buffer, message, limits);
+        if (status != parse_status::complete) {
+            return status;
+        }
+    }
+    return m_body.decode(buffer, message.body, limits.maxBodyBytes);
+}
+
+}
--- /dev/null
+++ b/marlsill/placement/attempt_policy.h
@@ -0,0 +1,75 @@
+#pragma once
+
+// Decides what follows an attempt at an upstream: deliver its answer, try another upstream, or answer for it.
+//
+//     auto next = decideAfter(attempt, request);
+//     if (next.step == next_step::tryAnother)
+//         ...
+//
+// Pure functions; tested without a network.
+
+#include "marlsill/placement/upstream_board.h"
+
+namespace marlsill::placement {
+
+// How an attempt at an upstream ended.
+enum class attempt_end {
+    answered, // A whole answer to this request, which the upstream ran.
+    refused, // The upstream says that it has not run the request.
+    wrongUpstream, // Another upstream has the address, and has not run the request.
+    notSent, // No byte was sent.
+    noAnswer, // The connection ended before the first byte of an answer.
+    broken, // The answer was cut or malformed.
+    timedOut,
+    cancelled, // We broke it off.
+};
+
+// One attempt that ended.
+struct ended_attempt {
+    attempt_end end = attempt_end::notSent;
+    int status = 0; // Of the answer, where there is one.
+    bool wasReused = false; // The connection had carried a request before.
+};
+
+// The request that the attempt belongs to.
+struct request_state {
+    bool isAtMostOnce = false;
+    int sentTo = 0; // Upstreams to which it has been sent, this attempt included.
+    int maxUpstreams = 1;
+    int failedConnects = 0;
+    bool mayHaveRun = false; // Some attempt may have run it.
+    bool isAnotherAtWork = false; // A second attempt is still in work.
+};
+
+// What to do next.
+enum class next_step {
+    deliver, // The upstream's answer is the final one.
+    tryAnother, // Send it to another upstream if the budget and the time left allow, else `otherwise`.
+    wait, // Another attempt may still succeed.
+    refuse, // Say that it has not run: 503.
+    giveUp, // Say that nobody can tell whether it ran: 502.
+};
+
+// A decision, and what to do where trying another upstream is not possible.
+struct next_decision {
+    next_step step = next_step::giveUp;
+    next_step otherwise = next_step::giveUp;
+};
+
+// Returns whether the upstream may have run the request.
+constexpr bool mayHaveRun(attempt_end end)
+{
+    return end != attempt_end::refused && end != attempt_end::wrongUpstream && end != attempt_end::notSent;
+}
+
+// Returns what follows an attempt.
+next_decision decideAfter(const ended_attempt& attempt, const request_state& request);
+
+// Returns what the attempt says about its upstream. `isSlow` tells that it took far longer than usual.
+attempt_verdict judge(const ended_attempt& attempt, bool isSlow);
+
+// Returns how long a caller should wait before it comes again: `expected` until there is room, spread by
+// `fraction` (0 to 1, drawn by the caller) so that those refused together do not return together.
+std::chrono::milliseconds retryAfter(std::chrono::milliseconds expected, double fraction);
+
+}
--- /dev/null
+++ b/marlsill/placement/upstream_board.cc
@@ -0,0 +1,373 @@
+#include "marlsill/placement/upstream_board.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <utility>
+
+namespace marlsill::placement {
+
+namespace {
+
+    constexpr double latencyWeight = 0.2; // Of the newest sample in a smoothed latency.
+    constexpr double comfortableShare = 0.67; // Of the slots; some upstreams slow down when nearly full.
+    constexpr double coldShare = 0.34; // Of the slots while an upstream warms up.
+    constexpr double slowFactor = 2.0; // Of the service's latency, from which an upstream counts as slow.
+    constexpr int minimumSamples = 3; // Before a latency says anything.
+    constexpr int overcommit = 1; // Requests beyond the slots, as the known work lags a little.
+
+    double smooth(double old, double sample) { return old == 0 ? sample : old + latencyWeight * (sample - old); }
+
+    double toMilliseconds(steady_clock::duration length)
+    {
+        return std::chrono::duration<double, std::milli>(length).count();
+    }
+
+}
+
+struct upstream_board::record {
+    struct peer_load {
+        int inFlight = 0;
+        deadline validUntil;
+    };
+
+    upstream_entry entry;
+    int inFlight = 0;
+    std::multiset<steady_clock::time_point> started; // Of own attempts in work.
+    std::map<std::string, peer_load, std::less<>> peers;
+    double latencyMs = 0;
+    int samples = 0;
+    bool isExcluded = false;
+    int successesSinceTrial = 0;
+    deadline excludedUntil {};
+    deadline trialUntil {};
+    steady_clock::time_point excludedSince {};
+    steady_clock::time_point lastTried {};
+    bool hasChangedLoad = false;
+};
+
+struct upstream_board::service_record {
+    std::vector<record*> upstreams; // That are not leaving.
+    double latencyMs = 0;
+};
+
+upstream_board::upstream_board(board_options options, std::uint64_t seed)
+    : m_options(std::move(options))
+    , m_random(seed)
+{
+}
+
+upstream_board::~upstream_board() = default;
+
+void upstream_board::replaceUpstreams(
+    std::span<const upstream_entry> upstreams, steady_clock::time_point now)
+{
+    decltype(m_records) kept;
+    for (auto& each : m_services) {
+        each.second->upstreams.clear();
+    }
+    for (const auto& entry : upstreams) {
+        auto found = m_records.find(entry.id);
+        bool isSameLife = found != m_records.end() && found->second->entry.bornUnixMs == entry.bornUnixMs
+            && found->second->entry.service == entry.service;
+        auto current = isSameLife ? std::move(found->second) : std::make_unique<record>();
+        if (!isSameLife) {
+            current->lastTried = now;
+        }
+        current->entry = entry;
+        if (!entry.isLeaving) {
+            auto& service = m_services[entry.service];
+            if (!service) {
+                service = std::make_unique<service_record>();
+            }
+            service->upstreams.push_back(current.get());
+        }
+        kept[entry.id] = std::move(current);
+    }
+    m_records = std::move(kept);
+}
+
+upstream_board::record* upstream_board::findRecord(std::string_view upstream) const
+{
+    auto found = m_records.find(upstream);
+    return found == m_records.end() ? nullptr : found->second.get();
+}
+
+const upstream_entry* upstream_board::find(std::string_view upstream) const
+{
+    auto* found = findRecord(upstream);
+    return found ? &found->entry : nullptr;
+}
+
+bool upstream_board::isExcluded(const record& each, steady_clock::time_point) const { return each.isExcluded; }
+
+bool upstream_board::isTrialDue(const record& each, steady_clock::time_point now) const
+{
+    return each.isExcluded && hasPassed(each.excludedUntil, now) && hasPassed(each.trialUntil, now);
+}
+
+int upstream_board::inFlightAt(const record& each, steady_clock::time_point now) const
+{
+    int sum = each.inFlight;
+    for (const auto& [peer, load] : each.peers) {
+        sum += hasPassed(load.validUntil, now) ? 0 : load.inFlight;
+    }
+    return sum;
+}
+
+upstream_board::record* upstream_board::longestUntried(
+    service_record& service, std::span<const std::string> tried, steady_clock::time_point now) const
+{
+    record* oldest = nullptr;
+    int untried = 0;
+    for (auto* each : service.upstreams) {
+        bool isUntried = each->isExcluded && each->lastTried + m_options.untriedAfter < now
+            && hasPassed(each->trialUntil, now);
+        if (!isUntried) {
+            continue;
+        }
+        ++untried;
+        bool isNew = std::find(tried.begin(), tried.end(), each->entry.id) == tried.end();
+        if (isNew && (!oldest || each->lastTried < oldest->lastTried)) {
+            oldest = each;
+        }
+    }
+    auto allowed = std::floor(m_options.maxUntriedShare * static_cast<double>(service.upstreams.size()));
+    return untried > allowed ? oldest : nullptr;
+}
+
+choice upstream_board::choose(const choice_request& request, steady_clock::time_point now)
+{
+    auto found = m_services.find(request.service);
+    if (found == m_services.end() || found->second->upstreams.empty()) {
+        return {};
+    }
+    auto& service = *found->second;
+    if (auto* forced = longestUntried(service, request.tried, now)) {
+        return { choice_status::chosen, &forced->entry, true, inFlightAt(*forced, now) };
+    }
+    struct candidate {
+        record* upstream = nullptr;
+        int tier = 0; // Lower is better.
+        double load = 0;
+    };
+    std::optional<candidate> best;
+    record* trial = nullptr;
+    bool hasUsable = false;
+    std::shuffle(service.upstreams.begin(), service.upstreams.end(), m_random);
+    for (auto* each : service.upstreams) {
+        if (std::find(request.tried.begin(), request.tried.end(), each->entry.id) != request.tried.end()) {
+            continue;
+        }
+        hasUsable = true;
+        int inFlight = inFlightAt(*each, now);
+        if (each->isExcluded) {
+            bool isFirst = !trial || each->excludedUntil < trial->excludedUntil;
+            if (isTrialDue(*each, now) && isFirst) {
+                trial = each;
+            }
+            continue;
+        }
+        double slots = std::max(1, each->entry.slots);
+        bool isWarm = hasPassed(each->entry.warmUntil, now);
+        bool isSlow = each->samples >= minimumSamples && service.latencyMs > 0
+            && each->latencyMs > slowFactor * service.latencyMs;
+        double comfortable = std::max(1.0, std::round(slots * (isWarm ? comfortableShare : coldShare)));
+        bool isLocal = each->entry.failureDomain == m_options.failureDomain;
+        if (inFlight >= slots + overcommit) {
+            continue;
+        }
+        int tier = 0;
+        if (inFlight + 1 <= comfortable) {
+            tier = isLocal ? 0 : 1;
+        } else {
+            tier = inFlight + 1 <= slots ? 2 : 4;
+        }
+        if (isSlow) {
+            tier = std::max(tier, 3);
+        }
+        candidate current { each, tier, inFlight / slots };
+        if (!best || current.tier < best->tier || (current.tier == best->tier && current.load < best->load)) {
+            best = current;
+        }
+    }
+    if (trial) {
+        return { choice_status::chosen, &trial->entry, true, inFlightAt(*trial, now) };
+    }
+    if (best) {
+        return { choice_status::chosen, &best->upstream->entry, false, inFlightAt(*best->upstream, now) };
+    }
+    return { hasUsable ? choice_status::allBusy : choice_status::noneUsable };
+}
+
+void upstream_board::begin(std::string_view upstream, bool isTrial, steady_clock::time_point now)
+{
+    auto* found = findRecord(upstream);
+    if (!found) {
+        return;
+    }
+    ++found->inFlight;
+    found->started.insert(now);
+    found->lastTried = now;
+    found->hasChangedLoad = true;
+    if (isTrial) {
+        found->trialUntil = now + m_options.trialLength;
+        found->successesSinceTrial = 0;
+    }
+}
+
+void upstream_board::exclude(record& each, std::chrono::milliseconds hold, steady_clock::time_point now)
+{
+    if (!each.isExcluded) {
+        each.excludedSince = now;
+    }
+    each.isExcluded = true;
+    each.excludedUntil = std::max(each.excludedUntil, now + hold);
+    each.trialUntil = now;
+}
+
+void upstream_board::readmit(record& each)
+{
+    each.isExcluded = false;
+    each.excludedUntil = {};
+    each.trialUntil = {};
+}
+
+std::optional<upstream_evidence> upstream_board::end(std::string_view upstream, attempt_verdict verdict,
+    steady_clock::duration elapsed, steady_clock::time_point started, bool isAtMostOnce,
+    steady_clock::time_point now)
+{
+    auto* found = findRecord(upstream);
+    if (!found) {
+        return std::nullopt;
+    }
+    found->inFlight = std::max(0, found->inFlight - 1);
+    found->hasChangedLoad = true;
+    if (auto own = found->started.find(started); own != found->started.end()) {
+        found->started.erase(own);
+    }
+    upstream_evidence evidence { std::string(upstream) };
+    switch (verdict) {
+    case attempt_verdict::succeeded: {
+        double sample = toMilliseconds(elapsed);
+        found->latencyMs = smooth(found->latencyMs, sample);
+        ++found->samples;
+        if (auto service = m_services.find(found->entry.service); service != m_services.end()) {
+            service->second->latencyMs = smooth(service->second->latencyMs, sample);
+        }
+        if (!found->isExcluded || started < found->excludedSince) {
+            return std::nullopt;
+        }
+        readmit(*found);
+        evidence.kind = evidence_kind::recovered;
+        return evidence;
+    }
+    case attempt_verdict::failed:
+        exclude(*found, isAtMostOnce ? m_options.holdAtMostOnce : m_options.holdRepeatable, now);
+        evidence.kind = evidence_kind::failed;
+        return evidence;
+    case attempt_verdict::unreachable:
+        exclude(*found, m_options.holdUnreachable, now);
+        evidence.kind = evidence_kind::unreachable;
+        return evidence;
+    case attempt_verdict::refused:
+        exclude(*found, m_options.holdRefused, now);
+        return std::nullopt;
+    case attempt_verdict::neutral:
+        break;
+    }
+    return std::nullopt;
+}
+
+void upstream_board::learn(
+    const upstream_evidence& evidence, bool isAtMostOnce, steady_clock::time_point now)
+{
+    auto* found = findRecord(evidence.upstream);
+    if (!found) {
+        return;
+    }
+    switch (evidence.kind) {
+    case evidence_kind::failed:
+    case evidence_kind::stalled:
+        exclude(*found, isAtMostOnce ? m_options.holdAtMostOnce : m_options.holdRepeatable, now);
+        break;
+    case evidence_kind::unreachable:
+        exclude(*found, m_options.holdUnreachable, now);
+        break;
+    case evidence_kind::trial:
+        found->trialUntil = now + m_options.trialLength;
+        found->lastTried = now;
+        break;
+    case evidence_kind::recovered:
+        readmit(*found);
+        break;
+    }
+}
+
+void upstream_board::learnLoad(std::string_view peer, const upstream_load& load, steady_clock::time_point now)
+{
+    auto* found = findRecord(load.upstream);
+    if (!found) {
+        return;
+    }
+    found->peers[std::string(peer)] = { load.inFlight, now + m_options.loadLife };
+    if (load.inFlight > 0) {
+        found->lastTried = now;
+    }
+    if (load.latencyMs > 0) {
+        found->latencyMs = smooth(found->latencyMs, load.latencyMs);
+        ++found->samples;
+    }
+}
+
+std::vector<upstream_evidence> upstream_board::findStalled(steady_clock::time_point now)
+{
+    std::vector<upstream_evidence> stalled;
+    for (auto& [id, each] : m_records) {
+        auto service = m_services.find(each->entry.service);
+        if (each->started.empty() || each->isExcluded || service == m_services.end()) {
+            continue;
+        }
+        auto usual = std::chrono::milliseconds(
+            static_cast<std::int64_t>(m_options.stallFactor * service->second->latencyMs));
+        auto limit = std::max(m_options.minStall, usual);
+        if (now - *each->started.begin() > limit) {
+            exclude(*each, m_options.holdRepeatable, now);
+            stalled.push_back({ id, evidence_kind::stalled });
+        }
+    }
+    return stalled;
+}
+
+std::vector<upstream_load> upstream_board::takeChangedLoads()
+{
+    std::vector<upstream_load> changed;
+    for (auto& [id, each] : m_records) {
+        if (std::exchange(each->hasChangedLoad, false)) {
+            changed.push_back({ id, each->inFlight, static_cast<int>(each->latencyMs) });
+        }
+    }
+    return changed;
+}
+
+service_condition upstream_board::conditionOf(std::string_view service, steady_clock::time_point now) const
+{
+    service_condition condition;
+    auto found = m_services.find(service);
+    if (found == m_services.end()) {
+        return condition;
+    }
+    condition.latencyMs = static_cast<int>(found->second->latencyMs);
+    for (const auto* each : found->second->upstreams) {
+        ++condition.upstreams;
+        condition.inFlight += inFlightAt(*each, now);
+        if (each->isExcluded) {
+            ++condition.excluded;
+        } else {
+            condition.slots += each->entry.slots;
+        }
+    }
+    return condition;
+}
+
+}
--- /dev/null
+++ b/marlsill/placement/upstream_board.h
@@ -0,0 +1,163 @@
+#pragma once
+
+// Chooses the upstream for each request from what this VM and its peers have seen of all upstreams.
+//
+//     upstream_board board(options);
+//     board.replaceUpstreams(registered, now);
+//     auto chosen = board.choose({ .service = "bookings", .isAtMostOnce = true }, now);
+//     board.begin(chosen.upstream, now);
+//     board.end(chosen.upstream, attempt_verdict::succeeded, elapsed, now);
+//
+// An upstream that fails is excluded for a hold time, then one request tries it. The number of upstreams of a
+// service that nobody has tried lately stays below a share, so that no judgement, right or wrong, concentrates
+// the work on too few. Pure decisions; not thread safe.
+
+#include "marlsill/placement/upstream_entry.h"
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace marlsill::placement {
+
+// What one attempt says about its upstream.
+enum class attempt_verdict {
+    succeeded,
+    failed, // It gave a wrong or no answer.
+    refused, // It said that it has no room.
+    unreachable, // No connection; nothing was sent.
+    neutral, // The attempt says nothing about the upstream.
+};
+
+// What VMs tell each other about an upstream.
+enum class evidence_kind {
+    failed,
+    stalled, // Work there takes far longer than usual.
+    unreachable,
+    trial, // A VM sends it one request to see whether it has recovered.
+    recovered,
+};
+
+// A piece of evidence about one upstream.
+struct upstream_evidence {
+    std::string upstream;
+    evidence_kind kind = evidence_kind::failed;
+};
+
+// Work of one VM at one upstream, as it tells its peers.
+struct upstream_load {
+    std::string upstream;
+    int inFlight = 0;
+    int latencyMs = 0; // Smoothed; 0 when unknown.
+};
+
+// Settings of a board.
+struct board_options {
+    std::string failureDomain; // Of this VM; upstreams there are preferred.
+    // A gray phase lasts some seconds; holding longer than two costs capacity after it has ended.
+    std::chrono::milliseconds holdRepeatable { 1'000 };
+    std::chrono::milliseconds holdAtMostOnce { 2'500 };
+    std::chrono::milliseconds holdUnreachable { 1'000 }; // A crashed upstream is back after some seconds.
+    std::chrono::milliseconds holdRefused { 200 }; // About one service time.
+    std::chrono::milliseconds trialLength { 1'500 }; // How long the result of a trial is waited for.
+    std::chrono::milliseconds untriedAfter { 1'500 }; // Below the two seconds of the capacity floor's window.
+    double maxUntriedShare = 0.3; // One minus the share of upstreams that must stay in use.
+    double stallFactor = 4.0; // Of the service's usual latency.
+    std::chrono::milliseconds minStall { 1'000 };
+    std::chrono::milliseconds loadLife { 1'500 }; // A peer's load counts this long after its last report.
+};
+
+// What a request asks of the board.
+struct choice_request {
+    std::string_view service;
+    std::span<const std::string> tried; // Upstreams that this request has been sent to.
+    bool isAtMostOnce = false;
+};
+
+// How a choice ended.
+enum class choice_status {
+    chosen,
+    allBusy, // Every usable upstream has as much work as it should have.
+    noneUsable, // The service has no upstream left to try.
+};
+
+// A choice and what it was based on.
+struct choice {
+    choice_status status = choice_status::noneUsable;
+    const upstream_entry* upstream = nullptr; // Valid until the next replaceUpstreams().
+    bool isTrial = false;
+    int inFlight = 0; // Known work at the upstream, fleet-wide.
+};
+
+// A service's condition, for admission and logs.
+struct service_condition {
+    int upstreams = 0; // Registered and not leaving.
+    int excluded = 0;
+    int slots = 0; // Of upstreams that are not excluded.
+    int inFlight = 0;
+    int latencyMs = 0;
+};
+
+// See the file comment.
+class upstream_board {
+public:
+    explicit upstream_board(board_options options, std::uint64_t seed = std::random_device {}());
+    ~upstream_board();
+
+    // Takes the registered upstreams; what is known of those that stay is kept.
+    void replaceUpstreams(std::span<const upstream_entry> upstreams, steady_clock::time_point now);
+
+    // Chooses an upstream; the caller reports begin() and end() for it.
+    choice choose(const choice_request& request, steady_clock::time_point now);
+
+    // Reports the start of an attempt.
+    void begin(std::string_view upstream, bool isTrial, steady_clock::time_point now);
+
+    // Reports the end of an attempt. Returns the evidence that the peers should hear, if any.
+    std::optional<upstream_evidence> end(std::string_view upstream, attempt_verdict verdict,
+        steady_clock::duration elapsed, steady_clock::time_point started, bool isAtMostOnce,
+        steady_clock::time_point now);
+
+    // Takes a peer's evidence.
+    void learn(const upstream_evidence& evidence, bool isAtMostOnce, steady_clock::time_point now);
+
+    // Takes a peer's work at an upstream.
+    void learnLoad(std::string_view peer, const upstream_load& load, steady_clock::time_point now);
+
+    // Finds upstreams at which this VM's work stalls, excludes them, and returns the evidence.
+    std::vector<upstream_evidence> findStalled(steady_clock::time_point now);
+
+    // Returns this VM's work at each upstream where it changed since the last call.
+    std::vector<upstream_load> takeChangedLoads();
+
+    // Returns the registered entry of an upstream, or nullptr.
+    const upstream_entry* find(std::string_view upstream) const;
+
+    service_condition conditionOf(std::string_view service, steady_clock::time_point now) const;
+
+private:
+    struct record;
+    struct service_record;
+
+    bool isExcluded(const record& each, steady_clock::time_point now) const;
+    bool isTrialDue(const record& each, steady_clock::time_point now) const;
+    int inFlightAt(const record& each, steady_clock::time_point now) const;
+    record* longestUntried(service_record& service, std::span<const std::string> tried,
+        steady_clock::time_point now) const;
+    void exclude(record& each, std::chrono::milliseconds hold, steady_clock::time_point now);
+    void readmit(record& each);
+    record* findRecord(std::string_view upstream) const;
+
+    const board_options m_options;
+    std::mt19937_64 m_random;
+    std::map<std::string, std::unique_ptr<record>, std::less<>> m_records;
+    std::map<std::string, std::unique_ptr<service_record>, std::less<>> m_services;
+};
+
+}
--- /dev/null
+++ b/marlsill/placement/upstream_entry.h
@@ -0,0 +1,27 @@
+#pragma once
+
+// What is registered about one upstream.
+
+#include "marlsill/base/time.h"
+
+#include <cstdint>
+#include <string>
+
+namespace marlsill::placement {
+
+// One registered upstream. An upstream that starts again under the same identifier has a new `bornUnixMs`.
+struct upstream_entry {
+    std::string id;
+    std::string service;
+    std::string address; // ip:port
+    std::string failureDomain;
+    int slots = 1; // Requests that it runs at once.
+    bool isLeaving = false; // It finishes its work and takes no new one.
+    deadline warmUntil {}; // It is slow until then.
+    std::int64_t bornUnixMs = 0; // Start of this life; 0 when unknown.
+    std::uint64_t version = 0; // Of the registration; grows with each change.
+
+    bool operator==(const upstream_entry&) const = default;
+};
+
+}
--- /dev/null
+++ b/marlsill/placement/window_budget.h
@@ -0,0 +1,91 @@
+#pragma once
+
+// Bounds the arrivals at a service beyond the first of each request, over a sliding window.
+//
+//     window_budget budget({ .ratio = 0.2, .slack = 4 });
+//     budget.countRequest(now);
+//     if (budget.tryTake(now))
+//         sendOnceMore();
+//
+// All VMs together must stay within ratio x requests + the fleet's slack. Each VM may use the ratio of its own
+// requests and its share of the slack, so that no agreement is needed. Not thread safe.
+
+#include "marlsill/base/time.h"
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+
+namespace marlsill::placement {
+
+// Bounds of one VM.
+struct window_budget_options {
+    std::chrono::milliseconds window { 10'000 };
+    double ratio = 0.2; // Extra arrivals per request.
+    double slack = 1; // Extra arrivals per window beside the ratio: this VM's share of the fleet's.
+};
+
+// See the file comment.
+class window_budget {
+public:
+    explicit window_budget(window_budget_options options)
+        : m_options(options)
+    {
+    }
+
+    // Changes the bounds; what has been counted stays.
+    void setOptions(window_budget_options options) { m_options = options; }
+
+    // Counts the first arrival of a request.
+    void countRequest(steady_clock::time_point now) { ++slotAt(now).requests; }
+
+    // Takes one extra arrival if the window has room for it.
+    bool tryTake(steady_clock::time_point now)
+    {
+        auto& current = slotAt(now);
+        auto oldest = indexAt(now) - static_cast<std::int64_t>(slotsPerWindow);
+        double requests = 0;
+        double taken = 0;
+        for (const auto& each : m_slots) {
+            if (each.index > oldest) {
+                requests += each.requests;
+                taken += each.taken;
+            }
+        }
+        if (taken + 1 > m_options.ratio * requests + m_options.slack) {
+            return false;
+        }
+        ++current.taken;
+        return true;
+    }
+
+private:
+    static constexpr std::size_t slotsPerWindow = 10;
+
+    struct slot {
+        std::int64_t index = -1;
+        int requests = 0;
+        int taken = 0;
+    };
+
+    std::int64_t indexAt(steady_clock::time_point now) const
+    {
+        auto length = m_options.window / static_cast<int>(slotsPerWindow);
+        return now.time_since_epoch() / std::chrono::duration_cast<steady_clock::duration>(length);
+    }
+
+    slot& slotAt(steady_clock::time_point now)
+    {
+        auto index = indexAt(now);
+        auto& found = m_slots[static_cast<std::size_t>(index) % m_slots.size()];
+        if (found.index != index) {
+            found = { index };
+        }
+        return found;
+    }
+
+    window_budget_options m_options;
+    std::array<slot, slotsPerWindow + 1> m_slots;
+};
+
+}
--- /dev/null
+++ b/marlsill/store/upstream_registry.cc
@@ -0,0 +1,106 @@
+#include "marlsill/store/upstream_registry.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace marlsill::store {
+
+bool upstream_registry::isUnsettled(steady_clock::time_point now) const
+{
+    return m_isStoreLost || (m_regainedAt && now < *m_regainedAt + m_options.returnLimit);
+}
+
+bool upstream_registry::replaceAll(
+    std::span<const placement::upstream_entry> listed, steady_clock::time_point now)
+{
+    bool hasChanged = false;
+    std::set<std::string> present;
+    for (const auto& each : listed) {
+        present.insert(each.id);
+        hasChanged = put(each) || hasChanged;
+    }
+    std::vector<std::string> missing;
+    for (const auto& [id, each] : m_entries) {
+        if (!present.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    for (const auto& id : missing) {
+        hasChanged = remove(id, now) || hasChanged;
+    }
+    return hasChanged;
+}
+
+bool upstream_registry::put(const placement::upstream_entry& next)
+{
+    auto& found = m_entries[next.id];
+    bool isOld = next.version < found.registered.version;
+    if (isOld) {
+        return false;
+    }
+    bool isSameLife = found.registered.bornUnixMs == next.bornUnixMs && found.registered.service == next.service;
+    bool wasLeaving = isSameLife && found.registered.isLeaving;
+    bool hasChanged = found.isMissing || !(found.registered == next);
+    found.registered = next;
+    found.registered.isLeaving = next.isLeaving || wasLeaving;
+    found.isMissing = false;
+    return hasChanged;
+}
+
+bool upstream_registry::remove(const std::string& id, steady_clock::time_point now)
+{
+    auto found = m_entries.find(id);
+    if (found == m_entries.end()) {
+        return false;
+    }
+    if (isUnsettled(now) && !found->second.registered.isLeaving) {
+        found->second.isMissing = true;
+        return false;
+    }
+    m_entries.erase(found);
+    return true;
+}
+
+void upstream_registry::noteStoreLost(steady_clock::time_point)
+{
+    m_isStoreLost = true;
+    m_regainedAt.reset();
+}
+
+void upstream_registry::noteStoreRegained(steady_clock::time_point now)
+{
+    if (std::exchange(m_isStoreLost, false)) {
+        m_regainedAt = now;
+    }
+}
+
+bool upstream_registry::expire(steady_clock::time_point now)
+{
+    if (isUnsettled(now)) {
+        return false;
+    }
+    return std::erase_if(m_entries, [](const auto& each) { return each.second.isMissing; }) > 0;
+}
+
+std::optional<deadline> upstream_registry::nextExpiry() const
+{
+    bool hasMissing = std::any_of(
+        m_entries.begin(), m_entries.end(), [](const auto& each) { return each.second.isMissing; });
+    if (!hasMissing || !m_regainedAt) {
+        return std::nullopt;
+    }
+    return *m_regainedAt + m_options.returnLimit;
+}
+
+std::vector<placement::upstream_entry> upstream_registry::current() const
+{
+    std::vector<placement::upstream_entry> result;
+    result.reserve(m_entries.size());
+    for (const auto& [id, each] : m_entries) {
+        result.push_back(each.registered);
+    }
+    return result;
+}
+
+}
