--- a/marlsill/cluster/fleet_knowledge.cc
+++ b/marlsill/cluster/fleet_knowledge.cc
@@ -3,6 +3,7 @@
 #include "marlsill/base/hash.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace marlsill::cluster {
 
@@ -18,7 +19,7 @@
 {
     std::uint64_t sum = entries.size();
     for (const auto& each : entries) {
-        sum += fastHash(each.id, fastHash(each.address, each.version * 2 + (each.isLeaving ? 1 : 0)));
+        sum += fastHash(each.id, fastHash(each.address, each.version * 4 + (each.isLeaving ? 2 : 0) + (each.isDoubtful ? 1 : 0)));
     }
     return sum;
 }
@@ -34,36 +35,41 @@
 {
 }
 
-std::vector<std::string> fleet_knowledge::domainHosts() const
+bool fleet_knowledge::isElected(const member& candidate, const std::vector<member>& records) const
 {
-    std::vector<std::string> hosts;
-    for (const auto& each : m_members.records()) {
-        bool isOther = each.host != m_members.self().host;
-        if (isOther && each.failureDomain == m_members.self().failureDomain) {
-            hosts.push_back(each.host);
+    std::set<std::string_view> domains;
+    std::size_t better = 0;
+    for (const auto& each : records) {
+        if (each.state == member_state::leaving) {
+            continue;
         }
+        domains.insert(each.failureDomain);
+        bool isRival = each.failureDomain == candidate.failureDomain && each.host != candidate.host;
+        better += isRival && scoreOf(each.host) > scoreOf(candidate.host) ? 1 : 0;
     }
-    return hosts;
+    auto perDomain = domains.size() >= m_options.minWatchers ? 1 : m_options.minWatchers;
+    return candidate.state != member_state::leaving && better < perDomain;
 }
 
-bool fleet_knowledge::isElected() const
+bool fleet_knowledge::isElected() const { return isElected(m_members.self(), m_members.records()); }
+
+// Returns whom a watcher tells: its own failure domain and the watchers of the others.
+std::vector<std::string> fleet_knowledge::audience() const
 {
-    if (m_members.self().state == member_state::leaving) {
-        return false;
-    }
-    auto own = scoreOf(m_members.self().host);
-    std::size_t better = 0;
-    for (const auto& each : m_members.records()) {
-        bool isRival = each.failureDomain == m_members.self().failureDomain
-            && each.state != member_state::leaving && scoreOf(each.host) > own;
-        better += isRival ? 1 : 0;
+    auto records = m_members.records();
+    std::vector<std::string> hosts;
+    for (const auto& each : records) {
+        bool isNear = each.failureDomain == m_members.self().failureDomain;
+        if (each.host != m_members.self().host && (isNear || isElected(each, records))) {
+            hosts.push_back(each.host);
+        }
     }
-    return better < m_options.watchersPerDomain;
+    return hosts;
 }
 
 knowledge_stamp fleet_knowledge::stamp(steady_clock::time_point now) const
 {
-    auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_contactAt).count();
+    auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - contactAt()).count();
     return { m_configurationVersion, m_storeVersion, m_upstreamDigest,
         static_cast<std::uint64_t>(std::clamp<std::int64_t>(age, 0, 3'600'000)) };
 }
@@ -75,7 +81,21 @@
     }
     m_configuration = std::move(text);
     m_configurationVersion = version;
-    announce();
+    m_actions.takeConfiguration(m_configuration, m_configurationVersion);
+    announceConfiguration();
+}
+
+void fleet_knowledge::announceConfiguration()
+{
+    if (!isElected() || m_configuration.size() > m_options.maxConfigurationBytes) {
+        return;
+    }
+    peer_message message;
+    message.configuration = m_configuration;
+    message.configurationVersion = m_configurationVersion;
+    for (const auto& host : audience()) {
+        m_actions.send(host, message);
+    }
 }
 
 void fleet_knowledge::setUpstreams(std::vector<placement::upstream_entry> entries, std::uint64_t storeVersion)
@@ -85,19 +105,61 @@
     if (digest == m_upstreamDigest) {
         return;
     }
+    auto before = std::exchange(m_upstreams, {});
+    auto digestBefore = m_upstreamDigest;
+    use(std::move(entries), digest);
+    announceChange(before, digestBefore);
+}
+
+// Puts a list to use. Doubtful entries are used only where they were before.
+void fleet_knowledge::use(std::vector<placement::upstream_entry> entries, std::uint64_t digest)
+{
+    std::vector<placement::upstream_entry> used;
+    for (const auto& each : entries) {
+        if (!each.isDoubtful || m_used.contains(each.id)) {
+            used.push_back(each);
+        }
+    }
+    m_used.clear();
+    for (const auto& each : used) {
+        m_used.insert(each.id);
+    }
     m_upstreams = std::move(entries);
     m_upstreamDigest = digest;
-    announce();
+    m_actions.takeUpstreams(used);
 }
 
-// Sends all that this VM knows to its domain. Only watchers do, as the others have it from them.
-void fleet_knowledge::announce()
+// Tells the others what differs from the list before.
+void fleet_knowledge::announceChange(
+    const std::vector<placement::upstream_entry>& before, std::uint64_t digestBefore)
 {
-    if (!m_isWatching || !isElected()) {
+    if (!isElected()) {
         return;
     }
-    for (const auto& host : domainHosts()) {
-        sendAll(host, steady_clock::now());
+    peer_message message;
+    message.stamp = stamp(steady_clock::now());
+    message.baseDigest = digestBefore;
+    std::map<std::string_view, const placement::upstream_entry*> known;
+    for (const auto& each : before) {
+        known[each.id] = &each;
+    }
+    for (const auto& each : m_upstreams) {
+        auto found = known.find(each.id);
+        if (found == known.end() || !(*found->second == each)) {
+            message.upstreams.push_back(each);
+        }
+        if (found != known.end()) {
+            known.erase(found);
+        }
+    }
+    for (const auto& [id, each] : known) {
+        message.removed.emplace_back(id);
+    }
+    if (message.upstreams.size() > m_options.entriesPerDatagram) {
+        return; // The beacons make the others ask for the whole list.
+    }
+    for (const auto& host : audience()) {
+        m_actions.send(host, message);
     }
 }
 
@@ -126,9 +188,7 @@
         sendAll(message.sender, now);
     }
     if (!message.configuration.empty() && message.configurationVersion > m_configurationVersion) {
-        m_configuration = message.configuration;
-        m_configurationVersion = message.configurationVersion;
-        m_actions.takeConfiguration(m_configuration, m_configurationVersion);
+        setConfiguration(message.configuration, message.configurationVersion);
     }
     if (message.stamp) {
         takeUpstreams(message);
@@ -136,33 +196,40 @@
     }
 }
 
-// Collects the parts of a list until its digest is right.
+// Takes a change of the list that is known, or collects the parts of a whole one, until its digest is right.
 void fleet_knowledge::takeUpstreams(const peer_message& message)
 {
     const auto& stamp = *message.stamp;
     bool isOld = stamp.storeVersion < m_storeVersion || stamp.upstreamDigest == m_upstreamDigest;
-    if (message.upstreams.empty() || isOld) {
+    bool isChange = message.baseDigest != 0;
+    if (isOld || (message.upstreams.empty() && !isChange)) {
         return;
     }
-    if (m_partialVersion != stamp.upstreamDigest) {
+    std::map<std::string, placement::upstream_entry> change;
+    if (isChange) {
+        for (const auto& each : m_upstreams) {
+            change[each.id] = each;
+        }
+        for (const auto& id : message.removed) {
+            change.erase(id);
+        }
+    } else if (m_partialDigest != stamp.upstreamDigest) {
         m_partial.clear();
-        m_partialVersion = stamp.upstreamDigest;
+        m_partialDigest = stamp.upstreamDigest;
     }
+    auto& parts = isChange ? change : m_partial;
     for (const auto& each : message.upstreams) {
-        m_partial[each.id] = each;
+        parts[each.id] = each;
     }
     std::vector<placement::upstream_entry> entries;
-    for (const auto& [id, each] : m_partial) {
+    for (const auto& [id, each] : parts) {
         entries.push_back(each);
     }
     if (digestOf(entries) != stamp.upstreamDigest) {
         return;
     }
     m_partial.clear();
-    m_upstreams = std::move(entries);
-    m_upstreamDigest = stamp.upstreamDigest;
-    m_storeVersion = stamp.storeVersion;
-    m_actions.takeUpstreams(m_upstreams);
+    setUpstreams(std::move(entries), stamp.storeVersion);
 }
 
 void fleet_knowledge::takeStamp(const peer_message& message, steady_clock::time_point now)
@@ -176,8 +243,12 @@
         question.wantsKnowledge = true;
         m_actions.send(message.sender, std::move(question));
     }
-    bool isFresh = std::chrono::milliseconds(stamp.contactAgeMs) <= m_options.maxContactAge;
-    if (message.isBeacon && isFresh) {
+    if (!message.isBeacon) {
+        return;
+    }
+    auto age = std::chrono::milliseconds(stamp.contactAgeMs);
+    m_relayedContactAt = std::max(m_relayedContactAt, now - age);
+    if (age <= m_options.maxContactAge) {
         if (now - m_freshBeaconAt > m_options.patience) {
             m_freshSince = now;
         }
@@ -198,14 +269,14 @@
     } else if (isSettled) {
         setWatching(false);
     }
-    bool hasContact = now - m_contactAt <= m_options.maxContactAge;
+    bool hasContact = now - contactAt() <= m_options.maxContactAge;
     if (!elected || !hasContact) {
         return;
     }
     peer_message beacon;
     beacon.isBeacon = true;
     beacon.stamp = stamp(now);
-    for (const auto& host : domainHosts()) {
+    for (const auto& host : audience()) {
         m_actions.send(host, beacon);
     }
 }
@@ -214,7 +285,13 @@
 {
     if (m_isWatching != isWatching) {
         m_isWatching = isWatching;
-        m_actions.watchStore(isWatching);
+        std::vector<placement::upstream_entry> known;
+        for (const auto& each : m_upstreams) {
+            if (m_used.contains(each.id)) {
+                known.push_back(each);
+            }
+        }
+        m_actions.watchStore(isWatching, known);
     }
 }
 
--- a/marlsill/cluster/fleet_knowledge.h
+++ b/marlsill/cluster/fleet_knowledge.h
@@ -7,13 +7,17 @@
 //     knowledge.setUpstreams(entries, storeVersion);
 //     knowledge.tick(now); // Sends beacons as a watcher; else decides whether to watch by itself.
 //
-// In each failure domain the VMs with the highest scores watch the store and send beacons to the others. A
-// VM without a fresh beacon watches by itself until it has one again. Nothing goes back: older versions are
-// ignored. Used by one event loop.
+// In each failure domain the VM with the highest score watches the store, two where there is one domain
+// only. Watchers tell each other and their domain what changes, and send beacons. A VM without a fresh beacon
+// watches by itself until it has one again. Nothing goes back: older versions are ignored, and an entry that
+// is only doubtful is kept by those who use it but not taken up by others. Used by one event loop.
 
 #include "marlsill/cluster/peer_message.h"
 
+#include <algorithm>
 #include <functional>
+#include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -21,7 +25,7 @@
 
 // Settings of the exchange.
 struct fleet_knowledge_options {
-    std::size_t watchersPerDomain = 1;
+    std::size_t minWatchers = 2; // In the fleet; the path of one to the store may be cut silently.
     std::chrono::milliseconds startWait { 500 }; // To hear of other VMs before this one decides to watch.
     std::chrono::milliseconds beaconPause { 250 };
     std::chrono::milliseconds patience { 700 }; // Two beacons may be lost; news must be in force within 2 s.
@@ -34,7 +38,8 @@
 // What the exchange does through others.
 struct fleet_knowledge_actions {
     std::function<void(const std::string& host, peer_message)> send;
-    std::function<void(bool isWatching)> watchStore;
+    // Starts to watch the store from the upstreams that are known, or ends it.
+    std::function<void(bool isWatching, const std::vector<placement::upstream_entry>& known)> watchStore;
     std::function<void(const std::string& text, std::uint64_t version)> takeConfiguration;
     std::function<void(const std::vector<placement::upstream_entry>&)> takeUpstreams;
 };
@@ -47,7 +52,7 @@
     // Notes an answer of the store to this VM.
     void noteStoreContact(steady_clock::time_point now) { m_contactAt = now; }
 
-    // Sets what this VM has read from the store, and tells the others of its domain.
+    // Sets what this VM has read from the store, puts it to use, and tells the others.
     void setConfiguration(std::string text, std::uint64_t version);
     void setUpstreams(std::vector<placement::upstream_entry> entries, std::uint64_t storeVersion);
 
@@ -62,12 +67,16 @@
 
 private:
     bool isElected() const;
-    std::vector<std::string> domainHosts() const;
+    bool isElected(const member& candidate, const std::vector<member>& records) const;
+    std::vector<std::string> audience() const;
+    steady_clock::time_point contactAt() const { return std::max(m_contactAt, m_relayedContactAt); }
+    void use(std::vector<placement::upstream_entry> entries, std::uint64_t digest);
     knowledge_stamp stamp(steady_clock::time_point now) const;
     void takeStamp(const peer_message& message, steady_clock::time_point now);
     void takeUpstreams(const peer_message& message);
     void sendAll(const std::string& host, steady_clock::time_point now);
-    void announce();
+    void announceConfiguration();
+    void announceChange(const std::vector<placement::upstream_entry>& before, std::uint64_t digestBefore);
     void setWatching(bool isWatching);
 
     const member_list& m_members;
@@ -76,14 +85,16 @@
     const steady_clock::time_point m_startedAt;
     std::string m_configuration;
     std::uint64_t m_configurationVersion = 0;
-    std::vector<placement::upstream_entry> m_upstreams;
+    std::vector<placement::upstream_entry> m_upstreams; // As the store's reader has them.
+    std::set<std::string> m_used; // Of these, the ones in use here.
     std::uint64_t m_upstreamDigest = 0;
     std::uint64_t m_storeVersion = 0; // Of the list of upstreams.
     steady_clock::time_point m_contactAt {};
+    steady_clock::time_point m_relayedContactAt {}; // Of another watcher.
     steady_clock::time_point m_freshBeaconAt {};
     steady_clock::time_point m_freshSince {};
     std::map<std::string, placement::upstream_entry> m_partial; // Of a list that is still arriving.
-    std::uint64_t m_partialVersion = 0;
+    std::uint64_t m_partialDigest = 0;
     bool m_isWatching = false;
 };
 
--- a/marlsill/cluster/peer_message.cc
+++ b/marlsill/cluster/peer_message.cc
@@ -28,12 +28,14 @@
     constexpr const char* configurationField = "g";
     constexpr const char* configurationVersionField = "h";
     constexpr const char* upstreamsField = "n";
+    constexpr const char* removedField = "r";
+    constexpr const char* baseField = "a";
 
     json encodeUpstream(const placement::upstream_entry& one)
     {
         auto warmupMs = millisecondsUntil(one.warmUntil, steady_clock::now());
         return json::array({ one.id, one.service, one.address, one.failureDomain, one.slots, one.isLeaving,
-            one.warmUntil == deadline() ? 0 : warmupMs, one.bornUnixMs, one.version });
+            one.warmUntil == deadline() ? 0 : warmupMs, one.bornUnixMs, one.version, one.isDoubtful });
     }
 
     placement::upstream_entry decodeUpstream(const json& item)
@@ -49,6 +51,7 @@
         }
         one.bornUnixMs = item.at(7).get<std::int64_t>();
         one.version = item.at(8).get<std::uint64_t>();
+        one.isDoubtful = item.at(9).get<bool>();
         return one;
     }
 
@@ -120,6 +123,10 @@
         value[configurationVersionField] = message.configurationVersion;
     }
     put(value, upstreamsField, message.upstreams, encodeUpstream);
+    put(value, removedField, message.removed, [](const std::string& one) { return json(one); });
+    if (message.baseDigest) {
+        value[baseField] = message.baseDigest;
+    }
     return json::to_cbor(value);
 }
 
@@ -168,6 +175,8 @@
         message.configuration = value.value(configurationField, std::string());
         message.configurationVersion = value.value(configurationVersionField, std::uint64_t { 0 });
         each(value, upstreamsField, [&](const json& item) { message.upstreams.push_back(decodeUpstream(item)); });
+        each(value, removedField, [&](const json& item) { message.removed.push_back(item.get<std::string>()); });
+        message.baseDigest = value.value(baseField, std::uint64_t { 0 });
         return message;
     } catch (const json::exception& error) {
         return fail(why, reason_code::invalid, error.what());
--- a/marlsill/cluster/peer_message.h
+++ b/marlsill/cluster/peer_message.h
@@ -48,7 +48,10 @@
     bool wantsKnowledge = false;
     std::string configuration; // As the store holds it.
     std::uint64_t configurationVersion = 0;
-    std::vector<placement::upstream_entry> upstreams; // A part of the list that `stamp` describes.
+    std::vector<placement::upstream_entry> upstreams; // Of the list that `stamp` describes: a part, or the
+                                                      // changes against the list of `baseDigest`.
+    std::vector<std::string> removed; // With `baseDigest`.
+    std::uint64_t baseDigest = 0;
 };
 
 // Returns the bytes of a message.
--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -103,22 +103,14 @@
     }
 }
 
-void forwarder::setSharers(int vms)
-{
-    m_sharers = std::max(1, vms);
-    for (auto& [service, budget] : m_budgets) {
-        budget.setOptions({ m_options.retryWindow, m_options.retryRatio, m_options.fleetRetrySlack / m_sharers });
-    }
-}
-
 placement::window_budget& forwarder::budgetOf(const std::string& service)
 {
-    auto found = m_budgets.find(service);
-    if (found == m_budgets.end()) {
-        placement::window_budget_options bounds { m_options.retryWindow, m_options.retryRatio,
-            m_options.fleetRetrySlack / m_sharers };
-        found = m_budgets.emplace(service, placement::window_budget(bounds)).first;
-    }
+    auto share = m_shareOf(service);
+    placement::window_budget_options bounds { m_options.retryWindow, m_options.retryRatio,
+        m_options.fleetRetrySlack * share.slack };
+    auto found = m_budgets.try_emplace(service, bounds).first;
+    found->second.setOptions(bounds);
+    m_board.setSharers(share.servingVms);
     return found->second;
 }
 
@@ -210,8 +202,10 @@
     co_return answer;
 }
 
-void forwarder::logEnd(const request_run& current, const final_answer& answer, std::string_view why) const
+void forwarder::logEnd(const request_run& current, const final_answer& answer, std::string_view why)
 {
+    bool isServed = answer.message.head.getStatus() < Poco::Net::HTTPResponse::HTTP_INTERNAL_SERVER_ERROR;
+    m_board.noteOutcome(current.service, isServed, steady_clock::now());
     logEvent(event::requestAnswered,
         { { "request", current.id }, { "status", std::to_string(answer.message.head.getStatus()) },
             { "why", std::string(why) }, { "service", current.service },
--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -99,6 +99,12 @@
     bool isFromUpstream = false;
 };
 
+// One VM's part in a service.
+struct service_share {
+    int servingVms = 1; // That share its requests.
+    double slack = 1; // This VM's part of the fleet's slack of retries, 0 to 1.
+};
+
 // How the forwarder tells peers what it has seen; may be empty.
 struct peer_notices {
     std::function<void(const placement::upstream_evidence&)> evidence;
@@ -120,8 +126,8 @@
 
     void setPeerNotices(peer_notices notices) { m_notices = std::move(notices); }
 
-    // Sets among how many VMs the fleet's slack of retries is divided.
-    void setSharers(int vms);
+    // Sets who tells this VM's part in a service.
+    void setShares(std::function<service_share(const std::string&)> shareOf) { m_shareOf = std::move(shareOf); }
 
     // Takes a peer's evidence, load or crash count.
     void learn(const placement::upstream_evidence& evidence);
@@ -163,7 +169,7 @@
     void wakeWaiter(const std::string& service);
     void joinQueue(const std::shared_ptr<request_run>& current);
     void leaveQueue(request_run& current);
-    void logEnd(const request_run& current, const final_answer& answer, std::string_view why) const;
+    void logEnd(const request_run& current, const final_answer& answer, std::string_view why);
 
     asio::io_context& m_io;
     const forwarder_options m_options;
@@ -177,7 +183,7 @@
     std::map<std::string, placement::window_budget, std::less<>> m_budgets;
     std::map<std::string, std::deque<std::weak_ptr<request_run>>, std::less<>> m_waiters;
     std::mt19937_64 m_random { std::random_device {}() };
-    int m_sharers = 1;
+    std::function<service_share(const std::string&)> m_shareOf = [](const auto&) { return service_share(); };
     int m_inWork = 0;
 };
 
--- a/marlsill/placement/attempt_policy_test.cc
+++ b/marlsill/placement/attempt_policy_test.cc
@@ -1,1 +1,111 @@
+#include "marlsill/placement/attempt_policy.h"
+
 #include <doctest/doctest.h>
+
+namespace marlsill::placement {
+
+TEST_CASE("What follows an attempt")
+{
+    struct policy_case {
+        const char* name;
+        ended_attempt attempt;
+        request_state request;
+        next_step step;
+        next_step otherwise;
+    };
+    const request_state once { .isAtMostOnce = true, .sentTo = 1, .maxUpstreams = 2, .mayHaveRun = true };
+    const request_state onceNotRun { .isAtMostOnce = true, .sentTo = 1, .maxUpstreams = 2 };
+    const request_state repeatable { .sentTo = 1, .maxUpstreams = 2, .mayHaveRun = true };
+    const request_state lastTry { .sentTo = 2, .maxUpstreams = 2, .mayHaveRun = true };
+    const request_state hedged { .sentTo = 2, .maxUpstreams = 2, .mayHaveRun = true, .isAnotherAtWork = true };
+    const policy_case cases[] = {
+        { "success", { attempt_end::answered, 200 }, once, next_step::deliver, next_step::deliver },
+        { "caller's error", { attempt_end::answered, 404 }, repeatable, next_step::deliver, next_step::deliver },
+        { "server error, once", { attempt_end::answered, 500 }, once, next_step::deliver, next_step::deliver },
+        { "server error, repeatable", { attempt_end::answered, 500 }, repeatable, next_step::tryAnother,
+            next_step::deliver },
+        { "server error, last try", { attempt_end::answered, 500 }, lastTry, next_step::deliver,
+            next_step::deliver },
+        { "server error, another at work", { attempt_end::answered, 500 }, hedged, next_step::wait,
+            next_step::wait },
+        { "no room, once", { attempt_end::refused, 503 }, onceNotRun, next_step::tryAnother, next_step::refuse },
+        { "no room after a run", { attempt_end::refused, 503 }, repeatable, next_step::tryAnother,
+            next_step::giveUp },
+        { "other upstream, once", { attempt_end::wrongUpstream, 421 }, onceNotRun, next_step::tryAnother,
+            next_step::refuse },
+        { "not sent, once", { attempt_end::notSent }, onceNotRun, next_step::tryAnother, next_step::refuse },
+        { "no answer, once", { attempt_end::noAnswer }, once, next_step::giveUp, next_step::giveUp },
+        { "no answer, repeatable", { attempt_end::noAnswer }, repeatable, next_step::tryAnother,
+            next_step::giveUp },
+        { "broken, once", { attempt_end::broken }, once, next_step::giveUp, next_step::giveUp },
+        { "broken, another at work", { attempt_end::broken }, hedged, next_step::wait, next_step::wait },
+        { "timed out, once", { attempt_end::timedOut }, once, next_step::giveUp, next_step::giveUp },
+    };
+    for (const auto& each : cases) {
+        CAPTURE(each.name);
+        auto decision = decideAfter(each.attempt, each.request);
+        CHECK(decision.step == each.step);
+        CHECK(decision.otherwise == each.otherwise);
+    }
+}
+
+TEST_CASE("A request that may run once is never sent again after it may have run")
+{
+    for (int end = 0; end <= static_cast<int>(attempt_end::cancelled); ++end) {
+        for (int status : { 0, 200, 404, 500, 503, 504 }) {
+            ended_attempt attempt { static_cast<attempt_end>(end), status };
+            request_state request { .isAtMostOnce = true, .sentTo = 1, .maxUpstreams = 9 };
+            request.mayHaveRun = mayHaveRun(attempt.end);
+            auto decision = decideAfter(attempt, request);
+            CAPTURE(end);
+            CAPTURE(status);
+            CHECK((!request.mayHaveRun || decision.step != next_step::tryAnother));
+            CHECK((!request.mayHaveRun || decision.step != next_step::refuse));
+            CHECK((!request.mayHaveRun || decision.otherwise != next_step::refuse));
+        }
+    }
+}
+
+TEST_CASE("Unreachable upstreams are tried a bounded number of times")
+{
+    request_state request { .isAtMostOnce = true, .sentTo = 0, .maxUpstreams = 1, .failedConnects = 5 };
+    CHECK(decideAfter({ attempt_end::notSent }, request).step == next_step::refuse);
+}
+
+TEST_CASE("What an attempt says about its upstream")
+{
+    struct verdict_case {
+        ended_attempt attempt;
+        bool isSlow;
+        attempt_verdict expected;
+    };
+    const verdict_case cases[] = {
+        { { attempt_end::answered, 200 }, false, attempt_verdict::succeeded },
+        { { attempt_end::answered, 404 }, false, attempt_verdict::succeeded },
+        { { attempt_end::answered, 500 }, false, attempt_verdict::failed },
+        { { attempt_end::refused, 503 }, false, attempt_verdict::refused },
+        { { attempt_end::wrongUpstream, 421 }, false, attempt_verdict::unreachable },
+        { { attempt_end::notSent }, false, attempt_verdict::unreachable },
+        { { attempt_end::noAnswer, 0, false }, false, attempt_verdict::failed },
+        { { attempt_end::noAnswer, 0, true }, false, attempt_verdict::neutral },
+        { { attempt_end::broken }, false, attempt_verdict::failed },
+        { { attempt_end::timedOut }, false, attempt_verdict::neutral },
+        { { attempt_end::timedOut }, true, attempt_verdict::failed },
+        { { attempt_end::cancelled }, false, attempt_verdict::neutral },
+    };
+    for (const auto& each : cases) {
+        CAPTURE(static_cast<int>(each.attempt.end));
+        CHECK(judge(each.attempt, each.isSlow) == each.expected);
+    }
+}
+
+TEST_CASE("Callers that are refused together return spread out, within bounds")
+{
+    using std::chrono::milliseconds;
+    CHECK(retryAfter(milliseconds(0), 0.5) == milliseconds(50));
+    CHECK(retryAfter(milliseconds(400), 0.0) == milliseconds(400));
+    CHECK(retryAfter(milliseconds(400), 1.0) == milliseconds(800));
+    CHECK(retryAfter(milliseconds(60'000), 0.0) == milliseconds(5'000));
+}
+
+}
--- a/marlsill/placement/upstream_board.cc
+++ b/marlsill/placement/upstream_board.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <deque>
 #include <set>
 #include <utility>
 
@@ -14,6 +15,11 @@
     constexpr double coldShare = 0.34; // Of the slots while an upstream warms up.
     constexpr double slowFactor = 2.0; // Of the service's latency, from which an upstream counts as slow.
     constexpr int minimumSamples = 3; // Before a latency says anything.
+    constexpr double strikeGrowth = 0.5; // Of the hold time, for each failed trial.
+    constexpr int maxStrikes = 3;
+    constexpr std::chrono::milliseconds lossWindow { 2'000 }; // As the capacity floor counts.
+    constexpr int minimumOutcomes = 8; // Below, a share says little.
+    constexpr std::chrono::milliseconds repeatableRecent { 1'000 }; // A trial waits this long for a request that may be repeated.
     constexpr int overcommit = 1; // Requests beyond the slots, as the known work lags a little.
 
     double smooth(double old, double sample) { return old == 0 ? sample : old + latencyWeight * (sample - old); }
@@ -38,7 +44,8 @@
     double latencyMs = 0;
     int samples = 0;
     bool isExcluded = false;
-    int successesSinceTrial = 0;
+    int strikes = 0; // Failures in a row, trials included.
+    int probationLeft = 0; // Successes until it gets its full share.
     deadline excludedUntil {};
     deadline trialUntil {};
     steady_clock::time_point excludedSince {};
@@ -47,8 +54,16 @@
 };
 
 struct upstream_board::service_record {
+    struct outcome {
+        steady_clock::time_point at;
+        bool isServed = false;
+        bool isPeers = false;
+    };
+
     std::vector<record*> upstreams; // That are not leaving.
     double latencyMs = 0;
+    std::deque<outcome> outcomes;
+    steady_clock::time_point lastRepeatable {};
 };
 
 upstream_board::upstream_board(board_options options, std::uint64_t seed)
@@ -59,6 +74,8 @@
 
 upstream_board::~upstream_board() = default;
 
+upstream_board::upstream_board(upstream_board&& other) noexcept = default;
+
 void upstream_board::replaceUpstreams(
     std::span<const upstream_entry> upstreams, steady_clock::time_point now)
 {
@@ -132,10 +149,38 @@
             oldest = each;
         }
     }
-    auto allowed = std::floor(m_options.maxUntriedShare * static_cast<double>(service.upstreams.size()));
+    bool isCalm = lossShare(service, now) < m_options.calmLossShare;
+    auto share = isCalm ? m_options.maxUntriedShareCalm : m_options.maxUntriedShare;
+    auto allowed = std::floor(share * static_cast<double>(service.upstreams.size()));
     return untried > allowed ? oldest : nullptr;
 }
 
+double upstream_board::lossShare(const service_record& service, steady_clock::time_point now) const
+{
+    double lost = 0;
+    double own = 0;
+    for (const auto& each : service.outcomes) {
+        if (each.at + lossWindow >= now) {
+            lost += each.isServed ? 0 : 1;
+            own += each.isPeers ? 0 : 1;
+        }
+    }
+    return lost / std::max<double>(minimumOutcomes, own * m_sharers);
+}
+
+void upstream_board::noteOutcome(std::string_view service, bool isServed, steady_clock::time_point now)
+{
+    auto found = m_services.find(service);
+    if (found == m_services.end()) {
+        return;
+    }
+    auto& outcomes = found->second->outcomes;
+    outcomes.push_back({ now, isServed, false });
+    while (outcomes.front().at + lossWindow < now) {
+        outcomes.pop_front();
+    }
+}
+
 choice upstream_board::choose(const choice_request& request, steady_clock::time_point now)
 {
     auto found = m_services.find(request.service);
@@ -146,6 +191,10 @@
     if (auto* forced = longestUntried(service, request.tried, now)) {
         return { choice_status::chosen, &forced->entry, true, inFlightAt(*forced, now) };
     }
+    if (!request.isAtMostOnce) {
+        service.lastRepeatable = now;
+    }
+    bool leavesTrials = request.isAtMostOnce && service.lastRepeatable + repeatableRecent > now;
     struct candidate {
         record* upstream = nullptr;
         int tier = 0; // Lower is better.
@@ -153,7 +202,9 @@
     };
     std::optional<candidate> best;
     record* trial = nullptr;
+    record* leastBad = nullptr; // Of the excluded ones, for when there is no other.
     bool hasUsable = false;
+    bool hasSound = false;
     std::shuffle(service.upstreams.begin(), service.upstreams.end(), m_random);
     for (auto* each : service.upstreams) {
         if (std::find(request.tried.begin(), request.tried.end(), each->entry.id) != request.tried.end()) {
@@ -163,16 +214,23 @@
         int inFlight = inFlightAt(*each, now);
         if (each->isExcluded) {
             bool isFirst = !trial || each->excludedUntil < trial->excludedUntil;
-            if (isTrialDue(*each, now) && isFirst) {
+            if (isTrialDue(*each, now) && isFirst && !leavesTrials) {
                 trial = each;
             }
+            if (inFlight < each->entry.slots && (!leastBad || each->excludedUntil < leastBad->excludedUntil)) {
+                leastBad = each;
+            }
             continue;
         }
+        hasSound = true;
         double slots = std::max(1, each->entry.slots);
         bool isWarm = hasPassed(each->entry.warmUntil, now);
         bool isSlow = each->samples >= minimumSamples && service.latencyMs > 0
             && each->latencyMs > slowFactor * service.latencyMs;
         double comfortable = std::max(1.0, std::round(slots * (isWarm ? comfortableShare : coldShare)));
+        if (each->probationLeft > 0) {
+            comfortable = 1;
+        }
         bool isLocal = each->entry.failureDomain == m_options.failureDomain;
         if (inFlight >= slots + overcommit) {
             continue;
@@ -197,6 +255,9 @@
     if (best) {
         return { choice_status::chosen, &best->upstream->entry, false, inFlightAt(*best->upstream, now) };
     }
+    if (leastBad && !hasSound) {
+        return { choice_status::chosen, &leastBad->entry, true, inFlightAt(*leastBad, now) };
+    }
     return { hasUsable ? choice_status::allBusy : choice_status::noneUsable };
 }
 
@@ -212,7 +273,6 @@
     found->hasChangedLoad = true;
     if (isTrial) {
         found->trialUntil = now + m_options.trialLength;
-        found->successesSinceTrial = 0;
     }
 }
 
@@ -226,6 +286,15 @@
     each.trialUntil = now;
 }
 
+void upstream_board::strike(record& each, bool isAtMostOnce, steady_clock::time_point now)
+{
+    each.strikes = std::min(each.strikes + 1, maxStrikes);
+    each.probationLeft = m_options.probation;
+    auto base = isAtMostOnce ? m_options.holdAtMostOnce : m_options.holdRepeatable;
+    double factor = 1 + strikeGrowth * (each.strikes - 1);
+    exclude(each, std::chrono::milliseconds(static_cast<std::int64_t>(base.count() * factor)), now);
+}
+
 void upstream_board::readmit(record& each)
 {
     each.isExcluded = false;
@@ -255,7 +324,12 @@
         if (auto service = m_services.find(found->entry.service); service != m_services.end()) {
             service->second->latencyMs = smooth(service->second->latencyMs, sample);
         }
-        if (!found->isExcluded || started < found->excludedSince) {
+        if (found->isExcluded && started < found->excludedSince) {
+            return std::nullopt; // It began before the failure.
+        }
+        found->probationLeft = std::max(0, found->probationLeft - 1);
+        found->strikes = found->probationLeft == 0 ? 0 : found->strikes;
+        if (!found->isExcluded) {
             return std::nullopt;
         }
         readmit(*found);
@@ -263,7 +337,7 @@
         return evidence;
     }
     case attempt_verdict::failed:
-        exclude(*found, isAtMostOnce ? m_options.holdAtMostOnce : m_options.holdRepeatable, now);
+        strike(*found, isAtMostOnce, now);
         evidence.kind = evidence_kind::failed;
         return evidence;
     case attempt_verdict::unreachable:
@@ -288,8 +362,13 @@
     }
     switch (evidence.kind) {
     case evidence_kind::failed:
+        strike(*found, isAtMostOnce, now);
+        if (auto service = m_services.find(found->entry.service); isAtMostOnce && service != m_services.end()) {
+            service->second->outcomes.push_back({ now, false, true });
+        }
+        break;
     case evidence_kind::stalled:
-        exclude(*found, isAtMostOnce ? m_options.holdAtMostOnce : m_options.holdRepeatable, now);
+        strike(*found, isAtMostOnce, now);
         break;
     case evidence_kind::unreachable:
         exclude(*found, m_options.holdUnreachable, now);
--- a/marlsill/placement/upstream_board.h
+++ b/marlsill/placement/upstream_board.h
@@ -14,6 +14,7 @@
 
 #include "marlsill/placement/upstream_entry.h"
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <memory>
@@ -60,14 +61,17 @@
 // Settings of a board.
 struct board_options {
     std::string failureDomain; // Of this VM; upstreams there are preferred.
-    // A gray phase lasts some seconds; holding longer than two costs capacity after it has ended.
-    std::chrono::milliseconds holdRepeatable { 1'000 };
-    std::chrono::milliseconds holdAtMostOnce { 2'500 };
+    // Gray phases last about seven seconds; a trial of a request that may be repeated costs little.
+    std::chrono::milliseconds holdRepeatable { 1'500 };
+    std::chrono::milliseconds holdAtMostOnce { 3'500 };
     std::chrono::milliseconds holdUnreachable { 1'000 }; // A crashed upstream is back after some seconds.
     std::chrono::milliseconds holdRefused { 200 }; // About one service time.
     std::chrono::milliseconds trialLength { 1'500 }; // How long the result of a trial is waited for.
     std::chrono::milliseconds untriedAfter { 1'500 }; // Below the two seconds of the capacity floor's window.
     double maxUntriedShare = 0.3; // One minus the share of upstreams that must stay in use.
+    double maxUntriedShareCalm = 0.5; // While hardly a request fails, so that the judgements are right.
+    double calmLossShare = 0.06; // Of a service's requests; the capacity floor counts from a tenth.
+    int probation = 2; // Successes after a trial before an upstream gets its full share again.
     double stallFactor = 4.0; // Of the service's usual latency.
     std::chrono::milliseconds minStall { 1'000 };
     std::chrono::milliseconds loadLife { 1'500 }; // A peer's load counts this long after its last report.
@@ -109,6 +113,7 @@
 public:
     explicit upstream_board(board_options options, std::uint64_t seed = std::random_device {}());
     ~upstream_board();
+    upstream_board(upstream_board&& other) noexcept;
 
     // Takes the registered upstreams; what is known of those that stay is kept.
     void replaceUpstreams(std::span<const upstream_entry> upstreams, steady_clock::time_point now);
@@ -136,6 +141,12 @@
     // Returns this VM's work at each upstream where it changed since the last call.
     std::vector<upstream_load> takeChangedLoads();
 
+    // Notes how a request of this VM ended, for the share of requests that are lost.
+    void noteOutcome(std::string_view service, bool isServed, steady_clock::time_point now);
+
+    // Sets how many VMs share the requests of a service.
+    void setSharers(int vms) { m_sharers = std::max(1, vms); }
+
     // Returns the registered entry of an upstream, or nullptr.
     const upstream_entry* find(std::string_view upstream) const;
 
@@ -151,11 +162,14 @@
     record* longestUntried(service_record& service, std::span<const std::string> tried,
         steady_clock::time_point now) const;
     void exclude(record& each, std::chrono::milliseconds hold, steady_clock::time_point now);
+    void strike(record& each, bool isAtMostOnce, steady_clock::time_point now);
     void readmit(record& each);
+    double lossShare(const service_record& service, steady_clock::time_point now) const;
     record* findRecord(std::string_view upstream) const;
 
     const board_options m_options;
     std::mt19937_64 m_random;
+    int m_sharers = 1;
     std::map<std::string, std::unique_ptr<record>, std::less<>> m_records;
     std::map<std::string, std::unique_ptr<service_record>, std::less<>> m_services;
 };
--- a/marlsill/placement/upstream_board_test.cc
+++ b/marlsill/placement/upstream_board_test.cc
@@ -1,1 +1,231 @@
+#include "marlsill/placement/upstream_board.h"
+
 #include <doctest/doctest.h>
+#include <set>
+
+namespace marlsill::placement {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    const steady_clock::time_point start { std::chrono::hours(1) };
+
+    std::vector<upstream_entry> entries(int count, int slots = 3)
+    {
+        std::vector<upstream_entry> list;
+        for (int index = 0; index < count; ++index) {
+            list.push_back({ .id = "u" + std::to_string(index),
+                .service = "s",
+                .address = "127.0.0.1:1",
+                .failureDomain = index % 2 == 0 ? "near" : "far",
+                .slots = slots });
+        }
+        return list;
+    }
+
+    upstream_board boardOf(int count, int slots = 3)
+    {
+        upstream_board board({ .failureDomain = "near" }, 7);
+        board.replaceUpstreams(entries(count, slots), start);
+        return board;
+    }
+
+    void fail(upstream_board& board, const std::string& upstream, steady_clock::time_point now,
+        bool isAtMostOnce = true)
+    {
+        board.begin(upstream, false, now);
+        board.end(upstream, attempt_verdict::failed, milliseconds(1), now, isAtMostOnce, now);
+    }
+
+    void succeed(upstream_board& board, const std::string& upstream, steady_clock::time_point now)
+    {
+        board.begin(upstream, true, now);
+        board.end(upstream, attempt_verdict::succeeded, milliseconds(300), now, true, now);
+    }
+
+}
+
+TEST_CASE("Free upstreams of the own failure domain come first, busy ones last")
+{
+    auto board = boardOf(4);
+    std::set<std::string> first;
+    for (int turn = 0; turn < 4; ++turn) {
+        auto chosen = board.choose({ .service = "s" }, start);
+        REQUIRE(chosen.status == choice_status::chosen);
+        CHECK(chosen.upstream->failureDomain == "near");
+        first.insert(chosen.upstream->id);
+        board.begin(chosen.upstream->id, false, start);
+    }
+    CHECK(first.size() == 2);
+    auto next = board.choose({ .service = "s" }, start);
+    CHECK(next.upstream->failureDomain == "far");
+}
+
+TEST_CASE("Work beyond the slots waits")
+{
+    auto board = boardOf(1, 2);
+    int placed = 0;
+    while (board.choose({ .service = "s" }, start).status == choice_status::chosen && placed < 100) {
+        board.begin("u0", false, start);
+        ++placed;
+    }
+    CHECK(placed == 3); // Two slots and one request ahead.
+    CHECK(board.choose({ .service = "s" }, start).status == choice_status::allBusy);
+}
+
+TEST_CASE("The known work of peers counts, until it is old")
+{
+    auto board = boardOf(1, 2);
+    board.learnLoad("peer", { "u0", 3, 300 }, start);
+    CHECK(board.choose({ .service = "s" }, start).status == choice_status::allBusy);
+    CHECK(board.choose({ .service = "s" }, start + milliseconds(1'600)).status == choice_status::chosen);
+}
+
+TEST_CASE("One failure excludes an upstream here, and by a peer's word there")
+{
+    const evidence_kind kinds[] = { evidence_kind::failed, evidence_kind::stalled, evidence_kind::unreachable };
+    for (auto kind : kinds) {
+        auto board = boardOf(4);
+        board.learn({ "u0", kind }, true, start);
+        for (int turn = 0; turn < 50; ++turn) {
+            CHECK(board.choose({ .service = "s", .isAtMostOnce = true }, start).upstream->id != "u0");
+        }
+    }
+    auto board = boardOf(4);
+    board.begin("u0", false, start);
+    auto told = board.end("u0", attempt_verdict::failed, milliseconds(1), start, true, start);
+    REQUIRE(told);
+    CHECK(told->kind == evidence_kind::failed);
+    CHECK(board.choose({ .service = "s", .isAtMostOnce = true }, start).upstream->id != "u0");
+}
+
+TEST_CASE("An excluded upstream is tried by one request at a time, then returns")
+{
+    auto board = boardOf(4);
+    fail(board, "u0", start);
+    auto later = start + milliseconds(3'600);
+    auto trial = board.choose({ .service = "s", .isAtMostOnce = true }, later);
+    REQUIRE(trial.isTrial);
+    CHECK(trial.upstream->id == "u0");
+    board.begin("u0", true, later);
+    CHECK_FALSE(board.choose({ .service = "s", .isAtMostOnce = true }, later).isTrial);
+    auto told = board.end("u0", attempt_verdict::succeeded, milliseconds(300), later, true, later);
+    REQUIRE(told);
+    CHECK(told->kind == evidence_kind::recovered);
+    CHECK(board.conditionOf("s", later).excluded == 0);
+}
+
+TEST_CASE("A peer's trial keeps others from trying")
+{
+    auto board = boardOf(4);
+    fail(board, "u0", start);
+    auto later = start + milliseconds(3'600);
+    board.learn({ "u0", evidence_kind::trial }, true, later);
+    CHECK_FALSE(board.choose({ .service = "s", .isAtMostOnce = true }, later).isTrial);
+}
+
+TEST_CASE("Failed trials hold an upstream for longer; a success of before the failure clears nothing")
+{
+    auto board = boardOf(4);
+    board.begin("u0", false, start);
+    fail(board, "u0", start + milliseconds(1));
+    CHECK_FALSE(board.end("u0", attempt_verdict::succeeded, milliseconds(5), start, true, start + milliseconds(5)));
+    CHECK(board.conditionOf("s", start).excluded == 1);
+    auto trial = start + milliseconds(3'600);
+    fail(board, "u0", trial);
+    CHECK_FALSE(board.choose({ .service = "s", .isAtMostOnce = true }, trial + milliseconds(3'600)).isTrial);
+    CHECK(board.choose({ .service = "s", .isAtMostOnce = true }, trial + milliseconds(5'300)).isTrial);
+}
+
+TEST_CASE("Judgements never leave too few upstreams in use while requests are lost")
+{
+    const int counts[] = { 3, 6, 8, 10, 12, 40 };
+    for (int count : counts) {
+        CAPTURE(count);
+        auto board = boardOf(count);
+        for (int index = 0; index < count; ++index) {
+            fail(board, "u" + std::to_string(index), start);
+        }
+        for (int loss = 0; loss < 20; ++loss) {
+            board.noteOutcome("s", false, start + milliseconds(1'600));
+        }
+        // Within the two seconds of the floor's window, at least its share gets work.
+        std::set<std::string> used;
+        for (int turn = 0; turn < 3 * count; ++turn) {
+            auto now = start + milliseconds(1'600);
+            auto chosen = board.choose({ .service = "s", .isAtMostOnce = true }, now);
+            if (chosen.status != choice_status::chosen) {
+                break;
+            }
+            used.insert(chosen.upstream->id);
+            board.begin(chosen.upstream->id, chosen.isTrial, now);
+        }
+        CHECK(static_cast<double>(used.size()) >= 0.7 * count);
+    }
+}
+
+TEST_CASE("The last usable upstream is used though it failed")
+{
+    auto board = boardOf(1);
+    fail(board, "u0", start);
+    auto chosen = board.choose({ .service = "s", .isAtMostOnce = true }, start + milliseconds(10));
+    CHECK(chosen.status == choice_status::chosen);
+}
+
+TEST_CASE("An upstream that returns from a trial gets little work until it has proved itself")
+{
+    auto board = boardOf(2, 6);
+    fail(board, "u0", start);
+    auto later = start + milliseconds(3'600);
+    succeed(board, "u0", later);
+    int given = 0;
+    for (int turn = 0; turn < 4; ++turn) {
+        auto chosen = board.choose({ .service = "s", .isAtMostOnce = true }, later);
+        given += chosen.upstream->id == "u0" ? 1 : 0;
+        board.begin(chosen.upstream->id, false, later);
+    }
+    CHECK(given == 1);
+}
+
+TEST_CASE("Work that takes far longer than usual makes an upstream suspect")
+{
+    auto board = boardOf(4);
+    succeed(board, "u1", start);
+    board.begin("u0", false, start);
+    CHECK(board.findStalled(start + milliseconds(900)).empty());
+    auto stalled = board.findStalled(start + milliseconds(1'300));
+    REQUIRE(stalled.size() == 1);
+    CHECK(stalled.front().upstream == "u0");
+    CHECK(board.findStalled(start + milliseconds(1'400)).empty());
+}
+
+TEST_CASE("Leaving upstreams get nothing; a new life forgets the old one")
+{
+    auto board = boardOf(2);
+    auto list = entries(2);
+    list[0].isLeaving = true;
+    board.replaceUpstreams(list, start);
+    for (int turn = 0; turn < 20; ++turn) {
+        CHECK(board.choose({ .service = "s" }, start).upstream->id == "u1");
+    }
+    fail(board, "u1", start);
+    list[1].bornUnixMs = 5;
+    board.replaceUpstreams(list, start);
+    CHECK(board.conditionOf("s", start).excluded == 0);
+    board.replaceUpstreams({}, start);
+    CHECK(board.choose({ .service = "s" }, start).status == choice_status::noneUsable);
+}
+
+TEST_CASE("A trial is left to requests that may be repeated where there are some")
+{
+    auto board = boardOf(4);
+    fail(board, "u0", start);
+    auto later = start + milliseconds(3'600);
+    std::vector<std::string> none;
+    auto repeatable = board.choose({ .service = "s", .tried = none }, later);
+    CHECK(repeatable.isTrial);
+    CHECK_FALSE(board.choose({ .service = "s", .isAtMostOnce = true }, later + milliseconds(1)).isTrial);
+}
+
+}
--- a/marlsill/placement/upstream_entry.h
+++ b/marlsill/placement/upstream_entry.h
@@ -20,6 +20,7 @@
     deadline warmUntil {}; // It is slow until then.
     std::int64_t bornUnixMs = 0; // Start of this life; 0 when unknown.
     std::uint64_t version = 0; // Of the registration; grows with each change.
+    bool isDoubtful = false; // The registration went missing in an outage; it may only have lapsed.
 
     bool operator==(const upstream_entry&) const = default;
 };
--- a/marlsill/store/kind_watcher_test.cc
+++ b/marlsill/store/kind_watcher_test.cc
@@ -1,1 +1,132 @@
+#include "marlsill/store/kind_watcher.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <deque>
 #include <doctest/doctest.h>
+
+namespace marlsill::store {
+
+namespace {
+
+    // Plays scripted answers; when there are none left, it stops the loop.
+    struct scripted_client {
+        asio::io_context& io;
+        std::deque<std::optional<object_page>> lists {};
+        std::deque<std::pair<std::optional<change_page>, reason_code>> watches {};
+        std::vector<std::string> calls {};
+
+        asio::awaitable<std::optional<object_page>> list(
+            const std::string&, const std::string& after, deadline, reason& why)
+        {
+            calls.push_back("list " + after);
+            if (lists.empty()) {
+                io.stop();
+                co_return fail(why, reason_code::unavailable, "end of script");
+            }
+            auto page = lists.front();
+            lists.pop_front();
+            if (!page) {
+                co_return fail(why, reason_code::unavailable, "down");
+            }
+            co_return page;
+        }
+
+        asio::awaitable<std::optional<change_page>> watch(
+            const std::string&, std::uint64_t version, std::chrono::milliseconds, reason& why)
+        {
+            calls.push_back("watch " + std::to_string(version));
+            if (watches.empty()) {
+                io.stop();
+                co_return fail(why, reason_code::unavailable, "end of script");
+            }
+            auto [page, code] = watches.front();
+            watches.pop_front();
+            if (!page) {
+                co_return fail(why, code, "scripted");
+            }
+            co_return page;
+        }
+    };
+
+    struct watch_case {
+        const char* name;
+        std::deque<std::optional<object_page>> lists;
+        std::deque<std::pair<std::optional<change_page>, reason_code>> watches;
+        std::vector<std::string> calls;
+        std::vector<std::string> heard;
+    };
+
+    object_page page(std::vector<std::string> names, std::uint64_t version, bool hasMore = false)
+    {
+        object_page result { {}, hasMore, version };
+        for (auto& name : names) {
+            result.objects.push_back({ name, 1, {} });
+        }
+        return result;
+    }
+
+    change_page changes(std::vector<std::string> names, std::uint64_t version)
+    {
+        change_page result { {}, version };
+        for (auto& name : names) {
+            result.changes.push_back({ { name, version, {} }, false });
+        }
+        return result;
+    }
+
+}
+
+TEST_CASE("A watcher lists, follows, and lists again where history is gone")
+{
+    const auto none = reason_code::none;
+    const std::vector<watch_case> cases = {
+        { "follows", { page({ "a" }, 5) }, { { changes({ "b" }, 7), none }, { changes({}, 9), none } },
+            { "list ", "watch 5", "watch 7", "watch 9" }, { "listed 1 at 5", "changed 1 at 7" } },
+        { "pages, from the first one's version", { page({ "a", "b" }, 5, true), page({ "c" }, 8) }, {},
+            { "list ", "list b", "watch 5" }, { "listed 3 at 5" } },
+        { "history gone", { page({ "a" }, 5), page({ "a", "b" }, 90) },
+            { { std::nullopt, reason_code::notFound } }, { "list ", "watch 5", "list ", "watch 90" },
+            { "listed 1 at 5", "listed 2 at 90" } },
+        { "outage in a watch", { page({ "a" }, 5) },
+            { { std::nullopt, reason_code::uncertain }, { std::nullopt, reason_code::unavailable },
+                { changes({ "b" }, 6), none } },
+            { "list ", "watch 5", "watch 5", "watch 5", "watch 6" },
+            { "listed 1 at 5", "lost", "regained", "changed 1 at 6" } },
+        { "outage at the start", { std::nullopt, page({ "a" }, 5) }, {}, { "list ", "list ", "watch 5" },
+            { "lost", "regained", "listed 1 at 5" } },
+        { "a version that goes back is not followed", { page({ "a" }, 5) }, { { changes({}, 3), none } },
+            { "list ", "watch 5", "watch 5" }, { "listed 1 at 5" } },
+    };
+    for (const auto& each : cases) {
+        CAPTURE(each.name);
+        asio::io_context io;
+        scripted_client client { io, each.lists, each.watches };
+        std::vector<std::string> heard;
+        watch_listener listener { .listed =
+                                      [&](const auto& objects, auto version) {
+                                          heard.push_back("listed " + std::to_string(objects.size()) + " at "
+                                              + std::to_string(version));
+                                      },
+            .changed =
+                [&](const auto& events, auto version) {
+                    heard.push_back("changed " + std::to_string(events.size()) + " at " + std::to_string(version));
+                },
+            .lost = [&](const reason&) { heard.push_back("lost"); },
+            .regained = [&] { heard.push_back("regained"); },
+            .contacted = [] {} };
+        watch_options options { .kind = "k", .firstPause = std::chrono::milliseconds(1) };
+        kind_watcher watcher(io, client, options, listener);
+        watcher.setActive(true);
+        asio::co_spawn(io, watcher.run(), asio::detached);
+        io.run_for(std::chrono::seconds(10));
+        if (!heard.empty() && heard.back() == "lost" && each.heard.back() != "lost") {
+            heard.pop_back(); // By the end of the script.
+        }
+        CHECK(client.calls == each.calls);
+        CHECK(heard == each.heard);
+    }
+}
+
+}
--- a/marlsill/store/upstream_registry.cc
+++ b/marlsill/store/upstream_registry.cc
@@ -62,6 +62,17 @@
     return true;
 }
 
+void upstream_registry::restart(std::span<const placement::upstream_entry> known)
+{
+    m_entries.clear();
+    m_isStoreLost = false;
+    m_regainedAt.reset();
+    for (const auto& each : known) {
+        put(each);
+        m_entries[each.id].registered.isDoubtful = false;
+    }
+}
+
 void upstream_registry::noteStoreLost(steady_clock::time_point)
 {
     m_isStoreLost = true;
@@ -99,6 +110,7 @@
     result.reserve(m_entries.size());
     for (const auto& [id, each] : m_entries) {
         result.push_back(each.registered);
+        result.back().isDoubtful = each.isMissing;
     }
     return result;
 }
--- a/marlsill/store/upstream_registry.h
+++ b/marlsill/store/upstream_registry.h
@@ -41,6 +41,9 @@
     bool put(const placement::upstream_entry& entry);
     bool remove(const std::string& id, steady_clock::time_point now);
 
+    // Starts again from what is known otherwise, as after a time without reading the store.
+    void restart(std::span<const placement::upstream_entry> known);
+
     // Tells that the store does not answer, or answers again.
     void noteStoreLost(steady_clock::time_point now);
     void noteStoreRegained(steady_clock::time_point now);
--- /dev/null
+++ b/testing/gateway_test.cc
@@ -0,0 +1,431 @@
+// The event-driven request path over loopback: what callers get and what upstreams run, fault by fault.
+
+#include "marlsill/gateway/gateway.h"
+#include "testing/scripted_upstream.h"
+
+#include <Poco/Net/StreamSocket.h>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <doctest/doctest.h>
+#include <future>
+#include <sys/socket.h>
+
+namespace marlsill::testing {
+
+namespace {
+
+    namespace asio = boost::asio;
+    using std::chrono::milliseconds;
+
+    struct answer {
+        int status = 0; // 0 when the connection ended without one.
+        std::string head;
+        std::string body;
+
+        bool has(const std::string& text) const { return head.find(text) != std::string::npos; }
+    };
+
+    // A caller's connection.
+    class caller {
+    public:
+        explicit caller(const std::string& address)
+            : m_socket(Poco::Net::SocketAddress(address))
+        {
+            m_socket.setReceiveTimeout(Poco::Timespan(5, 0));
+        }
+
+        void send(const std::string& text) { m_socket.sendBytes(text.data(), static_cast<int>(text.size())); }
+
+        void sendRequest(const std::string& method, const std::string& path, const std::string& id,
+            int timeoutMs = 2000, const std::string& body = {})
+        {
+            auto length = body.empty() ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n";
+            send(method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + id
+                + "\r\nX-Request-Timeout-Ms: " + std::to_string(timeoutMs) + "\r\n" + length + "\r\n" + body);
+        }
+
+        answer receive()
+        {
+            answer result;
+            std::size_t end = 0;
+            while ((end = m_buffer.find("\r\n\r\n")) == std::string::npos) {
+                if (!fill()) {
+                    return result;
+                }
+            }
+            result.head = m_buffer.substr(0, end + 4);
+            m_buffer.erase(0, end + 4);
+            result.status = std::stoi(result.head.substr(9, 3));
+            auto at = result.head.find("Content-Length: ");
+            std::size_t length = at == std::string::npos ? 0 : std::stoul(result.head.substr(at + 16));
+            while (m_buffer.size() < length && fill()) { }
+            result.body = m_buffer.substr(0, length);
+            m_buffer.erase(0, length);
+            return result;
+        }
+
+        bool isEnded() { return m_buffer.empty() && !fill(); }
+
+        void close() { m_socket.close(); }
+
+    private:
+        bool fill()
+        {
+            char chunk[4096];
+            try {
+                int count = m_socket.receiveBytes(chunk, sizeof chunk);
+                m_buffer.append(chunk, static_cast<std::size_t>(std::max(0, count)));
+                return count > 0;
+            } catch (const Poco::Exception&) {
+                return false;
+            }
+        }
+
+        Poco::Net::StreamSocket m_socket;
+        std::string m_buffer;
+    };
+
+    // A gateway on a thread of its own before some scripted upstreams of one service.
+    class fixture {
+    public:
+        explicit fixture(int upstreams, milliseconds routeTimeout = milliseconds(1'000))
+        {
+            for (int index = 0; index < upstreams; ++index) {
+                m_upstreams.push_back(
+                    std::make_unique<scripted_upstream>("u" + std::to_string(index), gateway::wire_fields()));
+            }
+            auto rules = std::make_shared<gateway::configuration>();
+            rules->version = 5;
+            rules->limits.maxBodyBytes = 200'000;
+            rules->limits.headerTimeout = milliseconds(400);
+            rules->routes.push_back({ .name = "once", .host = "h.example", .pathPrefix = "/once/",
+                .isAtMostOnce = true, .timeout = routeTimeout, .maxUpstreams = 2, .parts = { { "s" } } });
+            rules->routes.push_back({ .name = "repeat", .host = "h.example", .pathPrefix = "/repeat/",
+                .isAtMostOnce = false, .timeout = routeTimeout, .maxUpstreams = 2, .parts = { { "s" } } });
+            gateway::gateway_options options;
+            options.callers = { asio::ip::make_address_v4("127.0.0.1"), freePort() };
+            options.moveAwayTime = milliseconds(300);
+            m_address = "127.0.0.1:" + std::to_string(options.callers.port());
+            m_gateway = std::make_unique<gateway::gateway>(m_io, options, gateway::wire_fields());
+            REQUIRE(m_gateway->start().empty());
+            m_gateway->requests().setConfiguration(rules);
+            m_gateway->requests().setUpstreams(entries());
+            m_gateway->setUpstreamsKnown();
+            m_thread = std::thread([this] { m_io.run(); });
+        }
+
+        ~fixture()
+        {
+            m_io.stop();
+            m_thread.join();
+        }
+
+        caller connect() { return caller(m_address); }
+        scripted_upstream& upstream(std::size_t index) { return *m_upstreams[index]; }
+
+        answer ask(const std::string& method, const std::string& path, const std::string& id, int timeoutMs = 2000,
+            const std::string& body = {})
+        {
+            auto connection = connect();
+            connection.sendRequest(method, path, id, timeoutMs, body);
+            return connection.receive();
+        }
+
+        int runsOf(const std::string& request) const
+        {
+            int runs = 0;
+            for (const auto& each : m_upstreams) {
+                runs += each->runsOf(request);
+            }
+            return runs;
+        }
+
+        void planAll(const std::vector<upstream_step>& steps)
+        {
+            for (auto& each : m_upstreams) {
+                each->plan(steps);
+            }
+        }
+
+        // Runs `work` on the gateway's thread.
+        template <typename Work> void onLoop(Work work)
+        {
+            std::promise<void> done;
+            asio::post(m_io, [&] {
+                work(*m_gateway);
+                done.set_value();
+            });
+            done.get_future().wait();
+        }
+
+    private:
+        std::vector<placement::upstream_entry> entries() const
+        {
+            std::vector<placement::upstream_entry> list;
+            for (const auto& each : m_upstreams) {
+                list.push_back({ .id = each->id(), .service = "s", .address = each->address(), .slots = 3 });
+            }
+            return list;
+        }
+
+        static unsigned short freePort()
+        {
+            Poco::Net::ServerSocket probe(Poco::Net::SocketAddress("127.0.0.1", 0));
+            return probe.address().port();
+        }
+
+        asio::io_context m_io { 1 };
+        asio::executor_work_guard<asio::io_context::executor_type> m_keep = asio::make_work_guard(m_io);
+        std::vector<std::unique_ptr<scripted_upstream>> m_upstreams;
+        std::unique_ptr<gateway::gateway> m_gateway;
+        std::string m_address;
+        std::thread m_thread;
+    };
+
+}
+
+TEST_CASE("What callers get when every upstream does the same")
+{
+    struct path_case {
+        const char* name;
+        upstream_step step;
+        const char* path;
+        int status;
+        int runs;
+    };
+    const path_case cases[] = {
+        { "answer, once", upstream_step::answer, "/once/a", 200, 1 },
+        { "answer, repeatable", upstream_step::answer, "/repeat/a", 200, 1 },
+        { "error, once", upstream_step::error, "/once/a", 500, 1 },
+        { "error, repeatable", upstream_step::error, "/repeat/a", 500, 2 },
+        { "full, once", upstream_step::refuse, "/once/a", 503, 0 },
+        { "other upstream, once", upstream_step::misdirect, "/once/a", 503, 0 },
+        { "reset, once", upstream_step::reset, "/once/a", 502, 1 },
+        { "reset, repeatable", upstream_step::reset, "/repeat/a", 502, 2 },
+        { "cut, once", upstream_step::cut, "/once/a", 502, 1 },
+        { "cut, repeatable", upstream_step::cut, "/repeat/a", 502, 2 },
+        { "garbage, once", upstream_step::garbage, "/once/a", 502, 1 },
+        { "no length, once", upstream_step::unframed, "/once/a", 200, 1 },
+        { "no seal, once", upstream_step::unsealed, "/once/a", 502, 1 },
+        { "hang, once", upstream_step::hang, "/once/a", 504, 1 },
+        { "no such route", upstream_step::answer, "/other/a", 404, 0 },
+    };
+    for (const auto& each : cases) {
+        CAPTURE(each.name);
+        fixture tested(3);
+        tested.planAll({ each.step, each.step, each.step });
+        auto got = tested.ask("POST", each.path, "r1", 2000, "body");
+        CHECK(got.status == each.status);
+        CHECK(tested.runsOf("r1") == each.runs);
+        CHECK((got.status != 200 || got.body == "the whole body"));
+        CHECK((got.status != 200 || got.has("X-Answer-Seal: seal-r1")));
+        CHECK((got.status != 503 || got.has("Retry-After: ")));
+        CHECK((got.status == 404 || got.has("X-Request-Id: r1")));
+    }
+}
+
+TEST_CASE("A request that may still be at work is never said not to have run")
+{
+    // Found by a day with crashing upstreams: a silent upstream's request was refused at the time limit.
+    fixture tested(2, milliseconds(400));
+    tested.planAll({ upstream_step::hang });
+    auto began = steady_clock::now();
+    auto got = tested.ask("POST", "/once/a", "r1", 3000, "body");
+    CHECK(got.status == 504);
+    CHECK(steady_clock::now() - began < milliseconds(900));
+    CHECK(tested.runsOf("r1") == 1);
+}
+
+TEST_CASE("One failing upstream costs a repeatable request nothing")
+{
+    const upstream_step steps[] = { upstream_step::error, upstream_step::reset, upstream_step::cut,
+        upstream_step::garbage, upstream_step::refuse, upstream_step::misdirect, upstream_step::unsealed };
+    for (auto step : steps) {
+        CAPTURE(static_cast<int>(step));
+        fixture tested(2);
+        tested.upstream(0).plan(std::vector<upstream_step>(20, step));
+        for (int turn = 0; turn < 6; ++turn) {
+            CHECK(tested.ask("GET", "/repeat/a", "r" + std::to_string(turn)).status == 200);
+        }
+    }
+}
+
+TEST_CASE("A dead upstream does not draw the work away from the sound ones")
+{
+    fixture tested(3);
+    tested.upstream(0).crash();
+    tested.upstream(1).crash();
+    int served = 0;
+    for (int turn = 0; turn < 30; ++turn) {
+        served += tested.ask("POST", "/once/a", "r" + std::to_string(turn), 2000, "b").status == 200 ? 1 : 0;
+    }
+    CHECK(served == 30);
+}
+
+TEST_CASE("A late second answer reaches nobody")
+{
+    fixture tested(1);
+    tested.upstream(0).plan({ upstream_step::lateExtra });
+    auto connection = tested.connect();
+    connection.sendRequest("GET", "/repeat/a", "r1");
+    CHECK(connection.receive().has("X-Request-Id: r1"));
+    for (int turn = 2; turn < 5; ++turn) {
+        auto id = "r" + std::to_string(turn);
+        connection.sendRequest("GET", "/repeat/a", id);
+        auto got = connection.receive();
+        CHECK(got.status == 200);
+        CHECK(got.has("X-Request-Id: " + id));
+    }
+}
+
+TEST_CASE("Requests sent ahead are served together and answered in order")
+{
+    fixture tested(2);
+    tested.planAll({ upstream_step::hang });
+    auto connection = tested.connect();
+    connection.sendRequest("POST", "/once/slow", "r1", 700, "b");
+    connection.sendRequest("POST", "/once/slow", "r2", 700, "b");
+    connection.sendRequest("GET", "/repeat/a", "r3", 2000);
+    CHECK(connection.receive().has("X-Request-Id: r1"));
+    CHECK(connection.receive().has("X-Request-Id: r2"));
+    auto last = connection.receive();
+    CHECK(last.has("X-Request-Id: r3"));
+    CHECK(last.status == 200);
+}
+
+TEST_CASE("A caller that leaves cancels its work at the upstream")
+{
+    fixture tested(1);
+    tested.upstream(0).plan({ upstream_step::hang });
+    {
+        auto connection = tested.connect();
+        connection.sendRequest("GET", "/repeat/a", "r1");
+        while (tested.upstream(0).arrivals() == 0) {
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+        connection.close();
+    }
+    auto until = deadlineAfter(milliseconds(500));
+    while (!tested.upstream(0).sawCancel() && !hasPassed(until, steady_clock::now())) {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
+    CHECK(tested.upstream(0).sawCancel());
+}
+
+TEST_CASE("Upstreams are told what is left of the time, and who is meant")
+{
+    fixture tested(1);
+    CHECK(tested.ask("GET", "/repeat/a?q=1", "r1", 700).status == 200);
+    auto head = tested.upstream(0).lastHead();
+    CHECK(head.starts_with("GET /repeat/a?q=1 HTTP/1.1\r\n"));
+    CHECK(head.find("X-Expected-Upstream: u0\r\n") != std::string::npos);
+    auto left = std::stoi(head.substr(head.find("X-Request-Timeout-Ms: ") + 22));
+    CHECK(left <= 700);
+    CHECK(left >= 400);
+}
+
+TEST_CASE("Requests that break the rules get an answer and a closed connection")
+{
+    struct bad_case {
+        const char* name;
+        std::string bytes;
+        int status;
+    };
+    const std::string start = "POST /once/a HTTP/1.1\r\nHost: h.example\r\n";
+    const bad_case cases[] = {
+        { "two lengths", start + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400 },
+        { "length and chunks", start + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400 },
+        { "no host", "GET /once/a HTTP/1.1\r\n\r\n", 400 },
+        { "old version", "GET /once/a HTTP/1.0\r\nHost: h.example\r\n\r\n", 400 },
+        { "long header", "GET /" + std::string(20'000, 'x'), 431 },
+        { "long body", start + "Content-Length: 300000\r\n\r\n", 413 },
+        { "unfinished header", "GET /once/a HTTP/1.1\r\nHos", 408 },
+        { "time limit", "GET /repeat/a HTTP/1.1\r\nHost: h.example\r\nX-Request-Timeout-Ms: soon\r\n\r\n", 400 },
+    };
+    for (const auto& each : cases) {
+        CAPTURE(each.name);
+        fixture tested(1);
+        auto connection = tested.connect();
+        connection.send(each.bytes);
+        CHECK(connection.receive().status == each.status);
+        CHECK(tested.upstream(0).arrivals() == 0);
+    }
+}
+
+TEST_CASE("A request that crashes upstreams is not sent to a third")
+{
+    fixture tested(4);
+    int before = 0;
+    for (std::size_t index = 0; index < 4; ++index) {
+        tested.upstream(index).plan({ upstream_step::reset });
+    }
+    // Each upstream that runs it dies: it resets the connection and listens no more.
+    std::atomic<bool> isOver = false;
+    std::thread reaper([&] {
+        while (!isOver) {
+            for (std::size_t index = 0; index < 4; ++index) {
+                if (tested.upstream(index).arrivals() > 0) {
+                    tested.upstream(index).crash();
+                }
+            }
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+    });
+    for (int turn = 0; turn < 6; ++turn) {
+        tested.ask("POST", "/once/poison", "r" + std::to_string(turn), 2000, "poison");
+        std::this_thread::sleep_for(milliseconds(250));
+    }
+    isOver = true;
+    reaper.join();
+    for (std::size_t index = 0; index < 4; ++index) {
+        before += tested.upstream(index).arrivals();
+    }
+    CHECK(before == 2);
+}
+
+TEST_CASE("A planned stop finishes what is in work and loses nothing that was read")
+{
+    fixture tested(2);
+    auto busy = tested.connect();
+    auto idle = tested.connect();
+    idle.sendRequest("GET", "/repeat/a", "r0");
+    CHECK(idle.receive().status == 200);
+    tested.planAll({ upstream_step::hang });
+    busy.sendRequest("POST", "/once/a", "r1", 800, "b");
+    std::this_thread::sleep_for(milliseconds(100));
+    tested.planAll({});
+    std::promise<void> stopped;
+    tested.onLoop([&](gateway::gateway& entry) {
+        entry.beginStop(deadlineAfter(milliseconds(4'000)), [&] { stopped.set_value(); });
+    });
+    CHECK(idle.isEnded());
+    auto late = tested.ask("GET", "/repeat/a", "r2");
+    CHECK(late.status == 200);
+    CHECK(late.has("Connection: close"));
+    auto last = busy.receive();
+    CHECK(last.status == 504);
+    CHECK(last.has("Connection: close"));
+    CHECK(stopped.get_future().wait_for(std::chrono::seconds(3)) == std::future_status::ready);
+}
+
+TEST_CASE("Before a configuration is known every request is refused as not run")
+{
+    asio::io_context io { 1 };
+    gateway::gateway_options options;
+    Poco::Net::ServerSocket probe(Poco::Net::SocketAddress("127.0.0.1", 0));
+    options.callers = { asio::ip::make_address_v4("127.0.0.1"), probe.address().port() };
+    probe.close();
+    gateway::gateway entry(io, options, gateway::wire_fields());
+    REQUIRE(entry.start().empty());
+    CHECK_FALSE(entry.isReady());
+    std::thread loop([&] { io.run(); });
+    caller connection("127.0.0.1:" + std::to_string(options.callers.port()));
+    connection.sendRequest("GET", "/repeat/a", "r1");
+    auto got = connection.receive();
+    CHECK(got.status == 503);
+    CHECK(got.has("Retry-After: "));
+    io.stop();
+    loop.join();
+}
+
+}
--- /dev/null
+++ b/testing/scripted_upstream.cc
@@ -0,0 +1,214 @@
+#include "testing/scripted_upstream.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <sys/socket.h>
+
+namespace marlsill::testing {
+
+namespace {
+
+    constexpr const char* body = "the whole body";
+
+    std::string fieldOf(const std::string& head, const std::string& name)
+    {
+        auto start = head.find("\r\n" + name + ": ");
+        if (start == std::string::npos) {
+            return {};
+        }
+        start += name.size() + 4;
+        return head.substr(start, head.find("\r\n", start) - start);
+    }
+
+    void resetConnection(Poco::Net::StreamSocket& socket)
+    {
+        socket.setLinger(true, 0);
+        socket.close();
+    }
+
+    void sendText(Poco::Net::StreamSocket& socket, const std::string& text)
+    {
+        ::send(socket.impl()->sockfd(), text.data(), text.size(), MSG_NOSIGNAL);
+    }
+
+}
+
+scripted_upstream::scripted_upstream(std::string id, gateway::wire_fields fields)
+    : m_id(std::move(id))
+    , m_fields(std::move(fields))
+    , m_socket(Poco::Net::SocketAddress("127.0.0.1", 0))
+    , m_address(m_socket.address().toString())
+{
+    m_threads.emplace_back([this] { acceptLoop(); });
+}
+
+scripted_upstream::~scripted_upstream()
+{
+    crash();
+    while (true) {
+        std::vector<std::thread> threads;
+        {
+            std::lock_guard lock(m_mutex);
+            threads.swap(m_threads);
+        }
+        if (threads.empty()) {
+            return;
+        }
+        for (auto& each : threads) {
+            each.join();
+        }
+    }
+}
+
+void scripted_upstream::plan(std::vector<upstream_step> steps)
+{
+    std::lock_guard lock(m_mutex);
+    m_steps.assign(steps.begin(), steps.end());
+}
+
+int scripted_upstream::runsOf(const std::string& request) const
+{
+    std::lock_guard lock(m_mutex);
+    auto found = m_runs.find(request);
+    return found == m_runs.end() ? 0 : found->second;
+}
+
+std::string scripted_upstream::lastHead() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_lastHead;
+}
+
+void scripted_upstream::crash()
+{
+    m_isStopped = true;
+    ::shutdown(m_socket.impl()->sockfd(), SHUT_RDWR);
+    std::lock_guard lock(m_mutex);
+    for (auto& each : m_open) {
+        ::shutdown(each.impl()->sockfd(), SHUT_RDWR);
+    }
+}
+
+void scripted_upstream::acceptLoop()
+{
+    while (!m_isStopped) {
+        try {
+            auto socket = m_socket.acceptConnection();
+            ++m_connections;
+            std::lock_guard lock(m_mutex);
+            m_open.push_back(socket);
+            m_threads.emplace_back([this, socket] { serve(socket); });
+        } catch (const Poco::Exception&) {
+            break; // The socket was shut down.
+        }
+    }
+    m_socket.close();
+}
+
+upstream_step scripted_upstream::nextStep()
+{
+    std::lock_guard lock(m_mutex);
+    if (m_steps.empty()) {
+        return upstream_step::answer;
+    }
+    auto step = m_steps.front();
+    m_steps.pop_front();
+    return step;
+}
+
+void scripted_upstream::serve(Poco::Net::StreamSocket socket)
+{
+    std::string buffer;
+    try {
+        while (!m_isStopped && serveOne(socket, buffer)) { }
+    } catch (const Poco::Exception&) {
+        return; // The other side has closed.
+    }
+}
+
+bool scripted_upstream::serveOne(Poco::Net::StreamSocket& socket, std::string& buffer)
+{
+    char chunk[4096];
+    auto receive = [&] {
+        int count = socket.receiveBytes(chunk, sizeof chunk);
+        buffer.append(chunk, static_cast<std::size_t>(std::max(0, count)));
+        return count > 0;
+    };
+    std::size_t end = 0;
+    while ((end = buffer.find("\r\n\r\n")) == std::string::npos) {
+        if (!receive()) {
+            return false;
+        }
+    }
+    auto head = buffer.substr(0, end + 4);
+    buffer.erase(0, end + 4);
+    ++m_arrivals;
+    auto step = nextStep();
+    auto length = fieldOf(head, "Content-Length");
+    std::size_t bodySize = length.empty() ? 0 : std::stoul(length);
+    auto request = fieldOf(head, m_fields.requestId);
+    const std::string start = "HTTP/1.1 200 OK\r\n" + m_fields.requestId + ": " + request + "\r\n" + m_fields.seal
+        + ": seal-" + request + "\r\n";
+    const std::string whole = start + "Content-Length: 14\r\n\r\n" + body;
+    if (step == upstream_step::early) {
+        sendText(socket, "HTTP/1.1 413 Too Large\r\n" + m_fields.requestId + ": " + request + "\r\n"
+                + "Content-Length: 0\r\n\r\n");
+    }
+    while (buffer.size() < bodySize) {
+        if (!receive()) {
+            return false;
+        }
+    }
+    buffer.erase(0, bodySize);
+    {
+        std::lock_guard lock(m_mutex);
+        m_lastHead = head;
+        bool isRun = step != upstream_step::refuse && step != upstream_step::misdirect && step != upstream_step::early;
+        m_runs[request] += isRun ? 1 : 0;
+    }
+    switch (step) {
+    case upstream_step::answer:
+        sendText(socket, whole);
+        return true;
+    case upstream_step::error:
+        sendText(socket, "HTTP/1.1 500 Failed\r\n" + m_fields.requestId + ": " + request + "\r\n" + m_fields.seal
+                + ": seal\r\nContent-Length: 6\r\n\r\nfailed");
+        return true;
+    case upstream_step::refuse:
+        sendText(socket, "HTTP/1.1 503 Full\r\n" + m_fields.notRun + ": 1\r\nContent-Length: 0\r\n\r\n");
+        return true;
+    case upstream_step::misdirect:
+        sendText(socket, "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n");
+        return true;
+    case upstream_step::reset:
+        resetConnection(socket);
+        return false;
+    case upstream_step::cut:
+        sendText(socket, start + "Content-Length: 500\r\n\r\nhalf");
+        ::shutdown(socket.impl()->sockfd(), SHUT_RDWR);
+        return false;
+    case upstream_step::garbage:
+        sendText(socket, "these bytes are no answer\r\n\r\n");
+        return false;
+    case upstream_step::unframed:
+        sendText(socket, start + "\r\n" + body);
+        ::shutdown(socket.impl()->sockfd(), SHUT_WR);
+        return false;
+    case upstream_step::lateExtra:
+        sendText(socket, whole);
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        sendText(socket, whole);
+        return true;
+    case upstream_step::unsealed:
+        sendText(socket, "HTTP/1.1 200 OK\r\n" + m_fields.requestId + ": " + request + "\r\nContent-Length: 2\r\n\r\nno");
+        return true;
+    case upstream_step::hang:
+        m_sawCancel = !receive() || m_sawCancel.load();
+        return false;
+    case upstream_step::early:
+        return true;
+    }
+    return false;
+}
+
+}
--- /dev/null
+++ b/testing/scripted_upstream.h
@@ -0,0 +1,88 @@
+#pragma once
+
+// An upstream whose answers follow a script, for tests of the request path.
+//
+//     scripted_upstream upstream("u1", fields);
+//     upstream.plan(upstream_step::reset);
+//     ...
+//     CHECK(upstream.runsOf("request-1") == 1);
+
+#include "marlsill/gateway/wire_fields.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+#include <atomic>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace marlsill::testing {
+
+// What an upstream does with one request.
+enum class upstream_step {
+    answer,
+    error, // Runs it and answers 500.
+    refuse, // Says that it has not run it.
+    misdirect, // Says that it is another upstream.
+    reset, // Runs it and resets the connection.
+    cut, // Runs it and ends in the middle of the answer.
+    garbage, // Runs it and sends bytes that are no answer.
+    unframed, // Answers without a length and closes.
+    lateExtra, // Answers, and sends the answer once more on the same connection a little later.
+    unsealed, // Answers 200 without a seal.
+    hang, // Runs it and never answers.
+    early, // Answers before it has read the body, and keeps the connection.
+};
+
+class scripted_upstream {
+public:
+    scripted_upstream(std::string id, gateway::wire_fields fields);
+    ~scripted_upstream();
+
+    std::string address() const { return m_address; }
+    const std::string& id() const { return m_id; }
+
+    // Sets what happens to the next requests, in order; after them all are answered.
+    void plan(std::vector<upstream_step> steps);
+
+    // Returns how often a request was run.
+    int runsOf(const std::string& request) const;
+
+    int arrivals() const { return m_arrivals.load(); }
+    int connections() const { return m_connections.load(); }
+
+    // Returns the header block of the last request.
+    std::string lastHead() const;
+
+    // Returns whether a caller of this upstream closed its connection during a hang.
+    bool sawCancel() const { return m_sawCancel.load(); }
+
+    // Closes the listening socket and all connections, as a crash does.
+    void crash();
+
+private:
+    void acceptLoop();
+    void serve(Poco::Net::StreamSocket socket);
+    bool serveOne(Poco::Net::StreamSocket& socket, std::string& buffer);
+    upstream_step nextStep();
+
+    const std::string m_id;
+    const gateway::wire_fields m_fields;
+    Poco::Net::ServerSocket m_socket;
+    std::string m_address;
+    std::atomic<bool> m_isStopped = false;
+    std::atomic<int> m_arrivals = 0;
+    std::atomic<int> m_connections = 0;
+    std::atomic<bool> m_sawCancel = false;
+    mutable std::mutex m_mutex; // Guards what follows.
+    std::deque<upstream_step> m_steps;
+    std::map<std::string, int> m_runs;
+    std::string m_lastHead;
+    std::vector<Poco::Net::StreamSocket> m_open;
+    std::vector<std::thread> m_threads;
+};
+
+}
