Count refusals by the retry budget alone, use doubtful upstreams under pressure, hedge earlier

Change: refusals count against the retry budget and a bound of their own; many refusing upstreams are a common cause, which excludes nobody; a request that has waited 150 ms takes an excluded upstream with room; hedges after twice and stalls after three times the usual latency.

--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -209,7 +209,7 @@
     logEvent(event::requestAnswered,
         { { "request", current.id }, { "status", std::to_string(answer.message.head.getStatus()) },
             { "why", std::string(why) }, { "service", current.service },
-            { "sent_to", std::to_string(current.state.sentTo) },
+            { "attempts", std::to_string(current.attempts.size()) },
             { "elapsed_ms", std::to_string(toMs(steady_clock::now() - current.arrivedAt)) },
             { "config", std::to_string(current.rules->version) } });
 }
@@ -221,7 +221,7 @@
 
 deadline forwarder::hedgeTime(const request_run& current) const
 {
-    bool mayHedge = !current.state.isAtMostOnce && current.state.sentTo < current.state.maxUpstreams
+    bool mayHedge = !current.state.isAtMostOnce && current.state.runsOn < current.state.maxUpstreams
         && current.attempts.size() == 1;
     if (!mayHedge) {
         return deadline::max();
@@ -399,8 +399,11 @@
 bool forwarder::startAttempt(
     const std::shared_ptr<request_run>& current, steady_clock::time_point now, choice_status& status)
 {
-    auto chosen = m_board.choose(
-        { .service = current->service, .tried = current->tried, .isAtMostOnce = current->state.isAtMostOnce }, now);
+    auto chosen = m_board.choose({ .service = current->service,
+                                     .tried = current->tried,
+                                     .isAtMostOnce = current->state.isAtMostOnce,
+                                     .isPressed = now - current->arrivedAt > m_options.patience },
+        now);
     status = chosen.status;
     if (chosen.status != choice_status::chosen) {
         return false;
@@ -415,7 +418,7 @@
         m_notices.evidence({ each->upstream, placement::evidence_kind::trial });
     }
     ++m_counters.attempts;
-    ++current->state.sentTo;
+    ++current->state.runsOn;
     current->tried.push_back(each->upstream);
     current->attempts.push_back(each);
     logEvent(event::attemptStarted,
@@ -472,11 +475,11 @@
 std::optional<final_answer> forwarder::conclude(request_run& current, attempt& each, bool& needsAnother)
 {
     auto now = steady_clock::now();
-    if (each.ended.end == attempt_end::notSent) {
-        --current.state.sentTo;
-        ++current.state.failedConnects;
-    }
     each.isConcluded = true;
+    if (!placement::mayHaveRun(each.ended.end)) {
+        --current.state.runsOn;
+        ++current.state.refusals;
+    }
     current.state.mayHaveRun = current.mayHaveRun();
     current.state.isAnotherAtWork = std::any_of(
         current.attempts.begin(), current.attempts.end(), [](const auto& other) { return !other->isOver; });
--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -33,10 +33,11 @@
     std::uint64_t maxAnswerBytes = 8 * 1024 * 1024;
     std::chrono::milliseconds connectLimit { 400 }; // Far above a round trip between failure domains.
     std::chrono::milliseconds returnTrip { 10 }; // Kept back from the upstream's time for the way back.
+    std::chrono::milliseconds patience { 150 }; // Queued for longer, a request takes an upstream of doubt.
     std::chrono::milliseconds queueCheck { 100 }; // Known work of peers expires meanwhile.
     std::chrono::milliseconds maxIdleForOnce { 1'500 }; // A connection idle for longer may be lost unnoticed.
     std::chrono::milliseconds maxIdleRepeatable { 8'000 };
-    double hedgeFactor = 3.0; // Of the usual latency, after which a second upstream is asked.
+    double hedgeFactor = 2.0; // Of the usual latency, after which a second upstream is asked.
     std::chrono::milliseconds minHedge { 300 };
     double retryRatio = 0.2; // Extra arrivals at a service per request, fleet-wide.
     double fleetRetrySlack = 10; // Extra arrivals per window beside the ratio, fleet-wide.
--- a/marlsill/placement/attempt_policy.cc
+++ b/marlsill/placement/attempt_policy.cc
@@ -6,7 +6,7 @@
 
 namespace {
 
-    constexpr int maxFailedConnects = 4; // An unreachable upstream costs up to the limit of a connect each.
+    constexpr int maxRefusals = 4; // Each costs a round trip, an unreachable upstream the limit of a connect.
     constexpr int firstServerError = 500;
     constexpr std::chrono::milliseconds minRetryAfter { 50 }; // About one round trip and a new connection.
     constexpr std::chrono::milliseconds maxRetryAfter { 5'000 };
@@ -20,7 +20,7 @@
     if (attempt.end == attempt_end::answered && !isServerError(attempt.status)) {
         return { next_step::deliver, next_step::deliver };
     }
-    bool hasUpstreamsLeft = request.sentTo < request.maxUpstreams;
+    bool hasUpstreamsLeft = request.runsOn < request.maxUpstreams;
     switch (attempt.end) {
     case attempt_end::answered: {
         bool mayTry = !request.isAtMostOnce && hasUpstreamsLeft;
@@ -28,17 +28,12 @@
         return { mayTry ? next_step::tryAnother : otherwise, otherwise };
     }
     case attempt_end::refused:
-    case attempt_end::wrongUpstream: {
-        auto otherwise = request.isAnotherAtWork ? next_step::wait
-            : request.mayHaveRun                 ? next_step::giveUp
-                                                 : next_step::refuse;
-        return { hasUpstreamsLeft ? next_step::tryAnother : otherwise, otherwise };
-    }
+    case attempt_end::wrongUpstream:
     case attempt_end::notSent: {
         auto otherwise = request.isAnotherAtWork ? next_step::wait
             : request.mayHaveRun                 ? next_step::giveUp
                                                  : next_step::refuse;
-        bool mayTry = request.failedConnects <= maxFailedConnects;
+        bool mayTry = hasUpstreamsLeft && request.refusals <= maxRefusals;
         return { mayTry ? next_step::tryAnother : otherwise, otherwise };
     }
     default:
--- a/marlsill/placement/attempt_policy.h
+++ b/marlsill/placement/attempt_policy.h
@@ -34,9 +34,9 @@
 // The request that the attempt belongs to.
 struct request_state {
     bool isAtMostOnce = false;
-    int sentTo = 0; // Upstreams to which it has been sent, this attempt included.
+    int runsOn = 0; // Upstreams that may have run it, this attempt included.
     int maxUpstreams = 1;
-    int failedConnects = 0;
+    int refusals = 0; // Attempts that have certainly not run.
     bool mayHaveRun = false; // Some attempt may have run it.
     bool isAnotherAtWork = false; // A second attempt is still in work.
 };
--- a/marlsill/placement/attempt_policy_test.cc
+++ b/marlsill/placement/attempt_policy_test.cc
@@ -13,11 +13,11 @@
         next_step step;
         next_step otherwise;
     };
-    const request_state once { .isAtMostOnce = true, .sentTo = 1, .maxUpstreams = 2, .mayHaveRun = true };
-    const request_state onceNotRun { .isAtMostOnce = true, .sentTo = 1, .maxUpstreams = 2 };
-    const request_state repeatable { .sentTo = 1, .maxUpstreams = 2, .mayHaveRun = true };
-    const request_state lastTry { .sentTo = 2, .maxUpstreams = 2, .mayHaveRun = true };
-    const request_state hedged { .sentTo = 2, .maxUpstreams = 2, .mayHaveRun = true, .isAnotherAtWork = true };
+    const request_state once { .isAtMostOnce = true, .runsOn = 1, .maxUpstreams = 2, .mayHaveRun = true };
+    const request_state onceNotRun { .isAtMostOnce = true, .runsOn = 0, .maxUpstreams = 2 };
+    const request_state repeatable { .runsOn = 1, .maxUpstreams = 2, .mayHaveRun = true };
+    const request_state lastTry { .runsOn = 2, .maxUpstreams = 2, .mayHaveRun = true };
+    const request_state hedged { .runsOn = 2, .maxUpstreams = 2, .mayHaveRun = true, .isAnotherAtWork = true };
     const policy_case cases[] = {
         { "success", { attempt_end::answered, 200 }, once, next_step::deliver, next_step::deliver },
         { "caller's error", { attempt_end::answered, 404 }, repeatable, next_step::deliver, next_step::deliver },
@@ -54,7 +54,7 @@
     for (int end = 0; end <= static_cast<int>(attempt_end::cancelled); ++end) {
         for (int status : { 0, 200, 404, 500, 503, 504 }) {
             ended_attempt attempt { static_cast<attempt_end>(end), status };
-            request_state request { .isAtMostOnce = true, .sentTo = 1, .maxUpstreams = 9 };
+            request_state request { .isAtMostOnce = true, .runsOn = 1, .maxUpstreams = 9 };
             request.mayHaveRun = mayHaveRun(attempt.end);
             auto decision = decideAfter(attempt, request);
             CAPTURE(end);
@@ -66,10 +66,14 @@
     }
 }
 
-TEST_CASE("Unreachable upstreams are tried a bounded number of times")
+TEST_CASE("Upstreams that do not run a request are tried a bounded number of times, beyond those that may")
 {
-    request_state request { .isAtMostOnce = true, .sentTo = 0, .maxUpstreams = 1, .failedConnects = 5 };
-    CHECK(decideAfter({ attempt_end::notSent }, request).step == next_step::refuse);
+    for (auto end : { attempt_end::notSent, attempt_end::refused, attempt_end::wrongUpstream }) {
+        request_state request { .isAtMostOnce = true, .maxUpstreams = 1, .refusals = 4 };
+        CHECK(decideAfter({ end }, request).step == next_step::tryAnother);
+        request.refusals = 5;
+        CHECK(decideAfter({ end }, request).step == next_step::refuse);
+    }
 }
 
 TEST_CASE("What an attempt says about its upstream")
--- a/marlsill/placement/upstream_board.cc
+++ b/marlsill/placement/upstream_board.cc
@@ -18,6 +18,7 @@
     constexpr double strikeGrowth = 0.5; // Of the hold time, for each failed trial.
     constexpr int maxStrikes = 3;
     constexpr std::chrono::milliseconds lossWindow { 2'000 }; // As the capacity floor counts.
+    constexpr std::chrono::milliseconds refusalMemory { 1'000 };
     constexpr int minimumOutcomes = 8; // Below, a share says little.
     constexpr std::chrono::milliseconds repeatableRecent { 1'000 }; // A trial waits this long for a request that may be repeated.
     constexpr int overcommit = 1; // Requests beyond the slots, as the known work lags a little.
@@ -50,6 +51,7 @@
     deadline trialUntil {};
     steady_clock::time_point excludedSince {};
     steady_clock::time_point lastTried {};
+    steady_clock::time_point refusedAt {};
     bool hasChangedLoad = false;
 };
 
@@ -255,7 +257,8 @@
     if (best) {
         return { choice_status::chosen, &best->upstream->entry, false, inFlightAt(*best->upstream, now) };
     }
-    if (leastBad && !hasSound) {
+    bool takesDoubtful = !hasSound || request.isPressed || !request.isAtMostOnce;
+    if (leastBad && takesDoubtful) {
         return { choice_status::chosen, &leastBad->entry, true, inFlightAt(*leastBad, now) };
     }
     return { hasUsable ? choice_status::allBusy : choice_status::noneUsable };
@@ -302,6 +305,19 @@
     each.trialUntil = {};
 }
 
+// Returns whether so many upstreams of the service refuse work that excluding one would not help.
+bool upstream_board::isRefusingCommon(const record& each, steady_clock::time_point now) const
+{
+    auto service = m_services.find(each.entry.service);
+    if (service == m_services.end()) {
+        return false;
+    }
+    const auto& upstreams = service->second->upstreams;
+    auto refusing = std::count_if(upstreams.begin(), upstreams.end(),
+        [&](const record* other) { return other->refusedAt + refusalMemory > now; });
+    return static_cast<double>(refusing) > m_options.commonCauseShare * static_cast<double>(upstreams.size());
+}
+
 std::optional<upstream_evidence> upstream_board::end(std::string_view upstream, attempt_verdict verdict,
     steady_clock::duration elapsed, steady_clock::time_point started, bool isAtMostOnce,
     steady_clock::time_point now)
@@ -345,7 +361,10 @@
         evidence.kind = evidence_kind::unreachable;
         return evidence;
     case attempt_verdict::refused:
-        exclude(*found, m_options.holdRefused, now);
+        found->refusedAt = now;
+        if (!isRefusingCommon(*found, now)) {
+            exclude(*found, m_options.holdRefused, now);
+        }
         return std::nullopt;
     case attempt_verdict::neutral:
         break;
--- a/marlsill/placement/upstream_board.h
+++ b/marlsill/placement/upstream_board.h
@@ -72,8 +72,9 @@
     double maxUntriedShareCalm = 0.5; // While hardly a request fails, so that the judgements are right.
     double calmLossShare = 0.06; // Of a service's requests; the capacity floor counts from a tenth.
     int probation = 2; // Successes after a trial before an upstream gets its full share again.
-    double stallFactor = 4.0; // Of the service's usual latency.
-    std::chrono::milliseconds minStall { 1'000 };
+    double stallFactor = 3.0; // Of the service's usual latency.
+    std::chrono::milliseconds minStall { 700 };
+    double commonCauseShare = 0.34; // Of a service's upstreams that refuse; then the load is at fault.
     std::chrono::milliseconds loadLife { 1'500 }; // A peer's load counts this long after its last report.
 };
 
@@ -82,6 +83,7 @@
     std::string_view service;
     std::span<const std::string> tried; // Upstreams that this request has been sent to.
     bool isAtMostOnce = false;
+    bool isPressed = false; // Waiting on costs more than an upstream that may fail.
 };
 
 // How a choice ended.
@@ -164,6 +166,7 @@
     void exclude(record& each, std::chrono::milliseconds hold, steady_clock::time_point now);
     void strike(record& each, bool isAtMostOnce, steady_clock::time_point now);
     void readmit(record& each);
+    bool isRefusingCommon(const record& each, steady_clock::time_point now) const;
     double lossShare(const service_record& service, steady_clock::time_point now) const;
     record* findRecord(std::string_view upstream) const;
 
--- a/marlsill/placement/upstream_board_test.cc
+++ b/marlsill/placement/upstream_board_test.cc
@@ -193,13 +193,40 @@
     auto board = boardOf(4);
     succeed(board, "u1", start);
     board.begin("u0", false, start);
-    CHECK(board.findStalled(start + milliseconds(900)).empty());
+    CHECK(board.findStalled(start + milliseconds(850)).empty());
     auto stalled = board.findStalled(start + milliseconds(1'300));
     REQUIRE(stalled.size() == 1);
     CHECK(stalled.front().upstream == "u0");
     CHECK(board.findStalled(start + milliseconds(1'400)).empty());
 }
 
+TEST_CASE("One upstream that refuses is passed over for a moment; where many refuse none is")
+{
+    auto board = boardOf(6);
+    auto refuse = [&](const std::string& id) {
+        board.begin(id, false, start);
+        board.end(id, attempt_verdict::refused, milliseconds(1), start, true, start);
+    };
+    refuse("u0");
+    CHECK(board.conditionOf("s", start).excluded == 1);
+    for (const auto* id : { "u1", "u2", "u3", "u4", "u5" }) {
+        refuse(id);
+    }
+    CHECK(board.conditionOf("s", start).excluded <= 2);
+}
+
+TEST_CASE("A request that has waited long takes an excluded upstream with room")
+{
+    auto board = boardOf(2, 1);
+    fail(board, "u0", start);
+    board.begin("u1", false, start);
+    board.begin("u1", false, start);
+    CHECK(board.choose({ .service = "s", .isAtMostOnce = true }, start).status == choice_status::allBusy);
+    auto pressed = board.choose({ .service = "s", .isAtMostOnce = true, .isPressed = true }, start);
+    REQUIRE(pressed.status == choice_status::chosen);
+    CHECK(pressed.upstream->id == "u0");
+}
+
 TEST_CASE("Leaving upstreams get nothing; a new life forgets the old one")
 {
     auto board = boardOf(2);
