Gather the store's news, size serving sets by slots and strength, join in three calls

Change: a watcher waits 80 ms after news before it asks again; VMs that are not elected wait 1.5 s for a beacon after their start; seeds are called three times while a fleet starts; VMs tell their strength, which weighs in elections and serving sets; sets are sized by routing::servingSetSize().

--- a/marlsill/cluster/fleet_knowledge.cc
+++ b/marlsill/cluster/fleet_knowledge.cc
@@ -1,6 +1,7 @@
 #include "marlsill/cluster/fleet_knowledge.h"
 
 #include "marlsill/base/hash.h"
+#include "marlsill/routing/serving_set.h"
 
 #include <algorithm>
 #include <utility>
@@ -11,7 +12,10 @@
 
     constexpr std::string_view electionKey = "store-watchers";
 
-    std::uint64_t scoreOf(const std::string& host) { return fastHash(host, fastHash(electionKey)); }
+    double scoreOf(const member& each)
+    {
+        return routing::servingScore(electionKey, { each.host, each.failureDomain, each.capacity });
+    }
 
 }
 
@@ -45,7 +49,7 @@
         }
         domains.insert(each.failureDomain);
         bool isRival = each.failureDomain == candidate.failureDomain && each.host != candidate.host;
-        better += isRival && scoreOf(each.host) > scoreOf(candidate.host) ? 1 : 0;
+        better += isRival && scoreOf(each) > scoreOf(candidate) ? 1 : 0;
     }
     auto perDomain = domains.size() >= m_options.minWatchers ? 1 : m_options.minWatchers;
     return candidate.state != member_state::leaving && better < perDomain;
@@ -258,13 +262,14 @@
 
 void fleet_knowledge::tick(steady_clock::time_point now)
 {
-    if (now - m_startedAt < m_options.startWait) {
+    if (now - m_startedAt < m_options.electionWait) {
         return;
     }
     bool isBeaconFresh = now - m_freshBeaconAt <= m_options.patience;
     bool isSettled = isBeaconFresh && now - m_freshSince >= m_options.settleTime;
     bool elected = isElected();
-    if (elected || !isBeaconFresh) {
+    bool isAlone = !isBeaconFresh && now - m_startedAt >= m_options.startWait;
+    if (elected || isAlone) {
         setWatching(true);
     } else if (isSettled) {
         setWatching(false);
--- a/marlsill/cluster/fleet_knowledge.h
+++ b/marlsill/cluster/fleet_knowledge.h
@@ -26,7 +26,8 @@
 // Settings of the exchange.
 struct fleet_knowledge_options {
     std::size_t minWatchers = 2; // In the fleet; the path of one to the store may be cut silently.
-    std::chrono::milliseconds startWait { 500 }; // To hear of other VMs before this one decides to watch.
+    std::chrono::milliseconds electionWait { 500 }; // After the start, to hear of the other VMs.
+    std::chrono::milliseconds startWait { 1'500 }; // After the start, to hear a beacon before watching alone.
     std::chrono::milliseconds beaconPause { 250 };
     std::chrono::milliseconds patience { 700 }; // Two beacons may be lost; news must be in force within 2 s.
     std::chrono::milliseconds maxContactAge { 1'400 }; // One watch of a second, and its answer.
--- a/marlsill/cluster/member_list.cc
+++ b/marlsill/cluster/member_list.cc
@@ -154,7 +154,7 @@
     return hosts;
 }
 
-std::vector<const member*> member_list::servingSet(std::string_view hostName) const
+std::vector<const member*> member_list::servingSet(std::string_view hostName, int slots) const
 {
     std::vector<const member*> candidates;
     if (m_self.state == member_state::ready) {
@@ -168,10 +168,11 @@
     std::vector<routing::node_place> places;
     std::set<std::string_view> domains;
     for (const auto* each : candidates) {
-        places.push_back({ each->host, each->failureDomain });
+        places.push_back({ each->host, each->failureDomain, each->capacity });
         domains.insert(each->failureDomain);
     }
-    auto size = static_cast<int>(m_options.servingPerDomain * domains.size());
+    auto count = std::max<int>(1, static_cast<int>(domains.size()));
+    auto size = (routing::servingSetSize(slots) + count - 1) / count * count;
     std::vector<const member*> chosen;
     for (auto index : routing::servingSet(hostName, size, places)) {
         chosen.push_back(candidates[index]);
--- a/marlsill/cluster/member_list.h
+++ b/marlsill/cluster/member_list.h
@@ -39,6 +39,7 @@
     std::uint64_t incarnation = 0; // Start of this life in Unix milliseconds, made unique by the VM.
     std::uint64_t version = 0; // Counts this life's changes.
     member_state state = member_state::joining;
+    double capacity = 1; // Relative to other VMs; stronger ones serve and watch more.
 
     bool operator==(const member&) const = default;
 };
@@ -48,7 +49,6 @@
     std::chrono::milliseconds pingAnswer { 250 }; // Far above a round trip, with a slow VM's pause.
     int maxMissed = 2; // Pings; one may be lost.
     std::chrono::milliseconds forgetAfter { 60'000 }; // A VM that was out of reach for so long is gone.
-    std::size_t servingPerDomain = 2; // VMs that serve a host in each failure domain.
 };
 
 class member_list {
@@ -82,8 +82,9 @@
     // Returns the hosts of all other VMs that are within reach.
     std::vector<std::string> reachableHosts() const;
 
-    // Returns the VMs that serve the callers of a host name, all failure domains. Falls back to any ready VM.
-    std::vector<const member*> servingSet(std::string_view hostName) const;
+    // Returns the VMs that serve the callers of a host name, whose upstreams have `slots` slots in all: as many
+    // in each failure domain.
+    std::vector<const member*> servingSet(std::string_view hostName, int slots) const;
 
     // Returns a number that is the same on two VMs exactly when they hold the same records, almost surely.
     std::uint64_t digest() const;
--- a/marlsill/cluster/member_list_test.cc
+++ b/marlsill/cluster/member_list_test.cc
@@ -24,7 +24,7 @@
     member_list listOf(int others)
     {
         auto self = record("10.0.0.1");
-        member_list members(self, { .servingPerDomain = 2 });
+        member_list members(self, {});
         for (int index = 0; index < others; ++index) {
             members.learn(record("10.0.1." + std::to_string(index), index % 2 ? "a" : "b"), start);
         }
@@ -115,7 +115,7 @@
 TEST_CASE("Serving sets agree, spread over failure domains, and leave out those that leave or are lost")
 {
     auto members = listOf(20);
-    auto serving = members.servingSet("host");
+    auto serving = members.servingSet("host", 32);
     CHECK(serving.size() == 4);
     auto inDomain = std::count_if(
         serving.begin(), serving.end(), [](const member* each) { return each->failureDomain == "a"; });
@@ -126,7 +126,7 @@
     ++leaving.version;
     if (leaving.host != members.self().host) {
         members.learn(leaving, start);
-        for (const auto* each : members.servingSet("host")) {
+        for (const auto* each : members.servingSet("host", 32)) {
             CHECK(each->host != leaving.host);
         }
     }
--- a/marlsill/cluster/peer_mesh.cc
+++ b/marlsill/cluster/peer_mesh.cc
@@ -207,7 +207,7 @@
     if (m_options.seeds.empty() || (!isAlone && !hasPassed(m_nextSeedCall, now))) {
         return;
     }
-    m_nextSeedCall = now + m_options.seedPause;
+    m_nextSeedCall = now + (++m_seedCalls < m_options.joinCalls ? m_options.joinPause : m_options.seedPause);
     auto count = isAlone ? m_options.seeds.size() : 1;
     for (std::size_t each = 0; each < count; ++each) {
         const auto& seed = m_options.seeds[m_nextSeed++ % m_options.seeds.size()];
--- a/marlsill/cluster/peer_mesh.h
+++ b/marlsill/cluster/peer_mesh.h
@@ -31,6 +31,8 @@
     std::chrono::milliseconds batch { 30 }; // Evidence and loads of this time go out together.
     std::chrono::milliseconds loadPause { 150 }; // Between two reports of work to the peers.
     std::chrono::milliseconds seedPause { 5'000 }; // Between two calls of a seed, which heal a split fleet.
+    std::chrono::milliseconds joinPause { 500 }; // Between the first calls, until all that start together are known.
+    int joinCalls = 3;
     std::chrono::milliseconds interestLife { 10'000 }; // A peer that told of a service hears of it this long.
 };
 
@@ -101,6 +103,7 @@
     std::map<std::string, deadline, std::less<>> m_interested; // Peers that told of upstreams themselves.
     deadline m_nextSeedCall {};
     std::size_t m_nextSeed = 0;
+    int m_seedCalls = 0;
     std::uint64_t m_lastPing = 0;
     bool m_isBatchPending = false;
     peer_mesh_counters m_counters;
--- a/marlsill/cluster/peer_message.cc
+++ b/marlsill/cluster/peer_message.cc
@@ -96,7 +96,7 @@
     }
     put(value, membersField, message.members, [](const member& one) {
         return json::array({ one.host, one.failureDomain, one.callerAddress, one.incarnation, one.version,
-            static_cast<int>(one.state) });
+            static_cast<int>(one.state), one.capacity });
     });
     put(value, lostField, message.lost, [](const std::string& one) { return json(one); });
     put(value, evidenceField, message.evidence, [](const placement::upstream_evidence& one) {
@@ -150,7 +150,7 @@
             }
             message.members.push_back({ item.at(0).get<std::string>(), item.at(1).get<std::string>(),
                 item.at(2).get<std::string>(), item.at(3).get<std::uint64_t>(), item.at(4).get<std::uint64_t>(),
-                static_cast<member_state>(state) });
+                static_cast<member_state>(state), item.at(6).get<double>() });
         });
         each(value, lostField, [&](const json& item) { message.lost.push_back(item.get<std::string>()); });
         each(value, evidenceField, [&](const json& item) {
--- a/marlsill/cluster/peer_message_test.cc
+++ b/marlsill/cluster/peer_message_test.cc
@@ -15,7 +15,7 @@
         message.pong = 8;
         message.digest = 0xfedcba9876543210;
         message.wantsMembers = true;
-        message.members = { { "10.0.0.2", "a", "10.0.0.2:80", 5, 6, member_state::leaving } };
+        message.members = { { "10.0.0.2", "a", "10.0.0.2:80", 5, 6, member_state::leaving, 2.5 } };
         message.lost = { "10.0.0.3" };
         message.evidence = { { "u1", placement::evidence_kind::recovered } };
         message.loads = { { "u1", 2, 340 } };
--- a/marlsill/gateway/configuration.cc
+++ b/marlsill/gateway/configuration.cc
@@ -53,6 +53,20 @@
     return hosts;
 }
 
+std::vector<std::string> configuration::servicesOf(std::string_view host) const
+{
+    std::vector<std::string> services;
+    for (const auto& each : routes) {
+        for (const auto& part : each.parts) {
+            bool isListed = std::find(services.begin(), services.end(), part.service) != services.end();
+            if (!isListed && isSameHost(each.host, host)) {
+                services.push_back(part.service);
+            }
+        }
+    }
+    return services;
+}
+
 bool configuration::isAtMostOnce(std::string_view service) const
 {
     return std::any_of(routes.begin(), routes.end(),
--- a/marlsill/gateway/configuration.h
+++ b/marlsill/gateway/configuration.h
@@ -55,6 +55,9 @@
     // Returns the hosts with a route that leads to `service`, each once.
     std::vector<std::string> hostsLeadingTo(std::string_view service) const;
 
+    // Returns the services that the routes of a host lead to, each once.
+    std::vector<std::string> servicesOf(std::string_view host) const;
+
     // Returns whether a route that leads to `service` may not be repeated.
     bool isAtMostOnce(std::string_view service) const;
 };
--- a/marlsill/placement/upstream_board.cc
+++ b/marlsill/placement/upstream_board.cc
@@ -448,6 +448,17 @@
     return changed;
 }
 
+int upstream_board::slotsOf(std::string_view service) const
+{
+    int slots = 0;
+    if (auto found = m_services.find(service); found != m_services.end()) {
+        for (const auto* each : found->second->upstreams) {
+            slots += each->entry.slots;
+        }
+    }
+    return slots;
+}
+
 service_condition upstream_board::conditionOf(std::string_view service, steady_clock::time_point now) const
 {
     service_condition condition;
--- a/marlsill/placement/upstream_board.h
+++ b/marlsill/placement/upstream_board.h
@@ -152,6 +152,9 @@
     // Returns the registered entry of an upstream, or nullptr.
     const upstream_entry* find(std::string_view upstream) const;
 
+    // Returns the slots of a service's upstreams that are not leaving.
+    int slotsOf(std::string_view service) const;
+
     service_condition conditionOf(std::string_view service, steady_clock::time_point now) const;
 
 private:
--- a/marlsill/store/kind_watcher.h
+++ b/marlsill/store/kind_watcher.h
@@ -40,6 +40,7 @@
 struct watch_options {
     std::string kind;
     std::chrono::milliseconds wait { 1'000 }; // One watch; bounds how long a silent store goes unnoticed.
+    std::chrono::milliseconds gather { 80 }; // After news, for more to come with the next call; of 2 s in all.
     std::chrono::milliseconds listLimit { 1'000 }; // Many times the store's usual answer.
     std::chrono::milliseconds firstPause { 100 };
     std::chrono::milliseconds maxPause { 800 }; // News must reach every VM within two seconds of a return.
@@ -130,6 +131,7 @@
         m_version = std::max(*m_version, page->version);
         if (!page->changes.empty()) {
             m_listener.changed(page->changes, *m_version);
+            co_await pauseUntil(deadlineAfter(m_options.gather));
         }
         co_return true;
     }
