--- a/marlsill/events/events.cc
+++ b/marlsill/events/events.cc
@@ -1,11 +1,13 @@
 #include "marlsill/events/events.h"
 
+#include "marlsill/events/internal/bounded_appender.h"
+
 #include <algorithm>
-#include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <unistd.h>
 
 namespace marlsill {
 
@@ -155,7 +157,7 @@
 void startLogging(severity minimum)
 {
     static log4cplus::Initializer initializer;
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+    log4cplus::SharedAppenderPtr appender(new internal::bounded_appender(STDOUT_FILENO));
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%D{%Y-%m-%dT%H:%M:%S.%qZ} %p %m%n"));
     logger().addAppender(appender);
     logger().setLogLevel(toLogLevel(minimum));
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -58,7 +58,7 @@
     shift 2
     "$build/marlsill/entry/marlsill-entry" --name="$name" --failure-domain="$domain" --platform="$platform" \
         --caller-address=127.0.0.1:0 --operator-address=127.0.0.1:0 --peer-address=127.0.0.1:0 \
-        --fleet-key="$fleet_key" --operator-key="$operator_key" "$@" 2> "$work/$name.log" &
+        --fleet-key="$fleet_key" --operator-key="$operator_key" "$@" > "$work/$name.log" 2>&1 &
     pids+=($!)
     entry_pid[$name]=$!
     entry_caller[$name]=$(wait_for "$work/$name.log" ' caller_address=[0-9.:]+' | cut -d= -f2) || return 1
