--- a/marlsill/cluster/fleet_knowledge.cc
+++ b/marlsill/cluster/fleet_knowledge.cc
@@ -91,14 +91,11 @@
 
 void fleet_knowledge::announceConfiguration()
 {
-    if (!isElected() || m_configuration.size() > m_options.maxConfigurationBytes) {
+    if (!isElected()) {
         return;
     }
-    peer_message message;
-    message.configuration = m_configuration;
-    message.configurationVersion = m_configurationVersion;
     for (const auto& host : audience()) {
-        m_actions.send(host, message);
+        sendConfiguration(host);
     }
 }
 
@@ -133,49 +130,78 @@
     m_actions.takeUpstreams(used);
 }
 
-// Tells the others what differs from the list before.
+// Tells the others what differs from the list before, in steps that fit a datagram.
 void fleet_knowledge::announceChange(
     const std::vector<placement::upstream_entry>& before, std::uint64_t digestBefore)
 {
     if (!isElected()) {
         return;
     }
-    peer_message message;
-    message.stamp = stamp(steady_clock::now());
-    message.baseDigest = digestBefore;
-    std::map<std::string_view, const placement::upstream_entry*> known;
+    std::map<std::string, placement::upstream_entry> step;
     for (const auto& each : before) {
-        known[each.id] = &each;
+        step[each.id] = each;
     }
+    std::map<std::string, placement::upstream_entry> after;
     for (const auto& each : m_upstreams) {
-        auto found = known.find(each.id);
-        if (found == known.end() || !(*found->second == each)) {
-            message.upstreams.push_back(each);
+        after[each.id] = each;
+    }
+    std::vector<peer_message> messages(1);
+    auto room = [&]() -> peer_message& {
+        if (messages.back().upstreams.size() + messages.back().removed.size() >= m_options.entriesPerDatagram) {
+            closeStep(messages.back(), step, digestBefore);
+            messages.emplace_back();
         }
-        if (found != known.end()) {
-            known.erase(found);
+        return messages.back();
+    };
+    for (const auto& each : before) {
+        if (!after.contains(each.id)) {
+            room().removed.push_back(each.id);
+            step.erase(each.id);
         }
     }
-    for (const auto& [id, each] : known) {
-        message.removed.emplace_back(id);
-    }
-    if (message.upstreams.size() > m_options.entriesPerDatagram) {
-        return; // The beacons make the others ask for the whole list.
+    for (const auto& [id, each] : after) {
+        auto found = step.find(id);
+        if (found == step.end() || !(found->second == each)) {
+            room().upstreams.push_back(each);
+            step[id] = each;
+        }
     }
+    closeStep(messages.back(), step, digestBefore);
     for (const auto& host : audience()) {
-        m_actions.send(host, message);
+        for (const auto& message : messages) {
+            m_actions.send(host, message);
+        }
+    }
+}
+
+// Completes one step: it leads from the list of `digestBefore`, which moves on, to `reached`.
+void fleet_knowledge::closeStep(peer_message& message,
+    const std::map<std::string, placement::upstream_entry>& reached, std::uint64_t& digestBefore) const
+{
+    std::vector<placement::upstream_entry> entries;
+    for (const auto& [id, each] : reached) {
+        entries.push_back(each);
     }
+    message.isChange = true;
+    message.baseDigest = digestBefore;
+    message.stamp = stamp(steady_clock::now());
+    message.stamp->upstreamDigest = digestOf(entries);
+    digestBefore = message.stamp->upstreamDigest;
 }
 
-void fleet_knowledge::sendAll(const std::string& host, steady_clock::time_point now)
+void fleet_knowledge::sendConfiguration(const std::string& host)
 {
-    peer_message first;
-    first.stamp = stamp(now);
-    if (m_configuration.size() <= m_options.maxConfigurationBytes) {
-        first.configuration = m_configuration;
-        first.configurationVersion = m_configurationVersion;
+    if (m_configuration.empty() || m_configuration.size() > m_options.maxConfigurationBytes) {
+        return;
     }
-    m_actions.send(host, std::move(first));
+    peer_message message;
+    message.configuration = m_configuration;
+    message.configurationVersion = m_configurationVersion;
+    m_actions.send(host, std::move(message));
+}
+
+void fleet_knowledge::sendUpstreams(const std::string& host, steady_clock::time_point now)
+{
     for (std::size_t start = 0; start < m_upstreams.size(); start += m_options.entriesPerDatagram) {
         peer_message part;
         part.stamp = stamp(now);
@@ -188,25 +214,32 @@
 
 void fleet_knowledge::take(const peer_message& message, steady_clock::time_point now)
 {
-    if (message.wantsKnowledge) {
-        sendAll(message.sender, now);
+    if (message.wantsConfiguration) {
+        sendConfiguration(message.sender);
+    }
+    if (message.wantsUpstreams) {
+        sendUpstreams(message.sender, now);
     }
     if (!message.configuration.empty() && message.configurationVersion > m_configurationVersion) {
         setConfiguration(message.configuration, message.configurationVersion);
     }
     if (message.stamp) {
-        takeUpstreams(message);
+        takeUpstreams(message, now);
         takeStamp(message, now);
     }
 }
 
 // Takes a change of the list that is known, or collects the parts of a whole one, until its digest is right.
-void fleet_knowledge::takeUpstreams(const peer_message& message)
+void fleet_knowledge::takeUpstreams(const peer_message& message, steady_clock::time_point now)
 {
     const auto& stamp = *message.stamp;
-    bool isOld = stamp.storeVersion < m_storeVersion || stamp.upstreamDigest == m_upstreamDigest;
-    bool isChange = message.baseDigest != 0;
-    if (isOld || (message.upstreams.empty() && !isChange)) {
+    bool isChange = message.isChange;
+    // Who reads the store itself believes others only where they are ahead.
+    bool isReader = m_isWatching && now - m_contactAt <= m_options.maxContactAge;
+    bool isOld = stamp.storeVersion < m_storeVersion + (isReader ? 1 : 0)
+        || stamp.upstreamDigest == m_upstreamDigest;
+    bool isOfOtherList = isChange && message.baseDigest != m_upstreamDigest;
+    if (isOld || isOfOtherList || (message.upstreams.empty() && !isChange)) {
         return;
     }
     std::map<std::string, placement::upstream_entry> change;
@@ -239,20 +272,28 @@
 void fleet_knowledge::takeStamp(const peer_message& message, steady_clock::time_point now)
 {
     const auto& stamp = *message.stamp;
-    bool isBehind = stamp.configurationVersion > m_configurationVersion
-        || (stamp.storeVersion >= m_storeVersion && stamp.upstreamDigest != m_upstreamDigest);
-    // A list that has just begun to arrive is not asked for again.
-    if (isBehind && message.isBeacon) {
-        peer_message question;
-        question.wantsKnowledge = true;
-        m_actions.send(message.sender, std::move(question));
-    }
+    peer_message question;
+    question.wantsConfiguration = stamp.configurationVersion > m_configurationVersion;
+    question.wantsUpstreams
+        = stamp.storeVersion >= m_storeVersion && stamp.upstreamDigest != m_upstreamDigest;
     if (!message.isBeacon) {
         return;
     }
     auto age = std::chrono::milliseconds(stamp.contactAgeMs);
     m_relayedContactAt = std::max(m_relayedContactAt, now - age);
-    if (age <= m_options.maxContactAge) {
+    bool isBehind = question.wantsConfiguration || question.wantsUpstreams;
+    if (!isBehind) {
+        m_behindSince.reset();
+    } else if (!m_behindSince) {
+        m_behindSince = now;
+    }
+    // An answer that is on its way is not asked for again with every beacon.
+    if (isBehind && hasPassed(m_nextQuestion, now)) {
+        m_nextQuestion = now + m_options.questionPause;
+        m_actions.send(message.sender, std::move(question));
+    }
+    bool isStuck = m_behindSince && now - *m_behindSince > m_options.behindLimit;
+    if (age <= m_options.maxContactAge && !isStuck) {
         if (now - m_freshBeaconAt > m_options.patience) {
             m_freshSince = now;
         }
--- a/marlsill/cluster/fleet_knowledge.h
+++ b/marlsill/cluster/fleet_knowledge.h
@@ -30,10 +30,12 @@
     std::chrono::milliseconds startWait { 1'500 }; // After the start, to hear a beacon before watching alone.
     std::chrono::milliseconds beaconPause { 250 };
     std::chrono::milliseconds patience { 700 }; // Two beacons may be lost; news must be in force within 2 s.
+    std::chrono::milliseconds behindLimit { 1'000 }; // For the answers to questions; two may be lost.
+    std::chrono::milliseconds questionPause { 350 }; // Between two questions for what is missing.
     std::chrono::milliseconds maxContactAge { 1'400 }; // One watch of a second, and its answer.
     std::chrono::milliseconds settleTime { 2'000 }; // Of fresh beacons, before an own watch ends.
     std::size_t entriesPerDatagram = 10; // About a kilobyte.
-    std::size_t maxConfigurationBytes = 48 * 1024; // Larger ones are read from the store.
+    std::size_t maxConfigurationBytes = 200 * 1024; // About 40 KB compressed; larger ones are read from the store.
 };
 
 // What the exchange does through others.
@@ -74,9 +76,12 @@
     void use(std::vector<placement::upstream_entry> entries, std::uint64_t digest);
     knowledge_stamp stamp(steady_clock::time_point now) const;
     void takeStamp(const peer_message& message, steady_clock::time_point now);
-    void takeUpstreams(const peer_message& message);
-    void sendAll(const std::string& host, steady_clock::time_point now);
+    void takeUpstreams(const peer_message& message, steady_clock::time_point now);
+    void sendConfiguration(const std::string& host);
+    void sendUpstreams(const std::string& host, steady_clock::time_point now);
     void announceConfiguration();
+    void closeStep(peer_message& message, const std::map<std::string, placement::upstream_entry>& reached,
+        std::uint64_t& digestBefore) const;
     void announceChange(const std::vector<placement::upstream_entry>& before, std::uint64_t digestBefore);
     void setWatching(bool isWatching);
 
@@ -94,6 +99,8 @@
     steady_clock::time_point m_relayedContactAt {}; // Of another watcher.
     steady_clock::time_point m_freshBeaconAt {};
     steady_clock::time_point m_freshSince {};
+    std::optional<steady_clock::time_point> m_behindSince; // A watcher knows more than this VM.
+    deadline m_nextQuestion {};
     std::map<std::string, placement::upstream_entry> m_partial; // Of a list that is still arriving.
     std::uint64_t m_partialDigest = 0;
     bool m_isWatching = false;
--- a/marlsill/cluster/fleet_knowledge_test.cc
+++ b/marlsill/cluster/fleet_knowledge_test.cc
@@ -26,6 +26,10 @@
         steady_clock::time_point now { std::chrono::hours(1) };
         std::map<std::string, node> nodes;
         std::deque<std::pair<std::string, peer_message>> mail;
+        static constexpr int maxMessages = 20'000; // Any storm is more.
+        int delivered = 0;
+        int questions = 0;
+        bool losesLargeMessages = false; // All but beacons and questions.
         std::uint64_t storedConfiguration = 1;
         std::vector<placement::upstream_entry> storedUpstreams;
         std::uint64_t storeVersion = 10;
@@ -69,7 +73,10 @@
             while (!mail.empty()) {
                 auto [host, message] = std::move(mail.front());
                 mail.pop_front();
-                if (!nodes[host].isCut && !nodes[message.sender].isCut) {
+                REQUIRE(++delivered < maxMessages);
+                questions += message.wantsUpstreams || message.wantsConfiguration ? 1 : 0;
+                bool isLarge = !message.configuration.empty() || !message.upstreams.empty();
+                if (!(losesLargeMessages && isLarge) && !nodes[host].isCut && !nodes[message.sender].isCut) {
                     nodes[host].knowledge->take(message, now);
                 }
             }
@@ -226,6 +233,57 @@
     CHECK(fleet.allKnow(2, 25));
 }
 
+TEST_CASE("A change of any size arrives by differences alone")
+{
+    const int sizes[] = { 1, 9, 10, 11, 60 };
+    for (int size : sizes) {
+        CAPTURE(size);
+        virtual_fleet fleet(4, 2);
+        fleet.run(milliseconds(5'000));
+        fleet.storeVersion += 1;
+        for (int index = 0; index < size; ++index) {
+            fleet.storedUpstreams.push_back({ .id = "n" + std::to_string(index), .service = "s", .version = 90 });
+        }
+        fleet.storedUpstreams.erase(fleet.storedUpstreams.begin(), fleet.storedUpstreams.begin() + std::min(size, 20));
+        fleet.questions = 0;
+        fleet.delivered = 0;
+        fleet.run(milliseconds(50));
+        CHECK(fleet.delivered < 100);
+        CHECK(fleet.allKnow(1, fleet.storedUpstreams.size()));
+        CHECK(fleet.questions == 0);
+    }
+}
+
+TEST_CASE("Watchers whose lists differ at one version cause no storm")
+{
+    // Found by a day on which the parts of a first list were each taken for a whole one.
+    virtual_fleet fleet(9, 3);
+    fleet.run(milliseconds(5'000));
+    int index = 0;
+    for (auto& [host, node] : fleet.nodes) {
+        auto own = fleet.storedUpstreams;
+        own.resize(own.size() - static_cast<std::size_t>(++index));
+        node.knowledge->setUpstreams(own, fleet.storeVersion);
+    }
+    fleet.delivered = 0;
+    fleet.run(milliseconds(1'000));
+    CHECK(fleet.delivered < 500);
+    fleet.change();
+    fleet.run(milliseconds(1'900));
+    CHECK(fleet.allKnow(2, 25));
+}
+
+TEST_CASE("A VM that a watcher's answers do not reach watches by itself")
+{
+    // Found by a grown day: a watcher with a narrow link lost what it sent to its large failure domain.
+    virtual_fleet fleet(6, 2);
+    fleet.run(milliseconds(5'000));
+    fleet.losesLargeMessages = true;
+    fleet.change();
+    fleet.run(milliseconds(1'900));
+    CHECK(fleet.allKnow(2, 25));
+}
+
 TEST_CASE("Older lists and configurations change nothing")
 {
     virtual_fleet fleet(2);
--- a/marlsill/cluster/peer_message.cc
+++ b/marlsill/cluster/peer_message.cc
@@ -1,6 +1,9 @@
 #include "marlsill/cluster/peer_message.h"
 
+#include <Poco/DeflatingStream.h>
+#include <Poco/InflatingStream.h>
 #include <nlohmann/json.hpp>
+#include <sstream>
 
 namespace marlsill::cluster {
 
@@ -9,6 +12,7 @@
     using nlohmann::json;
 
     constexpr int protocolVersion = 1;
+    constexpr std::size_t maxConfigurationBytes = 1024 * 1024; // As the store holds at most.
 
     // Short names, as every byte between failure domains counts.
     constexpr const char* versionField = "v";
@@ -24,13 +28,39 @@
     constexpr const char* crashesField = "c";
     constexpr const char* stampField = "k";
     constexpr const char* beaconField = "b";
-    constexpr const char* wantsKnowledgeField = "x";
+    constexpr const char* wantsConfigurationField = "x";
+    constexpr const char* wantsUpstreamsField = "y";
     constexpr const char* configurationField = "g";
     constexpr const char* configurationVersionField = "h";
     constexpr const char* upstreamsField = "n";
     constexpr const char* removedField = "r";
     constexpr const char* baseField = "a";
 
+    std::vector<std::uint8_t> deflate(const std::string& text)
+    {
+        std::ostringstream out;
+        Poco::DeflatingOutputStream stream(out, Poco::DeflatingStreamBuf::STREAM_ZLIB);
+        stream << text;
+        stream.close();
+        auto bytes = std::move(out).str();
+        return { bytes.begin(), bytes.end() };
+    }
+
+    std::optional<std::string> inflate(const std::vector<std::uint8_t>& bytes)
+    {
+        std::istringstream in(std::string(bytes.begin(), bytes.end()));
+        Poco::InflatingInputStream stream(in, Poco::InflatingStreamBuf::STREAM_ZLIB);
+        std::string text(maxConfigurationBytes, '\0');
+        try {
+            stream.read(text.data(), static_cast<std::streamsize>(text.size()));
+        } catch (const std::exception&) {
+            return std::nullopt;
+        }
+        text.resize(static_cast<std::size_t>(stream.gcount()));
+        return stream.bad() || text.empty() || text.size() == maxConfigurationBytes ? std::nullopt
+                                                                                      : std::optional(text);
+    }
+
     json encodeUpstream(const placement::upstream_entry& one)
     {
         auto warmupMs = millisecondsUntil(one.warmUntil, steady_clock::now());
@@ -115,16 +145,19 @@
     if (message.isBeacon) {
         value[beaconField] = true;
     }
-    if (message.wantsKnowledge) {
-        value[wantsKnowledgeField] = true;
+    if (message.wantsConfiguration) {
+        value[wantsConfigurationField] = true;
+    }
+    if (message.wantsUpstreams) {
+        value[wantsUpstreamsField] = true;
     }
     if (!message.configuration.empty()) {
-        value[configurationField] = message.configuration;
+        value[configurationField] = json::binary(deflate(message.configuration));
         value[configurationVersionField] = message.configurationVersion;
     }
     put(value, upstreamsField, message.upstreams, encodeUpstream);
     put(value, removedField, message.removed, [](const std::string& one) { return json(one); });
-    if (message.baseDigest) {
+    if (message.isChange) {
         value[baseField] = message.baseDigest;
     }
     return json::to_cbor(value);
@@ -171,11 +204,19 @@
                 found->at(2).get<std::uint64_t>(), found->at(3).get<std::uint64_t>() };
         }
         message.isBeacon = value.value(beaconField, false);
-        message.wantsKnowledge = value.value(wantsKnowledgeField, false);
-        message.configuration = value.value(configurationField, std::string());
+        message.wantsConfiguration = value.value(wantsConfigurationField, false);
+        message.wantsUpstreams = value.value(wantsUpstreamsField, false);
+        if (auto found = value.find(configurationField); found != value.end()) {
+            auto text = inflate(found->get_binary());
+            if (!text) {
+                return fail(why, reason_code::invalid, "a configuration cannot be decompressed");
+            }
+            message.configuration = std::move(*text);
+        }
         message.configurationVersion = value.value(configurationVersionField, std::uint64_t { 0 });
         each(value, upstreamsField, [&](const json& item) { message.upstreams.push_back(decodeUpstream(item)); });
         each(value, removedField, [&](const json& item) { message.removed.push_back(item.get<std::string>()); });
+        message.isChange = value.contains(baseField);
         message.baseDigest = value.value(baseField, std::uint64_t { 0 });
         return message;
     } catch (const json::exception& error) {
--- a/marlsill/cluster/peer_message.h
+++ b/marlsill/cluster/peer_message.h
@@ -45,13 +45,15 @@
     std::vector<crash_notice> crashes;
     std::optional<knowledge_stamp> stamp;
     bool isBeacon = false; // A watcher's regular word, as opposed to an answer.
-    bool wantsKnowledge = false;
-    std::string configuration; // As the store holds it.
+    bool wantsConfiguration = false;
+    bool wantsUpstreams = false;
+    std::string configuration; // As the store holds it; compressed on the wire.
     std::uint64_t configurationVersion = 0;
     std::vector<placement::upstream_entry> upstreams; // Of the list that `stamp` describes: a part, or the
                                                       // changes against the list of `baseDigest`.
-    std::vector<std::string> removed; // With `baseDigest`.
-    std::uint64_t baseDigest = 0;
+    std::vector<std::string> removed; // With `isChange`.
+    bool isChange = false;
+    std::uint64_t baseDigest = 0; // With `isChange`.
 };
 
 // Returns the bytes of a message.
--- a/marlsill/cluster/peer_message_test.cc
+++ b/marlsill/cluster/peer_message_test.cc
@@ -22,8 +22,9 @@
         message.crashes = { { 99, 2 } };
         message.stamp = knowledge_stamp { 3, 40, 50, 60 };
         message.isBeacon = true;
-        message.wantsKnowledge = true;
-        message.configuration = "{}";
+        message.wantsConfiguration = true;
+        message.wantsUpstreams = true;
+        message.configuration = "{\"routes\":[]}";
         message.configurationVersion = 3;
         message.upstreams = { { .id = "u1", .service = "s", .address = "10.9.0.1:80", .failureDomain = "a",
             .slots = 3, .isLeaving = true, .bornUnixMs = 11, .version = 12 } };
@@ -41,6 +42,7 @@
     CHECK(decoded->members == fullMessage().members);
     CHECK(decoded->upstreams == fullMessage().upstreams);
     CHECK(decoded->stamp->upstreamDigest == 50);
+    CHECK(decoded->configuration == fullMessage().configuration);
     CHECK(decoded->digest == 0xfedcba9876543210);
 }
 
