Keep more large-service upstreams in use while requests are lost

The share of untried upstreams was bounded over all 63, but the floor counts the sound ones only.

Change: while requests are lost 15 % of the upstreams may go untried, two at least where the floor allows it. Decompression grows its text instead of holding a megabyte.

--- a/marlsill/cluster/fleet_knowledge.cc
+++ b/marlsill/cluster/fleet_knowledge.cc
@@ -23,7 +23,8 @@
 {
     std::uint64_t sum = entries.size();
     for (const auto& each : entries) {
-        sum += fastHash(each.id, fastHash(each.address, each.version * 4 + (each.isLeaving ? 2 : 0) + (each.isDoubtful ? 1 : 0)));
+        sum += fastHash(each.id,
+            fastHash(each.address, each.version * 4 + (each.isLeaving ? 2 : 0) + (each.isDoubtful ? 1 : 0)));
     }
     return sum;
 }
@@ -147,7 +148,8 @@
     }
     std::vector<peer_message> messages(1);
     auto room = [&]() -> peer_message& {
-        if (messages.back().upstreams.size() + messages.back().removed.size() >= m_options.entriesPerDatagram) {
+        if (messages.back().upstreams.size() + messages.back().removed.size()
+            >= m_options.entriesPerDatagram) {
             closeStep(messages.back(), step, digestBefore);
             messages.emplace_back();
         }
--- a/marlsill/cluster/fleet_knowledge.h
+++ b/marlsill/cluster/fleet_knowledge.h
@@ -35,7 +35,8 @@
     std::chrono::milliseconds maxContactAge { 1'400 }; // One watch of a second, and its answer.
     std::chrono::milliseconds settleTime { 2'000 }; // Of fresh beacons, before an own watch ends.
     std::size_t entriesPerDatagram = 10; // About a kilobyte.
-    std::size_t maxConfigurationBytes = 200 * 1024; // About 40 KB compressed; larger ones are read from the store.
+    std::size_t maxConfigurationBytes
+        = 200 * 1024; // About 40 KB compressed; larger ones are read from the store.
 };
 
 // What the exchange does through others.
@@ -49,8 +50,8 @@
 
 class fleet_knowledge {
 public:
-    fleet_knowledge(const member_list& members, fleet_knowledge_options options, fleet_knowledge_actions actions,
-        steady_clock::time_point now);
+    fleet_knowledge(const member_list& members, fleet_knowledge_options options,
+        fleet_knowledge_actions actions, steady_clock::time_point now);
 
     // Notes an answer of the store to this VM.
     void noteStoreContact(steady_clock::time_point now) { m_contactAt = now; }
--- a/marlsill/cluster/fleet_knowledge_test.cc
+++ b/marlsill/cluster/fleet_knowledge_test.cc
@@ -11,7 +11,8 @@
 
     using std::chrono::milliseconds;
 
-    // Some VMs of one or more failure domains in virtual time, whose messages arrive at once unless they are cut off.
+    // Some VMs of one or more failure domains in virtual time, whose messages arrive at once unless they are
+    // cut off.
     struct virtual_fleet {
         struct node {
             std::unique_ptr<member_list> members;
@@ -52,7 +53,8 @@
                     *each.members, fleet_knowledge_options(), actionsOf(self.host), now);
             }
             for (int index = 0; index < 24; ++index) {
-                storedUpstreams.push_back({ .id = "u" + std::to_string(index), .service = "s", .version = 1 });
+                storedUpstreams.push_back(
+                    { .id = "u" + std::to_string(index), .service = "s", .version = 1 });
             }
         }
 
@@ -63,9 +65,12 @@
                              message.sender = self;
                              mail.emplace_back(host, std::move(message));
                          },
-                .watchStore = [this, self](bool isWatching, const auto&) { nodes[self].isWatching = isWatching; },
-                .takeConfiguration = [this, self](const auto&, auto version) { nodes[self].configuration = version; },
-                .takeUpstreams = [this, self](const auto& entries) { nodes[self].upstreams = entries.size(); } };
+                .watchStore
+                = [this, self](bool isWatching, const auto&) { nodes[self].isWatching = isWatching; },
+                .takeConfiguration
+                = [this, self](const auto&, auto version) { nodes[self].configuration = version; },
+                .takeUpstreams
+                = [this, self](const auto& entries) { nodes[self].upstreams = entries.size(); } };
         }
 
         void deliver()
@@ -162,7 +167,8 @@
         void (*strike)(virtual_fleet& fleet, const std::string& watcher);
     };
     const fault_case cases[] = {
-        { "the watcher loses the store", [](auto& fleet, const auto& host) { fleet.nodes[host].hasStore = false; } },
+        { "the watcher loses the store",
+            [](auto& fleet, const auto& host) { fleet.nodes[host].hasStore = false; } },
         { "the watcher is cut off", [](auto& fleet, const auto& host) { fleet.nodes[host].isCut = true; } },
         { "the watcher leaves",
             [](auto& fleet, const auto& host) {
@@ -242,9 +248,11 @@
         fleet.run(milliseconds(5'000));
         fleet.storeVersion += 1;
         for (int index = 0; index < size; ++index) {
-            fleet.storedUpstreams.push_back({ .id = "n" + std::to_string(index), .service = "s", .version = 90 });
+            fleet.storedUpstreams.push_back(
+                { .id = "n" + std::to_string(index), .service = "s", .version = 90 });
         }
-        fleet.storedUpstreams.erase(fleet.storedUpstreams.begin(), fleet.storedUpstreams.begin() + std::min(size, 20));
+        fleet.storedUpstreams.erase(
+            fleet.storedUpstreams.begin(), fleet.storedUpstreams.begin() + std::min(size, 20));
         fleet.questions = 0;
         fleet.delivered = 0;
         fleet.run(milliseconds(50));
--- a/marlsill/cluster/member_list.h
+++ b/marlsill/cluster/member_list.h
@@ -82,8 +82,8 @@
     // Returns the hosts of all other VMs that are within reach.
     std::vector<std::string> reachableHosts() const;
 
-    // Returns the VMs that serve the callers of a host name, whose upstreams have `slots` slots in all: as many
-    // in each failure domain.
+    // Returns the VMs that serve the callers of a host name, whose upstreams have `slots` slots in all: as
+    // many in each failure domain.
     std::vector<const member*> servingSet(std::string_view hostName, int slots) const;
 
     // Returns a number that is the same on two VMs exactly when they hold the same records, almost surely.
--- a/marlsill/cluster/member_list_test.cc
+++ b/marlsill/cluster/member_list_test.cc
@@ -45,7 +45,8 @@
         std::uint64_t version;
         bool isNews;
     };
-    const record_case cases[] = { { 5, 3, false }, { 5, 2, false }, { 4, 9, false }, { 5, 4, true }, { 6, 1, true } };
+    const record_case cases[]
+        = { { 5, 3, false }, { 5, 2, false }, { 4, 9, false }, { 5, 4, true }, { 6, 1, true } };
     for (const auto& each : cases) {
         auto members = listOf(0);
         auto known = record("10.0.0.2", "a", 5);
--- a/marlsill/cluster/peer_mesh.cc
+++ b/marlsill/cluster/peer_mesh.cc
@@ -116,7 +116,8 @@
         auto message = decodePeerMessage(std::span(m_buffer).first(size), why);
         if (!message) {
             ++m_counters.malformed;
-            logEvent(event::peerMessageDropped, { { "from", from.address().to_string() }, { "cause", why.text } });
+            logEvent(
+                event::peerMessageDropped, { { "from", from.address().to_string() }, { "cause", why.text } });
             continue;
         }
         ++m_counters.received;
@@ -132,7 +133,8 @@
         }
         logEvent(event::memberListed,
             { { "host", each.host }, { "state", std::string(toText(each.state)) },
-                { "incarnation", std::to_string(each.incarnation) }, { "version", std::to_string(each.version) } });
+                { "incarnation", std::to_string(each.incarnation) },
+                { "version", std::to_string(each.version) } });
     }
 }
 
--- a/marlsill/cluster/peer_mesh.h
+++ b/marlsill/cluster/peer_mesh.h
@@ -11,10 +11,10 @@
 
 #include "marlsill/cluster/peer_message.h"
 
+#include <array>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <array>
 #include <functional>
 #include <map>
 #include <random>
@@ -31,7 +31,9 @@
     std::chrono::milliseconds batch { 30 }; // Evidence and loads of this time go out together.
     std::chrono::milliseconds loadPause { 150 }; // Between two reports of work to the peers.
     std::chrono::milliseconds seedPause { 5'000 }; // Between two calls of a seed, which heal a split fleet.
-    std::chrono::milliseconds joinPause { 500 }; // Between the first calls, until all that start together are known.
+    std::chrono::milliseconds joinPause {
+        500
+    }; // Between the first calls, until all that start together are known.
     int joinCalls = 3;
     std::chrono::milliseconds interestLife { 10'000 }; // A peer that told of a service hears of it this long.
 };
--- a/marlsill/cluster/peer_message.cc
+++ b/marlsill/cluster/peer_message.cc
@@ -50,15 +50,18 @@
     {
         std::istringstream in(std::string(bytes.begin(), bytes.end()));
         Poco::InflatingInputStream stream(in, Poco::InflatingStreamBuf::STREAM_ZLIB);
-        std::string text(maxConfigurationBytes, '\0');
+        std::string text;
+        char chunk[4096];
         try {
-            stream.read(text.data(), static_cast<std::streamsize>(text.size()));
+            while (text.size() < maxConfigurationBytes && stream.good()) {
+                stream.read(chunk, sizeof chunk);
+                text.append(chunk, static_cast<std::size_t>(stream.gcount()));
+            }
         } catch (const std::exception&) {
             return std::nullopt;
         }
-        text.resize(static_cast<std::size_t>(stream.gcount()));
-        return stream.bad() || text.empty() || text.size() == maxConfigurationBytes ? std::nullopt
-                                                                                      : std::optional(text);
+        bool isWhole = !stream.bad() && !text.empty() && text.size() < maxConfigurationBytes;
+        return isWhole ? std::optional(std::move(text)) : std::nullopt;
     }
 
     json encodeUpstream(const placement::upstream_entry& one)
@@ -85,7 +88,8 @@
         return one;
     }
 
-    template <typename Items, typename Encode> void put(json& value, const char* name, const Items& items, Encode encodeOne)
+    template <typename Items, typename Encode>
+    void put(json& value, const char* name, const Items& items, Encode encodeOne)
     {
         if (items.empty()) {
             return;
@@ -135,12 +139,13 @@
     put(value, loadsField, message.loads, [](const placement::upstream_load& one) {
         return json::array({ one.upstream, one.inFlight, one.latencyMs });
     });
-    put(value, crashesField, message.crashes,
-        [](const crash_notice& one) { return json::array({ one.print, one.crashes }); });
+    put(value, crashesField, message.crashes, [](const crash_notice& one) {
+        return json::array({ one.print, one.crashes });
+    });
     if (message.stamp) {
         const auto& one = *message.stamp;
-        value[stampField]
-            = json::array({ one.configurationVersion, one.storeVersion, one.upstreamDigest, one.contactAgeMs });
+        value[stampField] = json::array(
+            { one.configurationVersion, one.storeVersion, one.upstreamDigest, one.contactAgeMs });
     }
     if (message.isBeacon) {
         value[beaconField] = true;
@@ -181,9 +186,10 @@
             if (state < 0 || state > static_cast<int>(member_state::leaving)) {
                 throw json::other_error::create(599, "unknown member state", &item);
             }
-            message.members.push_back({ item.at(0).get<std::string>(), item.at(1).get<std::string>(),
-                item.at(2).get<std::string>(), item.at(3).get<std::uint64_t>(), item.at(4).get<std::uint64_t>(),
-                static_cast<member_state>(state), item.at(6).get<double>() });
+            message.members.push_back(
+                { item.at(0).get<std::string>(), item.at(1).get<std::string>(), item.at(2).get<std::string>(),
+                    item.at(3).get<std::uint64_t>(), item.at(4).get<std::uint64_t>(),
+                    static_cast<member_state>(state), item.at(6).get<double>() });
         });
         each(value, lostField, [&](const json& item) { message.lost.push_back(item.get<std::string>()); });
         each(value, evidenceField, [&](const json& item) {
@@ -194,14 +200,16 @@
             }
         });
         each(value, loadsField, [&](const json& item) {
-            message.loads.push_back({ item.at(0).get<std::string>(), item.at(1).get<int>(), item.at(2).get<int>() });
+            message.loads.push_back(
+                { item.at(0).get<std::string>(), item.at(1).get<int>(), item.at(2).get<int>() });
         });
         each(value, crashesField, [&](const json& item) {
             message.crashes.push_back({ item.at(0).get<std::uint64_t>(), item.at(1).get<int>() });
         });
         if (auto found = value.find(stampField); found != value.end()) {
-            message.stamp = knowledge_stamp { found->at(0).get<std::uint64_t>(), found->at(1).get<std::uint64_t>(),
-                found->at(2).get<std::uint64_t>(), found->at(3).get<std::uint64_t>() };
+            message.stamp
+                = knowledge_stamp { found->at(0).get<std::uint64_t>(), found->at(1).get<std::uint64_t>(),
+                      found->at(2).get<std::uint64_t>(), found->at(3).get<std::uint64_t>() };
         }
         message.isBeacon = value.value(beaconField, false);
         message.wantsConfiguration = value.value(wantsConfigurationField, false);
@@ -214,8 +222,10 @@
             message.configuration = std::move(*text);
         }
         message.configurationVersion = value.value(configurationVersionField, std::uint64_t { 0 });
-        each(value, upstreamsField, [&](const json& item) { message.upstreams.push_back(decodeUpstream(item)); });
-        each(value, removedField, [&](const json& item) { message.removed.push_back(item.get<std::string>()); });
+        each(value, upstreamsField,
+            [&](const json& item) { message.upstreams.push_back(decodeUpstream(item)); });
+        each(value, removedField,
+            [&](const json& item) { message.removed.push_back(item.get<std::string>()); });
         message.isChange = value.contains(baseField);
         message.baseDigest = value.value(baseField, std::uint64_t { 0 });
         return message;
--- a/marlsill/cluster/peer_message_test.cc
+++ b/marlsill/cluster/peer_message_test.cc
@@ -26,8 +26,14 @@
         message.wantsUpstreams = true;
         message.configuration = "{\"routes\":[]}";
         message.configurationVersion = 3;
-        message.upstreams = { { .id = "u1", .service = "s", .address = "10.9.0.1:80", .failureDomain = "a",
-            .slots = 3, .isLeaving = true, .bornUnixMs = 11, .version = 12 } };
+        message.upstreams = { { .id = "u1",
+            .service = "s",
+            .address = "10.9.0.1:80",
+            .failureDomain = "a",
+            .slots = 3,
+            .isLeaving = true,
+            .bornUnixMs = 11,
+            .version = 12 } };
         return message;
     }
 
--- a/marlsill/events/events.h
+++ b/marlsill/events/events.h
@@ -85,9 +85,9 @@
 // Returns all events, ordered by number.
 std::span<const event_spec> eventCatalogue();
 
-// Starts logging to standard output; `minimum` is the least severity that is written. Lines beyond a rate, and
-// lines that the reader of a pipe does not take at once, are left out and counted by a later line. Call once,
-// before any thread starts.
+// Starts logging to standard output; `minimum` is the least severity that is written. Lines beyond a rate,
+// and lines that the reader of a pipe does not take at once, are left out and counted by a later line. Call
+// once, before any thread starts.
 void startLogging(severity minimum);
 
 // Writes one line: time, severity, number, name, and each field as name=value with quoting where needed.
--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -30,8 +30,8 @@
 
     std::string_view toText(attempt_end end)
     {
-        constexpr std::string_view names[] = { "answered", "refused", "wrong_upstream", "not_sent", "no_answer",
-            "broken", "timed_out", "cancelled" };
+        constexpr std::string_view names[] = { "answered", "refused", "wrong_upstream", "not_sent",
+            "no_answer", "broken", "timed_out", "cancelled" };
         return names[static_cast<int>(end)];
     }
 
@@ -162,7 +162,8 @@
     return http::makeResponse(status, "text/plain", std::string(why) + "\n");
 }
 
-http::response_message forwarder::makeRefusal(std::string_view why, std::chrono::milliseconds expectedWait) const
+http::response_message forwarder::makeRefusal(
+    std::string_view why, std::chrono::milliseconds expectedWait) const
 {
     auto message = makeAnswer(Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE, why);
     double fraction = std::uniform_real_distribution<>()(const_cast<std::mt19937_64&>(m_random));
@@ -195,7 +196,8 @@
     if (!answer) {
         ++m_counters.cancelled;
         logEvent(event::requestCancelled,
-            { { "request", current->id }, { "elapsed_ms", std::to_string(toMs(steady_clock::now() - current->arrivedAt)) } });
+            { { "request", current->id },
+                { "elapsed_ms", std::to_string(toMs(steady_clock::now() - current->arrivedAt)) } });
         co_return std::nullopt;
     }
     m_counters.callerLatency.add(steady_clock::now() - current->arrivedAt);
@@ -227,9 +229,10 @@
         return deadline::max();
     }
     auto condition = m_board.conditionOf(current.service, steady_clock::now());
-    auto usual = std::chrono::milliseconds(
-        static_cast<std::int64_t>(m_options.hedgeFactor * condition.latencyMs));
-    auto pause = condition.latencyMs == 0 ? current.routed->latencyObjective : std::max(m_options.minHedge, usual);
+    auto usual
+        = std::chrono::milliseconds(static_cast<std::int64_t>(m_options.hedgeFactor * condition.latencyMs));
+    auto pause
+        = condition.latencyMs == 0 ? current.routed->latencyObjective : std::max(m_options.minHedge, usual);
     return current.attempts.front()->startedAt + pause;
 }
 
@@ -253,7 +256,8 @@
         || answer.head.getStatus() == Poco::Net::HTTPResponse::HTTP_MISDIRECTED_REQUEST;
 }
 
-asio::awaitable<void> forwarder::runAttempt(std::shared_ptr<request_run> current, std::shared_ptr<attempt> each)
+asio::awaitable<void> forwarder::runAttempt(
+    std::shared_ptr<request_run> current, std::shared_ptr<attempt> each)
 {
     auto maxIdle = current->state.isAtMostOnce ? m_options.maxIdleForOnce : m_options.maxIdleRepeatable;
     auto link = m_pool.take(each->upstream, { maxIdle }, each->startedAt);
@@ -272,7 +276,8 @@
     }
     each->link = link;
     if (!link || each->isOver || current->isCancelled) {
-        each->ended.end = each->isOver || current->isCancelled ? attempt_end::cancelled : attempt_end::notSent;
+        each->ended.end
+            = each->isOver || current->isCancelled ? attempt_end::cancelled : attempt_end::notSent;
     } else {
         exchange_options options { .isHead = current->request.head.getMethod() == "HEAD",
             .isOwn = [this, current](const auto& answer) { return isOwnAnswer(*current, answer); },
@@ -313,15 +318,17 @@
     if (each.ended.end == attempt_end::answered) {
         m_counters.upstreamLatency.add(elapsed);
     }
-    bool isFailure = verdict == placement::attempt_verdict::failed || verdict == placement::attempt_verdict::unreachable;
+    bool isFailure
+        = verdict == placement::attempt_verdict::failed || verdict == placement::attempt_verdict::unreachable;
     m_counters.upstreamFailures += isFailure ? 1 : 0;
     m_counters.upstreamRefusals += verdict == placement::attempt_verdict::refused ? 1 : 0;
     logEvent(event::attemptEnded,
-        { { "request", current.id }, { "upstream", each.upstream }, { "end", std::string(toText(each.ended.end)) },
-            { "status", std::to_string(each.ended.status) }, { "reused", each.ended.wasReused ? "1" : "0" },
-            { "trial", each.isTrial ? "1" : "0" }, { "elapsed_ms", std::to_string(toMs(elapsed)) } });
-    auto evidence = m_board.end(
-        each.upstream, verdict, elapsed, each.startedAt, current.state.isAtMostOnce, now);
+        { { "request", current.id }, { "upstream", each.upstream },
+            { "end", std::string(toText(each.ended.end)) }, { "status", std::to_string(each.ended.status) },
+            { "reused", each.ended.wasReused ? "1" : "0" }, { "trial", each.isTrial ? "1" : "0" },
+            { "elapsed_ms", std::to_string(toMs(elapsed)) } });
+    auto evidence
+        = m_board.end(each.upstream, verdict, elapsed, each.startedAt, current.state.isAtMostOnce, now);
     if (evidence && m_notices.evidence) {
         m_notices.evidence(*evidence);
     }
@@ -508,7 +515,8 @@
         logEnd(current, answer, "upstream_answer");
         return answer;
     }
-    return refuseOrGiveUp(current, step, std::string("attempt ended: ") + std::string(toText(each.ended.end)));
+    return refuseOrGiveUp(
+        current, step, std::string("attempt ended: ") + std::string(toText(each.ended.end)));
 }
 
 asio::awaitable<std::optional<final_answer>> forwarder::work(std::shared_ptr<request_run> current)
--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -128,7 +128,10 @@
     void setPeerNotices(peer_notices notices) { m_notices = std::move(notices); }
 
     // Sets who tells this VM's part in a service.
-    void setShares(std::function<service_share(const std::string&)> shareOf) { m_shareOf = std::move(shareOf); }
+    void setShares(std::function<service_share(const std::string&)> shareOf)
+    {
+        m_shareOf = std::move(shareOf);
+    }
 
     // Takes a peer's evidence, load or crash count.
     void learn(const placement::upstream_evidence& evidence);
@@ -164,7 +167,8 @@
     bool mayRetry(request_run& current, bool isArrival, steady_clock::time_point now);
     deadline hedgeTime(const request_run& current) const;
     std::chrono::milliseconds expectedWait(const std::string& service, steady_clock::time_point now) const;
-    std::string serializeFor(const request_run& current, const attempt& each, steady_clock::time_point now) const;
+    std::string serializeFor(
+        const request_run& current, const attempt& each, steady_clock::time_point now) const;
     bool isOwnAnswer(const request_run& current, const http::response_message& answer) const;
     placement::window_budget& budgetOf(const std::string& service);
     void wakeWaiter(const std::string& service);
--- a/marlsill/gateway/gateway.cc
+++ b/marlsill/gateway/gateway.cc
@@ -19,7 +19,8 @@
     constexpr std::chrono::milliseconds lastWrites { 250 }; // For answers to leave the VM before it ends.
     constexpr int latencyHeadroom = 2; // Times the usual latency that a request needs before the end.
 
-    // Returns the time that the caller will wait, or nothing if the field is absent. `isValid` tells the rest.
+    // Returns the time that the caller will wait, or nothing if the field is absent. `isValid` tells the
+    // rest.
     std::optional<std::chrono::milliseconds> callerTimeout(const std::string& text, bool& isValid)
     {
         isValid = true;
@@ -45,10 +46,10 @@
     : m_io(io)
     , m_options(std::move(options))
     , m_forwarder(io, m_options.forwarding, std::move(wire))
-    , m_callers(
-          io,
+    , m_callers(io,
           { .endpoint = m_options.callers,
-              .limits = [this] { return m_forwarder.rules() ? m_forwarder.rules()->limits : caller_limits(); } },
+              .limits
+              = [this] { return m_forwarder.rules() ? m_forwarder.rules()->limits : caller_limits(); } },
           [this](auto request) { return serve(std::move(request)); })
 {
 }
@@ -111,8 +112,7 @@
     current->id = current->request.head.get(wire.requestId, "");
     current->caller = request->caller;
     current->arrivedAt = request->arrivedAt;
-    current->callerLimit
-        = request->arrivedAt + timeout.value_or(std::chrono::milliseconds(maxTimeoutMs));
+    current->callerLimit = request->arrivedAt + timeout.value_or(std::chrono::milliseconds(maxTimeoutMs));
     current->rules = rules;
     current->routed = routed;
     request->message.head.setMethod(current->request.head.getMethod());
--- a/marlsill/gateway/gateway.h
+++ b/marlsill/gateway/gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
-// The request path of an entry VM on one event loop: its callers' connections, its routes, and its planned stop.
+// The request path of an entry VM on one event loop: its callers' connections, its routes, and its planned
+// stop.
 //
 //     gateway entry(io, options, wire);
 //     entry.start();
@@ -18,7 +19,9 @@
     asio::ip::tcp::endpoint callers;
     forwarder_options forwarding;
     std::chrono::milliseconds sweepPause { 250 }; // Idle and stalled connections are found this much late.
-    std::chrono::milliseconds moveAwayTime { 2'500 }; // Callers keep an answer of the directory about this long.
+    std::chrono::milliseconds moveAwayTime {
+        2'500
+    }; // Callers keep an answer of the directory about this long.
 };
 
 class gateway {
@@ -36,8 +39,8 @@
 
     bool isStopping() const { return m_exitAt.has_value(); }
 
-    // Begins a planned stop that ends by `exitAt`: what is in work is finished, callers are asked to move, and
-    // `onDone` is called once nothing is left or the time is over.
+    // Begins a planned stop that ends by `exitAt`: what is in work is finished, callers are asked to move,
+    // and `onDone` is called once nothing is left or the time is over.
     void beginStop(deadline exitAt, std::function<void()> onDone);
 
     forwarder& requests() { return m_forwarder; }
--- a/marlsill/gateway/link_pool.h
+++ b/marlsill/gateway/link_pool.h
@@ -44,7 +44,8 @@
     // Closes all idle connections to an upstream.
     void drop(const std::string& upstream);
 
-    // Closes idle connections that the upstream is about to close, and all to upstreams that `isKnown` rejects.
+    // Closes idle connections that the upstream is about to close, and all to upstreams that `isKnown`
+    // rejects.
     template <typename Predicate> void sweep(Predicate isKnown, steady_clock::time_point now)
     {
         for (auto& [upstream, links] : m_idle) {
--- a/marlsill/gateway/session_server.cc
+++ b/marlsill/gateway/session_server.cc
@@ -20,8 +20,9 @@
     constexpr std::size_t maxUnparsedBytes = 64 * 1024; // behind a caller's last request
     constexpr int listenBacklog = 1024;
     constexpr std::chrono::milliseconds lingerLimit { 1'000 }; // For a caller to read the last answer.
-    constexpr std::chrono::milliseconds deadPeerLimit { 4'000 }; // Above a caller's round trip with some losses.
-
+    constexpr std::chrono::milliseconds deadPeerLimit {
+        4'000
+    }; // Above a caller's round trip with some losses.
 
 }
 
--- a/marlsill/gateway/traffic_counters.cc
+++ b/marlsill/gateway/traffic_counters.cc
@@ -20,7 +20,8 @@
     std::uint64_t sum = 0;
     for (std::size_t index = 0; index < boundsMs.size(); ++index) {
         sum += m_counts[index];
-        out += metric + "_bucket{le=\"" + std::to_string(boundsMs[index]) + "\"} " + std::to_string(sum) + "\n";
+        out += metric + "_bucket{le=\"" + std::to_string(boundsMs[index]) + "\"} " + std::to_string(sum)
+            + "\n";
     }
     out += metric + "_bucket{le=\"+Inf\"} " + std::to_string(m_count) + "\n";
     out += metric + "_sum " + std::to_string(m_sumMs) + "\n";
@@ -31,8 +32,8 @@
 {
     std::string out;
     auto line = [&out](const char* name, std::uint64_t value) {
-        out += std::string("# TYPE marlsill_") + name + " counter\nmarlsill_" + name + " " + std::to_string(value)
-            + "\n";
+        out += std::string("# TYPE marlsill_") + name + " counter\nmarlsill_" + name + " "
+            + std::to_string(value) + "\n";
     };
     line("requests_total", requests);
     line("answered_total", answered);
--- a/marlsill/gateway/traffic_counters.h
+++ b/marlsill/gateway/traffic_counters.h
@@ -18,7 +18,8 @@
     void write(std::string& out, const char* name) const;
 
 private:
-    static constexpr std::array<int, 12> boundsMs = { 5, 10, 25, 50, 100, 250, 500, 1000, 2000, 4000, 8000, 16000 };
+    static constexpr std::array<int, 12> boundsMs
+        = { 5, 10, 25, 50, 100, 250, 500, 1000, 2000, 4000, 8000, 16000 };
 
     std::array<std::uint64_t, boundsMs.size() + 1> m_counts {};
     std::uint64_t m_count = 0;
--- a/marlsill/gateway/upstream_link.cc
+++ b/marlsill/gateway/upstream_link.cc
@@ -18,8 +18,12 @@
 
     constexpr std::size_t readSize = 16 * 1024; // bytes
     constexpr std::chrono::milliseconds deadPeerLimit { 1'500 }; // Several round trips with a lost packet.
-    constexpr std::chrono::milliseconds keptByDefault { 4'000 }; // Below the usual idle limit of servers, 5 s.
-    constexpr std::chrono::milliseconds keptMargin { 1'000 }; // A whole second, as Keep-Alive counts in seconds.
+    constexpr std::chrono::milliseconds keptByDefault {
+        4'000
+    }; // Below the usual idle limit of servers, 5 s.
+    constexpr std::chrono::milliseconds keptMargin {
+        1'000
+    }; // A whole second, as Keep-Alive counts in seconds.
 
     // Returns the seconds of a Keep-Alive field such as "timeout=5, max=100", or 0.
     int keepAliveSeconds(const std::string& field)
@@ -179,8 +183,7 @@
 void upstream_link::readKeepAlive(const http::response_message& answer)
 {
     int seconds = keepAliveSeconds(answer.head.get("Keep-Alive", ""));
-    m_keptUntil
-        = m_idleSince + (seconds > 0 ? std::chrono::seconds(seconds) - keptMargin : keptByDefault);
+    m_keptUntil = m_idleSince + (seconds > 0 ? std::chrono::seconds(seconds) - keptMargin : keptByDefault);
 }
 
 void upstream_link::abort()
--- a/marlsill/http/message_parser.cc
+++ b/marlsill/http/message_parser.cc
@@ -24,7 +24,8 @@
             length = end + 4;
             return length > maxBytes ? parse_status::headTooLarge : parse_status::complete;
         }
-        if (buffer.find("\n\n") != std::string_view::npos || buffer.find("\n\r\n") != std::string_view::npos) {
+        if (buffer.find("\n\n") != std::string_view::npos
+            || buffer.find("\n\r\n") != std::string_view::npos) {
             return parse_status::malformed;
         }
         return buffer.size() > maxBytes ? parse_status::headTooLarge : parse_status::needMore;
--- a/marlsill/placement/attempt_policy_test.cc
+++ b/marlsill/placement/attempt_policy_test.cc
@@ -17,18 +17,23 @@
     const request_state onceNotRun { .isAtMostOnce = true, .runsOn = 0, .maxUpstreams = 2 };
     const request_state repeatable { .runsOn = 1, .maxUpstreams = 2, .mayHaveRun = true };
     const request_state lastTry { .runsOn = 2, .maxUpstreams = 2, .mayHaveRun = true };
-    const request_state hedged { .runsOn = 2, .maxUpstreams = 2, .mayHaveRun = true, .isAnotherAtWork = true };
+    const request_state hedged {
+        .runsOn = 2, .maxUpstreams = 2, .mayHaveRun = true, .isAnotherAtWork = true
+    };
     const policy_case cases[] = {
         { "success", { attempt_end::answered, 200 }, once, next_step::deliver, next_step::deliver },
-        { "caller's error", { attempt_end::answered, 404 }, repeatable, next_step::deliver, next_step::deliver },
-        { "server error, once", { attempt_end::answered, 500 }, once, next_step::deliver, next_step::deliver },
+        { "caller's error", { attempt_end::answered, 404 }, repeatable, next_step::deliver,
+            next_step::deliver },
+        { "server error, once", { attempt_end::answered, 500 }, once, next_step::deliver,
+            next_step::deliver },
         { "server error, repeatable", { attempt_end::answered, 500 }, repeatable, next_step::tryAnother,
             next_step::deliver },
         { "server error, last try", { attempt_end::answered, 500 }, lastTry, next_step::deliver,
             next_step::deliver },
         { "server error, another at work", { attempt_end::answered, 500 }, hedged, next_step::wait,
             next_step::wait },
-        { "no room, once", { attempt_end::refused, 503 }, onceNotRun, next_step::tryAnother, next_step::refuse },
+        { "no room, once", { attempt_end::refused, 503 }, onceNotRun, next_step::tryAnother,
+            next_step::refuse },
         { "no room after a run", { attempt_end::refused, 503 }, repeatable, next_step::tryAnother,
             next_step::giveUp },
         { "other upstream, once", { attempt_end::wrongUpstream, 421 }, onceNotRun, next_step::tryAnother,
--- a/marlsill/placement/upstream_board.cc
+++ b/marlsill/placement/upstream_board.cc
@@ -20,10 +20,15 @@
     constexpr std::chrono::milliseconds lossWindow { 2'000 }; // As the capacity floor counts.
     constexpr std::chrono::milliseconds refusalMemory { 1'000 };
     constexpr int minimumOutcomes = 8; // Below, a share says little.
-    constexpr std::chrono::milliseconds repeatableRecent { 1'000 }; // A trial waits this long for a request that may be repeated.
+    constexpr std::chrono::milliseconds repeatableRecent {
+        1'000
+    }; // A trial waits this long for a request that may be repeated.
     constexpr int overcommit = 1; // Requests beyond the slots, as the known work lags a little.
 
-    double smooth(double old, double sample) { return old == 0 ? sample : old + latencyWeight * (sample - old); }
+    double smooth(double old, double sample)
+    {
+        return old == 0 ? sample : old + latencyWeight * (sample - old);
+    }
 
     double toMilliseconds(steady_clock::duration length)
     {
@@ -78,8 +83,7 @@
 
 upstream_board::upstream_board(upstream_board&& other) noexcept = default;
 
-void upstream_board::replaceUpstreams(
-    std::span<const upstream_entry> upstreams, steady_clock::time_point now)
+void upstream_board::replaceUpstreams(std::span<const upstream_entry> upstreams, steady_clock::time_point now)
 {
     decltype(m_records) kept;
     for (auto& each : m_services) {
@@ -118,7 +122,10 @@
     return found ? &found->entry : nullptr;
 }
 
-bool upstream_board::isExcluded(const record& each, steady_clock::time_point) const { return each.isExcluded; }
+bool upstream_board::isExcluded(const record& each, steady_clock::time_point) const
+{
+    return each.isExcluded;
+}
 
 bool upstream_board::isTrialDue(const record& each, steady_clock::time_point now) const
 {
@@ -134,6 +141,18 @@
     return sum;
 }
 
+// Returns how many of a service's upstreams may go without any request.
+int upstream_board::allowedUntried(const service_record& service, steady_clock::time_point now) const
+{
+    auto count = static_cast<double>(service.upstreams.size());
+    if (lossShare(service, now) < m_options.calmLossShare) {
+        return static_cast<int>(m_options.maxUntriedShareCalm * count);
+    }
+    auto byFloor = static_cast<int>((1 - m_options.floorShare) * count);
+    return std::max(
+        static_cast<int>(m_options.maxUntriedShare * count), std::min(m_options.minUntried, byFloor));
+}
+
 upstream_board::record* upstream_board::longestUntried(
     service_record& service, std::span<const std::string> tried, steady_clock::time_point now) const
 {
@@ -151,10 +170,7 @@
             oldest = each;
         }
     }
-    bool isCalm = lossShare(service, now) < m_options.calmLossShare;
-    auto share = isCalm ? m_options.maxUntriedShareCalm : m_options.maxUntriedShare;
-    auto allowed = std::floor(share * static_cast<double>(service.upstreams.size()));
-    return untried > allowed ? oldest : nullptr;
+    return untried > allowedUntried(service, now) ? oldest : nullptr;
 }
 
 double upstream_board::lossShare(const service_record& service, steady_clock::time_point now) const
@@ -219,7 +235,8 @@
             if (isTrialDue(*each, now) && isFirst && !leavesTrials) {
                 trial = each;
             }
-            if (inFlight < each->entry.slots && (!leastBad || each->excludedUntil < leastBad->excludedUntil)) {
+            if (inFlight < each->entry.slots
+                && (!leastBad || each->excludedUntil < leastBad->excludedUntil)) {
                 leastBad = each;
             }
             continue;
@@ -372,8 +389,7 @@
     return std::nullopt;
 }
 
-void upstream_board::learn(
-    const upstream_evidence& evidence, bool isAtMostOnce, steady_clock::time_point now)
+void upstream_board::learn(const upstream_evidence& evidence, bool isAtMostOnce, steady_clock::time_point now)
 {
     auto* found = findRecord(evidence.upstream);
     if (!found) {
@@ -382,7 +398,8 @@
     switch (evidence.kind) {
     case evidence_kind::failed:
         strike(*found, isAtMostOnce, now);
-        if (auto service = m_services.find(found->entry.service); isAtMostOnce && service != m_services.end()) {
+        if (auto service = m_services.find(found->entry.service);
+            isAtMostOnce && service != m_services.end()) {
             service->second->outcomes.push_back({ now, false, true });
         }
         break;
--- a/marlsill/placement/upstream_board.h
+++ b/marlsill/placement/upstream_board.h
@@ -9,8 +9,8 @@
 //     board.end(chosen.upstream, attempt_verdict::succeeded, elapsed, now);
 //
 // An upstream that fails is excluded for a hold time, then one request tries it. The number of upstreams of a
-// service that nobody has tried lately stays below a share, so that no judgement, right or wrong, concentrates
-// the work on too few. Pure decisions; not thread safe.
+// service that nobody has tried lately stays below a share, so that no judgement, right or wrong,
+// concentrates the work on too few. Pure decisions; not thread safe.
 
 #include "marlsill/placement/upstream_entry.h"
 
@@ -68,7 +68,11 @@
     std::chrono::milliseconds holdRefused { 200 }; // About one service time.
     std::chrono::milliseconds trialLength { 1'500 }; // How long the result of a trial is waited for.
     std::chrono::milliseconds untriedAfter { 1'500 }; // Below the two seconds of the capacity floor's window.
-    double maxUntriedShare = 0.3; // One minus the share of upstreams that must stay in use.
+    // While requests are lost, the share of upstreams that nobody tries. The floor counts sound upstreams
+    // only, of which there may be few; half of one minus the floor leaves room for that.
+    double maxUntriedShare = 0.15;
+    int minUntried = 2; // In small services, as long as the floor itself allows it.
+    double floorShare = 0.7; // Of a service's upstreams; must stay in use.
     double maxUntriedShareCalm = 0.5; // While hardly a request fails, so that the judgements are right.
     double calmLossShare = 0.06; // Of a service's requests; the capacity floor counts from a tenth.
     int probation = 2; // Successes after a trial before an upstream gets its full share again.
@@ -164,12 +168,13 @@
     bool isExcluded(const record& each, steady_clock::time_point now) const;
     bool isTrialDue(const record& each, steady_clock::time_point now) const;
     int inFlightAt(const record& each, steady_clock::time_point now) const;
-    record* longestUntried(service_record& service, std::span<const std::string> tried,
-        steady_clock::time_point now) const;
+    record* longestUntried(
+        service_record& service, std::span<const std::string> tried, steady_clock::time_point now) const;
     void exclude(record& each, std::chrono::milliseconds hold, steady_clock::time_point now);
     void strike(record& each, bool isAtMostOnce, steady_clock::time_point now);
     void readmit(record& each);
     bool isRefusingCommon(const record& each, steady_clock::time_point now) const;
+    int allowedUntried(const service_record& service, steady_clock::time_point now) const;
     double lossShare(const service_record& service, steady_clock::time_point now) const;
     record* findRecord(std::string_view upstream) const;
 
--- a/marlsill/placement/upstream_board_test.cc
+++ b/marlsill/placement/upstream_board_test.cc
@@ -84,7 +84,8 @@
 
 TEST_CASE("One failure excludes an upstream here, and by a peer's word there")
 {
-    const evidence_kind kinds[] = { evidence_kind::failed, evidence_kind::stalled, evidence_kind::unreachable };
+    const evidence_kind kinds[]
+        = { evidence_kind::failed, evidence_kind::stalled, evidence_kind::unreachable };
     for (auto kind : kinds) {
         auto board = boardOf(4);
         board.learn({ "u0", kind }, true, start);
@@ -130,7 +131,8 @@
     auto board = boardOf(4);
     board.begin("u0", false, start);
     fail(board, "u0", start + milliseconds(1));
-    CHECK_FALSE(board.end("u0", attempt_verdict::succeeded, milliseconds(5), start, true, start + milliseconds(5)));
+    CHECK_FALSE(
+        board.end("u0", attempt_verdict::succeeded, milliseconds(5), start, true, start + milliseconds(5)));
     CHECK(board.conditionOf("s", start).excluded == 1);
     auto trial = start + milliseconds(3'600);
     fail(board, "u0", trial);
@@ -140,8 +142,14 @@
 
 TEST_CASE("Judgements never leave too few upstreams in use while requests are lost")
 {
-    const int counts[] = { 3, 6, 8, 10, 12, 40 };
-    for (int count : counts) {
+    // The large ones were found by a grown day, on which 7 of 15 sound upstreams of 63 got nothing.
+    struct floor_case {
+        int count;
+        double share;
+    };
+    const floor_case cases[]
+        = { { 3, 0.7 }, { 6, 0.7 }, { 8, 0.7 }, { 10, 0.7 }, { 12, 0.7 }, { 40, 0.85 }, { 63, 0.85 } };
+    for (const auto& [count, share] : cases) {
         CAPTURE(count);
         auto board = boardOf(count);
         for (int index = 0; index < count; ++index) {
@@ -161,7 +169,7 @@
             used.insert(chosen.upstream->id);
             board.begin(chosen.upstream->id, chosen.isTrial, now);
         }
-        CHECK(static_cast<double>(used.size()) >= 0.7 * count);
+        CHECK(static_cast<double>(used.size()) >= share * count);
     }
 }
 
--- a/marlsill/placement/window_budget.h
+++ b/marlsill/placement/window_budget.h
@@ -7,8 +7,8 @@
 //     if (budget.tryTake(now))
 //         sendOnceMore();
 //
-// All VMs together must stay within ratio x requests + the fleet's slack. Each VM may use the ratio of its own
-// requests and its share of the slack, so that no agreement is needed. Not thread safe.
+// All VMs together must stay within ratio x requests + the fleet's slack. Each VM may use the ratio of its
+// own requests and its share of the slack, so that no agreement is needed. Not thread safe.
 
 #include "marlsill/base/time.h"
 
--- a/marlsill/placement/window_budget_test.cc
+++ b/marlsill/placement/window_budget_test.cc
@@ -32,8 +32,8 @@
         double slack;
         int expected;
     };
-    const budget_case cases[] = { { 0, 0.2, 0, 0 }, { 0, 0.2, 3, 3 }, { 100, 0.2, 0, 20 }, { 100, 0.2, 9.5, 29 },
-        { 4, 0.2, 0, 0 }, { 5, 0.2, 0, 1 } };
+    const budget_case cases[] = { { 0, 0.2, 0, 0 }, { 0, 0.2, 3, 3 }, { 100, 0.2, 0, 20 },
+        { 100, 0.2, 9.5, 29 }, { 4, 0.2, 0, 0 }, { 5, 0.2, 0, 1 } };
     for (const auto& each : cases) {
         CAPTURE(each.requests);
         window_budget budget({ milliseconds(10'000), each.ratio, each.slack });
--- a/marlsill/store/kind_watcher.h
+++ b/marlsill/store/kind_watcher.h
@@ -27,20 +27,27 @@
 
 namespace asio = boost::asio;
 
-// A client of a store. Failures give std::nullopt and a reason: `notFound` from watch() means that the history
-// is gone, `unavailable` that nothing was done, `uncertain` that nobody can tell.
+// A client of a store. Failures give std::nullopt and a reason: `notFound` from watch() means that the
+// history is gone, `unavailable` that nothing was done, `uncertain` that nobody can tell.
 template <typename Client>
-concept object_client = requires(Client& client, const std::string& text, std::uint64_t version, deadline limit,
-    reason& why, std::chrono::milliseconds wait) {
-    { client.list(text, text, limit, why) } -> std::same_as<asio::awaitable<std::optional<object_page>>>;
-    { client.watch(text, version, wait, why) } -> std::same_as<asio::awaitable<std::optional<change_page>>>;
+concept object_client = requires(Client& client, const std::string& text, std::uint64_t version,
+    deadline limit, reason& why, std::chrono::milliseconds wait)
+{
+    {
+        client.list(text, text, limit, why)
+        } -> std::same_as<asio::awaitable<std::optional<object_page>>>;
+    {
+        client.watch(text, version, wait, why)
+        } -> std::same_as<asio::awaitable<std::optional<change_page>>>;
 };
 
 // Settings of a watcher.
 struct watch_options {
     std::string kind;
     std::chrono::milliseconds wait { 1'000 }; // One watch; bounds how long a silent store goes unnoticed.
-    std::chrono::milliseconds gather { 80 }; // After news, for more to come with the next call; of 2 s in all.
+    std::chrono::milliseconds gather {
+        80
+    }; // After news, for more to come with the next call; of 2 s in all.
     std::chrono::milliseconds listLimit { 1'000 }; // Many times the store's usual answer.
     std::chrono::milliseconds firstPause { 100 };
     std::chrono::milliseconds maxPause { 800 }; // News must reach every VM within two seconds of a return.
@@ -103,7 +110,8 @@
         std::string after;
         std::uint64_t version = 0;
         while (true) {
-            auto page = co_await m_client.list(m_options.kind, after, deadlineAfter(m_options.listLimit), why);
+            auto page
+                = co_await m_client.list(m_options.kind, after, deadlineAfter(m_options.listLimit), why);
             if (!page) {
                 co_return false;
             }
--- a/marlsill/store/kind_watcher_test.cc
+++ b/marlsill/store/kind_watcher_test.cc
@@ -111,7 +111,8 @@
                                       },
             .changed =
                 [&](const auto& events, auto version) {
-                    heard.push_back("changed " + std::to_string(events.size()) + " at " + std::to_string(version));
+                    heard.push_back(
+                        "changed " + std::to_string(events.size()) + " at " + std::to_string(version));
                 },
             .lost = [&](const reason&) { heard.push_back("lost"); },
             .regained = [&] { heard.push_back("regained"); },
--- a/marlsill/store/upstream_registry.cc
+++ b/marlsill/store/upstream_registry.cc
@@ -39,7 +39,8 @@
     if (isOld) {
         return false;
     }
-    bool isSameLife = found.registered.bornUnixMs == next.bornUnixMs && found.registered.service == next.service;
+    bool isSameLife
+        = found.registered.bornUnixMs == next.bornUnixMs && found.registered.service == next.service;
     bool wasLeaving = isSameLife && found.registered.isLeaving;
     bool hasChanged = found.isMissing || !(found.registered == next);
     found.registered = next;
--- a/marlsill/store/upstream_registry_test.cc
+++ b/marlsill/store/upstream_registry_test.cc
@@ -10,8 +10,8 @@
 
     const steady_clock::time_point start { std::chrono::hours(1) };
 
-    placement::upstream_entry entry(const std::string& id, std::uint64_t version = 1, bool isLeaving = false,
-        std::int64_t born = 1)
+    placement::upstream_entry entry(
+        const std::string& id, std::uint64_t version = 1, bool isLeaving = false, std::int64_t born = 1)
     {
         return { .id = id,
             .service = "s",
--- a/testing/gateway_test.cc
+++ b/testing/gateway_test.cc
@@ -98,10 +98,20 @@
             rules->version = 5;
             rules->limits.maxBodyBytes = 200'000;
             rules->limits.headerTimeout = milliseconds(400);
-            rules->routes.push_back({ .name = "once", .host = "h.example", .pathPrefix = "/once/",
-                .isAtMostOnce = true, .timeout = routeTimeout, .maxUpstreams = 2, .parts = { { "s" } } });
-            rules->routes.push_back({ .name = "repeat", .host = "h.example", .pathPrefix = "/repeat/",
-                .isAtMostOnce = false, .timeout = routeTimeout, .maxUpstreams = 2, .parts = { { "s" } } });
+            rules->routes.push_back({ .name = "once",
+                .host = "h.example",
+                .pathPrefix = "/once/",
+                .isAtMostOnce = true,
+                .timeout = routeTimeout,
+                .maxUpstreams = 2,
+                .parts = { { "s" } } });
+            rules->routes.push_back({ .name = "repeat",
+                .host = "h.example",
+                .pathPrefix = "/repeat/",
+                .isAtMostOnce = false,
+                .timeout = routeTimeout,
+                .maxUpstreams = 2,
+                .parts = { { "s" } } });
             gateway::gateway_options options;
             options.callers = { asio::ip::make_address_v4("127.0.0.1"), freePort() };
             options.moveAwayTime = milliseconds(300);
@@ -123,8 +133,8 @@
         caller connect() { return caller(m_address); }
         scripted_upstream& upstream(std::size_t index) { return *m_upstreams[index]; }
 
-        answer ask(const std::string& method, const std::string& path, const std::string& id, int timeoutMs = 2000,
-            const std::string& body = {})
+        answer ask(const std::string& method, const std::string& path, const std::string& id,
+            int timeoutMs = 2000, const std::string& body = {})
         {
             auto connection = connect();
             connection.sendRequest(method, path, id, timeoutMs, body);
@@ -334,13 +344,15 @@
     const std::string start = "POST /once/a HTTP/1.1\r\nHost: h.example\r\n";
     const bad_case cases[] = {
         { "two lengths", start + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab", 400 },
-        { "length and chunks", start + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400 },
+        { "length and chunks", start + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            400 },
         { "no host", "GET /once/a HTTP/1.1\r\n\r\n", 400 },
         { "old version", "GET /once/a HTTP/1.0\r\nHost: h.example\r\n\r\n", 400 },
         { "long header", "GET /" + std::string(20'000, 'x'), 431 },
         { "long body", start + "Content-Length: 300000\r\n\r\n", 413 },
         { "unfinished header", "GET /once/a HTTP/1.1\r\nHos", 408 },
-        { "time limit", "GET /repeat/a HTTP/1.1\r\nHost: h.example\r\nX-Request-Timeout-Ms: soon\r\n\r\n", 400 },
+        { "time limit", "GET /repeat/a HTTP/1.1\r\nHost: h.example\r\nX-Request-Timeout-Ms: soon\r\n\r\n",
+            400 },
     };
     for (const auto& each : cases) {
         CAPTURE(each.name);
--- a/testing/scripted_upstream.cc
+++ b/testing/scripted_upstream.cc
@@ -147,11 +147,12 @@
     auto length = fieldOf(head, "Content-Length");
     std::size_t bodySize = length.empty() ? 0 : std::stoul(length);
     auto request = fieldOf(head, m_fields.requestId);
-    const std::string start = "HTTP/1.1 200 OK\r\n" + m_fields.requestId + ": " + request + "\r\n" + m_fields.seal
-        + ": seal-" + request + "\r\n";
+    const std::string start = "HTTP/1.1 200 OK\r\n" + m_fields.requestId + ": " + request + "\r\n"
+        + m_fields.seal + ": seal-" + request + "\r\n";
     const std::string whole = start + "Content-Length: 14\r\n\r\n" + body;
     if (step == upstream_step::early) {
-        sendText(socket, "HTTP/1.1 413 Too Large\r\n" + m_fields.requestId + ": " + request + "\r\n"
+        sendText(socket,
+            "HTTP/1.1 413 Too Large\r\n" + m_fields.requestId + ": " + request + "\r\n"
                 + "Content-Length: 0\r\n\r\n");
     }
     while (buffer.size() < bodySize) {
@@ -163,7 +164,8 @@
     {
         std::lock_guard lock(m_mutex);
         m_lastHead = head;
-        bool isRun = step != upstream_step::refuse && step != upstream_step::misdirect && step != upstream_step::early;
+        bool isRun = step != upstream_step::refuse && step != upstream_step::misdirect
+            && step != upstream_step::early;
         m_runs[request] += isRun ? 1 : 0;
     }
     switch (step) {
@@ -171,7 +173,8 @@
         sendText(socket, whole);
         return true;
     case upstream_step::error:
-        sendText(socket, "HTTP/1.1 500 Failed\r\n" + m_fields.requestId + ": " + request + "\r\n" + m_fields.seal
+        sendText(socket,
+            "HTTP/1.1 500 Failed\r\n" + m_fields.requestId + ": " + request + "\r\n" + m_fields.seal
                 + ": seal\r\nContent-Length: 6\r\n\r\nfailed");
         return true;
     case upstream_step::refuse:
@@ -200,7 +203,8 @@
         sendText(socket, whole);
         return true;
     case upstream_step::unsealed:
-        sendText(socket, "HTTP/1.1 200 OK\r\n" + m_fields.requestId + ": " + request + "\r\nContent-Length: 2\r\n\r\nno");
+        sendText(socket,
+            "HTTP/1.1 200 OK\r\n" + m_fields.requestId + ": " + request + "\r\nContent-Length: 2\r\n\r\nno");
         return true;
     case upstream_step::hang:
         m_sawCancel = !receive() || m_sawCancel.load();
