--- a/marlsill/cluster/fleet_knowledge_test.cc
+++ b/marlsill/cluster/fleet_knowledge_test.cc
@@ -186,8 +186,9 @@
         each.strike(fleet, watcher);
         fleet.change();
         fleet.run(milliseconds(1'500));
-        for (const auto& [host, node] : fleet.nodes) {
-            CAPTURE(host);
+        for (const auto& item : fleet.nodes) {
+            const auto& node = item.second;
+            CAPTURE(item.first);
             bool isBound = node.hasStore && !node.isCut;
             CHECK((!isBound || node.configuration == 2));
         }
--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -65,9 +65,7 @@
 
     bool isCancelled = false;
 
-private:
-    friend class forwarder;
-
+    // What follows is the forwarder's.
     struct attempt {
         std::string upstream;
         std::string address;
--- a/marlsill/placement/upstream_board.cc
+++ b/marlsill/placement/upstream_board.cc
@@ -312,7 +312,9 @@
     each.probationLeft = m_options.probation;
     auto base = isAtMostOnce ? m_options.holdAtMostOnce : m_options.holdRepeatable;
     double factor = 1 + strikeGrowth * (each.strikes - 1);
-    exclude(each, std::chrono::milliseconds(static_cast<std::int64_t>(base.count() * factor)), now);
+    exclude(each,
+        std::chrono::milliseconds(static_cast<std::int64_t>(static_cast<double>(base.count()) * factor)),
+        now);
 }
 
 void upstream_board::readmit(record& each)
--- a/marlsill/placement/upstream_board_test.cc
+++ b/marlsill/placement/upstream_board_test.cc
@@ -149,7 +149,8 @@
     };
     const floor_case cases[]
         = { { 3, 0.7 }, { 6, 0.7 }, { 8, 0.7 }, { 10, 0.7 }, { 12, 0.7 }, { 40, 0.85 }, { 63, 0.85 } };
-    for (const auto& [count, share] : cases) {
+    for (const auto& each : cases) {
+        int count = each.count;
         CAPTURE(count);
         auto board = boardOf(count);
         for (int index = 0; index < count; ++index) {
@@ -169,7 +170,7 @@
             used.insert(chosen.upstream->id);
             board.begin(chosen.upstream->id, chosen.isTrial, now);
         }
-        CHECK(static_cast<double>(used.size()) >= share * count);
+        CHECK(static_cast<double>(used.size()) >= each.share * count);
     }
 }
 
--- a/marlsill/store/kind_watcher_test.cc
+++ b/marlsill/store/kind_watcher_test.cc
@@ -58,19 +58,19 @@
         std::vector<std::string> heard;
     };
 
-    object_page page(std::vector<std::string> names, std::uint64_t version, bool hasMore = false)
+    object_page page(const std::vector<std::string>& names, std::uint64_t version, bool hasMore = false)
     {
         object_page result { {}, hasMore, version };
-        for (auto& name : names) {
+        for (const auto& name : names) {
             result.objects.push_back({ name, 1, {} });
         }
         return result;
     }
 
-    change_page changes(std::vector<std::string> names, std::uint64_t version)
+    change_page changes(const std::vector<std::string>& names, std::uint64_t version)
     {
         change_page result { {}, version };
-        for (auto& name : names) {
+        for (const auto& name : names) {
             result.changes.push_back({ { name, version, {} }, false });
         }
         return result;
