Let the demo end its processes and its script cleanly

Cause: the trap of scripts/fleet.sh runs under set -e; the first process that had ended already made kill fail, which ended the trap: the demo did its whole job, then exited 1 and left upstream stand-ins running.

Change: a failed kill or wait ends neither the loop nor the script.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -14,8 +14,9 @@
 
 stop_fleet() {
     local pid
-    for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null; kill "$pid" 2>/dev/null; done
-    for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null; done
+    # Some have ended already, which must end neither this loop nor the script.
+    for pid in "${pids[@]}"; do kill -CONT "$pid" 2>/dev/null || true; kill "$pid" 2>/dev/null || true; done
+    for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
     rm -rf "$work"
 }
 trap stop_fleet EXIT
