Spend fewer requests on upstreams that are known to fail

Trials were begun by several VMs within milliseconds, one lucky success readmitted an upstream for all of them at once (six requests lost at one moment), retries were spent on trials, errors after work (1.2 % of requests, the request's own) excluded sound upstreams, and the share of losses was estimated from two seconds of one VM's requests. Requests that may be repeated took an upstream of doubt while sound ones were merely busy.

Change: VMs begin trials apart; an upstream is readmitted after two successes that one VM runs in a row; retries, and requests that cannot be retried, start no trial; errors after work count only two within a second; the loss share uses ten seconds of own requests; hedges leave half of the budget to failures; an end without an answer is an idle race only soon after a reuse of a connection that was idle for long, and then limits the reuse for its service; an upstream that begins to leave during a connect gets nothing.

The test of requests sent ahead raced with its own script (504 in 2 of 8 runs beside load); it now sends the third request when the first two have arrived.

--- a/marlsill/cluster/peer_message.cc
+++ b/marlsill/cluster/peer_message.cc
@@ -194,7 +194,7 @@
         each(value, lostField, [&](const json& item) { message.lost.push_back(item.get<std::string>()); });
         each(value, evidenceField, [&](const json& item) {
             int kind = item.at(1).get<int>();
-            if (kind >= 0 && kind <= static_cast<int>(placement::evidence_kind::recovered)) {
+            if (kind >= 0 && kind <= static_cast<int>(placement::lastEvidenceKind)) {
                 message.evidence.push_back(
                     { item.at(0).get<std::string>(), static_cast<placement::evidence_kind>(kind) });
             }
--- a/marlsill/events/events.h
+++ b/marlsill/events/events.h
@@ -62,6 +62,7 @@
     upstreamsChanged = 5103,
     upstreamEntryIgnored = 5104,
     upstreamDoubtful = 5105,
+    idleLimitLearned = 5106,
     recordGap = 6001,
 };
 
--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -23,11 +23,13 @@
     constexpr std::chrono::milliseconds refusalWait { 300 }; // Where no better estimate is known.
     constexpr std::chrono::milliseconds unroutedWait { 1'000 }; // Until a registration or a restart is known.
 
-    std::int64_t toMs(steady_clock::duration length)
+    std::chrono::milliseconds toLength(steady_clock::duration length)
     {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(length).count();
+        return std::chrono::duration_cast<std::chrono::milliseconds>(length);
     }
 
+    std::int64_t toMs(steady_clock::duration length) { return toLength(length).count(); }
+
     std::string_view toText(attempt_end end)
     {
         constexpr std::string_view names[] = { "answered", "refused", "wrong_upstream", "not_sent",
@@ -149,12 +151,7 @@
             m_notices.evidence(each);
         }
     }
-    m_pool.sweep(
-        [this](const std::string& upstream) {
-            const auto* known = m_board.find(upstream);
-            return known && !known->isLeaving;
-        },
-        now);
+    m_pool.sweep([this](const std::string& upstream) { return isInUse(upstream); }, now);
 }
 
 http::response_message forwarder::makeAnswer(int status, std::string_view why) const
@@ -221,11 +218,23 @@
     return !isArrival || budgetOf(current.service).tryTake(now);
 }
 
+// Returns whether the request would not be answered in time if it waited for its turn.
+bool forwarder::isQueueTooLong(const request_run& current, steady_clock::time_point now) const
+{
+    auto usual = std::chrono::milliseconds(m_board.conditionOf(current.service, now).latencyMs);
+    return now + expectedWait(current.service, now) + usual > current.limit;
+}
+
+bool forwarder::mayHedge(request_run& current, steady_clock::time_point now)
+{
+    return budgetOf(current.service).tryTake(now, m_options.budgetForFailures);
+}
+
 deadline forwarder::hedgeTime(const request_run& current) const
 {
-    bool mayHedge = !current.state.isAtMostOnce && current.state.runsOn < current.state.maxUpstreams
+    bool isCandidate = !current.state.isAtMostOnce && current.state.runsOn < current.state.maxUpstreams
         && current.attempts.size() == 1;
-    if (!mayHedge) {
+    if (!isCandidate) {
         return deadline::max();
     }
     auto condition = m_board.conditionOf(current.service, steady_clock::now());
@@ -256,12 +265,22 @@
         || answer.head.getStatus() == Poco::Net::HTTPResponse::HTTP_MISDIRECTED_REQUEST;
 }
 
+bool forwarder::isInUse(const std::string& upstream) const
+{
+    const auto* known = m_board.find(upstream);
+    return known && !known->isLeaving;
+}
+
 asio::awaitable<void> forwarder::runAttempt(
     std::shared_ptr<request_run> current, std::shared_ptr<attempt> each)
 {
-    auto maxIdle = current->state.isAtMostOnce ? m_options.maxIdleForOnce : m_options.maxIdleRepeatable;
+    auto usualIdle = current->state.isAtMostOnce ? m_options.maxIdleForOnce : m_options.maxIdleRepeatable;
+    auto maxIdle = m_idleLimits.limitOf(current->service, usualIdle, each->startedAt);
     auto link = m_pool.take(each->upstream, { maxIdle }, each->startedAt);
     each->ended.wasReused = link != nullptr;
+    if (link) {
+        each->ended.idleBefore = toLength(each->startedAt - link->idleSince());
+    }
     auto address = parseEndpoint(each->address);
     if (link) {
         ++m_counters.reusedConnections;
@@ -275,6 +294,10 @@
         }
     }
     each->link = link;
+    if (link && !isInUse(each->upstream)) {
+        link->abort();
+        link = nullptr; // It began to leave during the connect.
+    }
     if (!link || each->isOver || current->isCancelled) {
         each->ended.end
             = each->isOver || current->isCancelled ? attempt_end::cancelled : attempt_end::notSent;
@@ -312,26 +335,32 @@
 void forwarder::finishAttempt(request_run& current, attempt& each, steady_clock::time_point now)
 {
     auto elapsed = now - each.startedAt;
+    each.ended.elapsed = toLength(elapsed);
     auto condition = m_board.conditionOf(current.service, now);
-    bool isSlow = condition.latencyMs > 0 && toMs(elapsed) > 4 * condition.latencyMs;
-    auto verdict = placement::judge(each.ended, isSlow);
+    auto verdict = placement::judge(each.ended, std::chrono::milliseconds(condition.latencyMs));
     if (each.ended.end == attempt_end::answered) {
         m_counters.upstreamLatency.add(elapsed);
     }
-    bool isFailure
-        = verdict == placement::attempt_verdict::failed || verdict == placement::attempt_verdict::unreachable;
+    bool isFailure = placement::isFailure(verdict);
     m_counters.upstreamFailures += isFailure ? 1 : 0;
     m_counters.upstreamRefusals += verdict == placement::attempt_verdict::refused ? 1 : 0;
     logEvent(event::attemptEnded,
         { { "request", current.id }, { "upstream", each.upstream },
             { "end", std::string(toText(each.ended.end)) }, { "status", std::to_string(each.ended.status) },
-            { "reused", each.ended.wasReused ? "1" : "0" }, { "trial", each.isTrial ? "1" : "0" },
-            { "elapsed_ms", std::to_string(toMs(elapsed)) } });
+            { "reused", each.ended.wasReused ? "1" : "0" },
+            { "idle_ms", std::to_string(each.ended.idleBefore.count()) },
+            { "trial", each.isTrial ? "1" : "0" }, { "elapsed_ms", std::to_string(toMs(elapsed)) } });
     auto evidence
         = m_board.end(each.upstream, verdict, elapsed, each.startedAt, current.state.isAtMostOnce, now);
     if (evidence && m_notices.evidence) {
         m_notices.evidence(*evidence);
     }
+    if (placement::isIdleRace(each.ended)) {
+        m_idleLimits.noteForgotten(current.service, now);
+        logEvent(event::idleLimitLearned,
+            { { "request", current.id }, { "service", current.service }, { "upstream", each.upstream },
+                { "idle_ms", std::to_string(each.ended.idleBefore.count()) } });
+    }
     if (each.ended.end == attempt_end::noAnswer) {
         m_pool.drop(each.upstream);
         checkForCrash(current, each);
@@ -409,7 +438,9 @@
     auto chosen = m_board.choose({ .service = current->service,
                                      .tried = current->tried,
                                      .isAtMostOnce = current->state.isAtMostOnce,
-                                     .isPressed = now - current->arrivedAt > m_options.patience },
+                                     .isPressed = now - current->arrivedAt > m_options.patience,
+                                     .mayRetry = current->state.runsOn + 1 < current->state.maxUpstreams
+                                         && budgetOf(current->service).hasRoom(now) },
         now);
     status = chosen.status;
     if (chosen.status != choice_status::chosen) {
@@ -562,7 +593,7 @@
         auto hedgeAt = hedgeTime(*current);
         bool isHedge = !needsAnother && hasPassed(hedgeAt, now);
         auto status = choice_status::chosen;
-        if (needsAnother || (isHedge && mayRetry(*current, true, now))) {
+        if (needsAnother || (isHedge && mayHedge(*current, now))) {
             if (startAttempt(current, now, status)) {
                 m_counters.hedges += isHedge ? 1 : 0;
                 needsAnother = false;
@@ -572,9 +603,7 @@
                 auto step = current->mayHaveRun() ? next_step::giveUp : next_step::refuse;
                 co_return refuseOrGiveUp(*current, step, "no upstream left to try");
             } else if (needsAnother) {
-                auto wait = expectedWait(current->service, now);
-                auto usual = std::chrono::milliseconds(m_board.conditionOf(current->service, now).latencyMs);
-                if (!current->mayHaveRun() && now + wait + usual > current->limit) {
+                if (!current->mayHaveRun() && isQueueTooLong(*current, now)) {
                     co_return refuseOrGiveUp(*current, next_step::refuse, "the queue is too long");
                 }
                 joinQueue(current);
--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -15,6 +15,7 @@
 #include "marlsill/gateway/wire_fields.h"
 #include "marlsill/placement/attempt_policy.h"
 #include "marlsill/placement/crash_list.h"
+#include "marlsill/placement/idle_limits.h"
 #include "marlsill/placement/upstream_board.h"
 #include "marlsill/placement/window_budget.h"
 
@@ -39,6 +40,7 @@
     std::chrono::milliseconds maxIdleRepeatable { 8'000 };
     double hedgeFactor = 2.0; // Of the usual latency, after which a second upstream is asked.
     std::chrono::milliseconds minHedge { 300 };
+    double budgetForFailures = 0.5; // Of the extra arrivals; a hedge saves less than a retry.
     double retryRatio = 0.2; // Extra arrivals at a service per request, fleet-wide.
     double fleetRetrySlack = 10; // Extra arrivals per window beside the ratio, fleet-wide.
     std::chrono::milliseconds retryWindow { 10'000 };
@@ -163,10 +165,13 @@
     void finishAttempt(request_run& current, attempt& each, steady_clock::time_point now);
     void checkForCrash(request_run& current, const attempt& each);
     bool mayRetry(request_run& current, bool isArrival, steady_clock::time_point now);
+    bool mayHedge(request_run& current, steady_clock::time_point now);
+    bool isQueueTooLong(const request_run& current, steady_clock::time_point now) const;
     deadline hedgeTime(const request_run& current) const;
     std::chrono::milliseconds expectedWait(const std::string& service, steady_clock::time_point now) const;
     std::string serializeFor(
         const request_run& current, const attempt& each, steady_clock::time_point now) const;
+    bool isInUse(const std::string& upstream) const;
     bool isOwnAnswer(const request_run& current, const http::response_message& answer) const;
     placement::window_budget& budgetOf(const std::string& service);
     void wakeWaiter(const std::string& service);
@@ -179,6 +184,7 @@
     const wire_fields m_wire;
     placement::upstream_board m_board;
     placement::crash_list m_crashes;
+    placement::idle_limits m_idleLimits;
     link_pool m_pool;
     traffic_counters m_counters;
     peer_notices m_notices;
--- a/marlsill/placement/attempt_policy.cc
+++ b/marlsill/placement/attempt_policy.cc
@@ -11,6 +11,14 @@
     constexpr std::chrono::milliseconds minRetryAfter { 50 }; // About one round trip and a new connection.
     constexpr std::chrono::milliseconds maxRetryAfter { 5'000 };
 
+    // An upstream that has forgotten a connection answers with a reset within a round trip, packet loss
+    // aside.
+    constexpr std::chrono::milliseconds maxIdleRaceElapsed { 50 };
+    constexpr std::chrono::milliseconds minForgottenIdle { 100 }; // No server closes connections sooner.
+
+    constexpr int slowFactor = 4; // Of the usual latency, from which an end without an answer is suspect.
+    constexpr int workDivisor = 4; // An error after this part of the usual latency came from work on it.
+
     bool isServerError(int status) { return status >= firstServerError; }
 
 }
@@ -46,18 +54,30 @@
     return { hasUpstreamsLeft ? next_step::tryAnother : otherwise, otherwise };
 }
 
-attempt_verdict judge(const ended_attempt& attempt, bool isSlow)
+bool isIdleRace(const ended_attempt& attempt)
+{
+    return attempt.end == attempt_end::noAnswer && attempt.wasReused && attempt.elapsed <= maxIdleRaceElapsed
+        && attempt.idleBefore >= minForgottenIdle;
+}
+
+attempt_verdict judge(const ended_attempt& attempt, std::chrono::milliseconds usual)
 {
+    bool isKnown = usual.count() > 0;
+    bool isSlow = isKnown && attempt.elapsed > slowFactor * usual;
+    bool hasWorked = isKnown && attempt.elapsed >= usual / workDivisor;
     switch (attempt.end) {
     case attempt_end::answered:
-        return isServerError(attempt.status) ? attempt_verdict::failed : attempt_verdict::succeeded;
+        if (!isServerError(attempt.status)) {
+            return attempt_verdict::succeeded;
+        }
+        return hasWorked ? attempt_verdict::failedAtWork : attempt_verdict::failed;
     case attempt_end::refused:
         return attempt_verdict::refused;
     case attempt_end::wrongUpstream:
     case attempt_end::notSent:
         return attempt_verdict::unreachable;
     case attempt_end::noAnswer:
-        return attempt.wasReused ? attempt_verdict::neutral : attempt_verdict::failed;
+        return isIdleRace(attempt) ? attempt_verdict::neutral : attempt_verdict::failed;
     case attempt_end::broken:
         return attempt_verdict::failed;
     case attempt_end::timedOut:
--- a/marlsill/placement/attempt_policy.h
+++ b/marlsill/placement/attempt_policy.h
@@ -29,6 +29,8 @@
     attempt_end end = attempt_end::notSent;
     int status = 0; // Of the answer, where there is one.
     bool wasReused = false; // The connection had carried a request before.
+    std::chrono::milliseconds idleBefore {}; // How long a reused connection had been idle.
+    std::chrono::milliseconds elapsed {};
 };
 
 // The request that the attempt belongs to.
@@ -65,8 +67,11 @@
 // Returns what follows an attempt.
 next_decision decideAfter(const ended_attempt& attempt, const request_state& request);
 
-// Returns what the attempt says about its upstream. `isSlow` tells that it took far longer than usual.
-attempt_verdict judge(const ended_attempt& attempt, bool isSlow);
+// Returns whether the upstream had probably forgotten the idle connection before the request arrived.
+bool isIdleRace(const ended_attempt& attempt);
+
+// Returns what the attempt says about its upstream. `usual` is the service's usual latency, 0 if unknown.
+attempt_verdict judge(const ended_attempt& attempt, std::chrono::milliseconds usual);
 
 // Returns how long a caller should wait before it comes again: `expected` until there is room, spread by
 // `fraction` (0 to 1, drawn by the caller) so that those refused together do not return together.
--- a/marlsill/placement/upstream_board.cc
+++ b/marlsill/placement/upstream_board.cc
@@ -18,6 +18,9 @@
     constexpr double strikeGrowth = 0.5; // Of the hold time, for each failed trial.
     constexpr int maxStrikes = 3;
     constexpr std::chrono::milliseconds lossWindow { 2'000 }; // As the capacity floor counts.
+    constexpr std::chrono::milliseconds rateWindow {
+        10'000
+    }; // One VM alone sees only a few requests a second.
     constexpr std::chrono::milliseconds refusalMemory { 1'000 };
     constexpr int minimumOutcomes = 8; // Below, a share says little.
     constexpr std::chrono::milliseconds repeatableRecent {
@@ -51,12 +54,15 @@
     int samples = 0;
     bool isExcluded = false;
     int strikes = 0; // Failures in a row, trials included.
+    int proofsLeft = 0; // Trials that must succeed before it is readmitted.
     int probationLeft = 0; // Successes until it gets its full share.
+    std::chrono::milliseconds trialDelay {}; // Of this VM, beyond the end of the hold.
     deadline excludedUntil {};
     deadline trialUntil {};
     steady_clock::time_point excludedSince {};
     steady_clock::time_point lastTried {};
     steady_clock::time_point refusedAt {};
+    steady_clock::time_point errorAtWorkAt {};
     bool hasChangedLoad = false;
 };
 
@@ -129,7 +135,8 @@
 
 bool upstream_board::isTrialDue(const record& each, steady_clock::time_point now) const
 {
-    return each.isExcluded && hasPassed(each.excludedUntil, now) && hasPassed(each.trialUntil, now);
+    return each.isExcluded && hasPassed(each.excludedUntil + each.trialDelay, now)
+        && hasPassed(each.trialUntil, now);
 }
 
 int upstream_board::inFlightAt(const record& each, steady_clock::time_point now) const
@@ -159,7 +166,7 @@
     record* oldest = nullptr;
     int untried = 0;
     for (auto* each : service.upstreams) {
-        bool isUntried = each->isExcluded && each->lastTried + m_options.untriedAfter < now
+        bool isUntried = each->isExcluded && each->lastTried + m_options.untriedAfter + each->trialDelay < now
             && hasPassed(each->trialUntil, now);
         if (!isUntried) {
             continue;
@@ -177,13 +184,14 @@
 {
     double lost = 0;
     double own = 0;
+    auto first = now - lossWindow;
     for (const auto& each : service.outcomes) {
-        if (each.at + lossWindow >= now) {
-            lost += each.isServed ? 0 : 1;
-            own += each.isPeers ? 0 : 1;
-        }
+        lost += !each.isServed && each.at + lossWindow >= now ? 1 : 0;
+        own += each.isPeers ? 0 : 1;
+        first = std::min(first, each.at);
     }
-    return lost / std::max<double>(minimumOutcomes, own * m_sharers);
+    auto ownInWindow = own * toMilliseconds(lossWindow) / toMilliseconds(now - first);
+    return lost / std::max<double>(minimumOutcomes, ownInWindow * m_sharers);
 }
 
 void upstream_board::noteOutcome(std::string_view service, bool isServed, steady_clock::time_point now)
@@ -194,7 +202,7 @@
     }
     auto& outcomes = found->second->outcomes;
     outcomes.push_back({ now, isServed, false });
-    while (outcomes.front().at + lossWindow < now) {
+    while (outcomes.front().at + rateWindow < now) {
         outcomes.pop_front();
     }
 }
@@ -206,13 +214,16 @@
         return {};
     }
     auto& service = *found->second;
-    if (auto* forced = longestUntried(service, request.tried, now)) {
+    bool isRetry = !request.tried.empty();
+    auto* forced = isRetry ? nullptr : longestUntried(service, request.tried, now);
+    if (forced) {
         return { choice_status::chosen, &forced->entry, true, inFlightAt(*forced, now) };
     }
-    if (!request.isAtMostOnce) {
+    bool isRiskFree = !request.isAtMostOnce && request.mayRetry;
+    if (isRiskFree) {
         service.lastRepeatable = now;
     }
-    bool leavesTrials = request.isAtMostOnce && service.lastRepeatable + repeatableRecent > now;
+    bool leavesTrials = isRetry || (!isRiskFree && service.lastRepeatable + repeatableRecent > now);
     struct candidate {
         record* upstream = nullptr;
         int tier = 0; // Lower is better.
@@ -274,7 +285,7 @@
     if (best) {
         return { choice_status::chosen, &best->upstream->entry, false, inFlightAt(*best->upstream, now) };
     }
-    bool takesDoubtful = !hasSound || request.isPressed || !request.isAtMostOnce;
+    bool takesDoubtful = !hasSound || request.isPressed;
     if (leastBad && takesDoubtful) {
         return { choice_status::chosen, &leastBad->entry, true, inFlightAt(*leastBad, now) };
     }
@@ -304,11 +315,14 @@
     each.isExcluded = true;
     each.excludedUntil = std::max(each.excludedUntil, now + hold);
     each.trialUntil = now;
+    each.trialDelay = std::chrono::milliseconds(
+        std::uniform_int_distribution<std::int64_t>(0, m_options.trialSpread.count())(m_random));
 }
 
 void upstream_board::strike(record& each, bool isAtMostOnce, steady_clock::time_point now)
 {
     each.strikes = std::min(each.strikes + 1, maxStrikes);
+    each.proofsLeft = m_options.proofs;
     each.probationLeft = m_options.probation;
     auto base = isAtMostOnce ? m_options.holdAtMostOnce : m_options.holdRepeatable;
     double factor = 1 + strikeGrowth * (each.strikes - 1);
@@ -317,6 +331,25 @@
         now);
 }
 
+// Notes an error after work. Returns whether it was the second within a short time, which excludes.
+bool upstream_board::noteErrorAtWork(record& each, bool isAtMostOnce, steady_clock::time_point now)
+{
+    bool isSecond = each.errorAtWorkAt + m_options.errorMemory > now;
+    each.errorAtWorkAt = now;
+    if (isSecond) {
+        strike(each, isAtMostOnce, now);
+    }
+    return isSecond;
+}
+
+// Makes the next trial due here at once; the peers leave it to this VM.
+void upstream_board::continueTrial(record& each, steady_clock::time_point now)
+{
+    each.excludedUntil = now;
+    each.trialUntil = now;
+    each.trialDelay = {};
+}
+
 void upstream_board::readmit(record& each)
 {
     each.isExcluded = false;
@@ -367,6 +400,11 @@
         if (!found->isExcluded) {
             return std::nullopt;
         }
+        if (--found->proofsLeft > 0) {
+            continueTrial(*found, now);
+            evidence.kind = evidence_kind::trial;
+            return evidence;
+        }
         readmit(*found);
         evidence.kind = evidence_kind::recovered;
         return evidence;
@@ -375,6 +413,10 @@
         strike(*found, isAtMostOnce, now);
         evidence.kind = evidence_kind::failed;
         return evidence;
+    case attempt_verdict::failedAtWork:
+        noteErrorAtWork(*found, isAtMostOnce, now);
+        evidence.kind = evidence_kind::failedAtWork;
+        return evidence;
     case attempt_verdict::unreachable:
         exclude(*found, m_options.holdUnreachable, now);
         evidence.kind = evidence_kind::unreachable;
@@ -391,6 +433,14 @@
     return std::nullopt;
 }
 
+void upstream_board::notePeersLoss(const record& each, bool isAtMostOnce, steady_clock::time_point now)
+{
+    auto service = m_services.find(each.entry.service);
+    if (isAtMostOnce && service != m_services.end()) {
+        service->second->outcomes.push_back({ now, false, true });
+    }
+}
+
 void upstream_board::learn(const upstream_evidence& evidence, bool isAtMostOnce, steady_clock::time_point now)
 {
     auto* found = findRecord(evidence.upstream);
@@ -400,10 +450,11 @@
     switch (evidence.kind) {
     case evidence_kind::failed:
         strike(*found, isAtMostOnce, now);
-        if (auto service = m_services.find(found->entry.service);
-            isAtMostOnce && service != m_services.end()) {
-            service->second->outcomes.push_back({ now, false, true });
-        }
+        notePeersLoss(*found, isAtMostOnce, now);
+        break;
+    case evidence_kind::failedAtWork:
+        noteErrorAtWork(*found, isAtMostOnce, now);
+        notePeersLoss(*found, isAtMostOnce, now);
         break;
     case evidence_kind::stalled:
         strike(*found, isAtMostOnce, now);
--- a/marlsill/placement/upstream_board.h
+++ b/marlsill/placement/upstream_board.h
@@ -31,11 +31,19 @@
 enum class attempt_verdict {
     succeeded,
     failed, // It gave a wrong or no answer.
+    failedAtWork, // It worked on the request and answered with an error, which may be the request's own.
     refused, // It said that it has no room.
     unreachable, // No connection; nothing was sent.
     neutral, // The attempt says nothing about the upstream.
 };
 
+// Returns whether the attempt failed by its upstream's fault, perhaps.
+constexpr bool isFailure(attempt_verdict verdict)
+{
+    return verdict == attempt_verdict::failed || verdict == attempt_verdict::failedAtWork
+        || verdict == attempt_verdict::unreachable;
+}
+
 // What VMs tell each other about an upstream.
 enum class evidence_kind {
     failed,
@@ -43,7 +51,9 @@
     unreachable,
     trial, // A VM sends it one request to see whether it has recovered.
     recovered,
+    failedAtWork, // One error after work; two close together make a failure.
 };
+constexpr auto lastEvidenceKind = evidence_kind::failedAtWork;
 
 // A piece of evidence about one upstream.
 struct upstream_evidence {
@@ -64,10 +74,17 @@
     // Gray phases last about seven seconds; a trial of a request that may be repeated costs little.
     std::chrono::milliseconds holdRepeatable { 1'500 };
     std::chrono::milliseconds holdAtMostOnce { 3'500 };
+    std::chrono::milliseconds errorMemory {
+        1'000
+    }; // Two errors after work within it are the upstream's fault.
     std::chrono::milliseconds holdUnreachable { 1'000 }; // A crashed upstream is back after some seconds.
     std::chrono::milliseconds holdRefused { 200 }; // About one service time.
     std::chrono::milliseconds trialLength { 1'500 }; // How long the result of a trial is waited for.
-    std::chrono::milliseconds untriedAfter { 1'500 }; // Below the two seconds of the capacity floor's window.
+    std::chrono::milliseconds trialSpread { 300 }; // VMs begin trials apart, to hear of each other's first.
+    int proofs = 2; // Trials in a row that succeed; an upstream in a gray phase answers one in six or so.
+    std::chrono::milliseconds untriedAfter {
+        1'500
+    }; // With trialSpread, below the two seconds of the capacity floor's window.
     // While requests are lost, the share of upstreams that nobody tries. The floor counts sound upstreams
     // only, of which there may be few; half of one minus the floor leaves room for that.
     double maxUntriedShare = 0.15;
@@ -75,7 +92,7 @@
     double floorShare = 0.7; // Of a service's upstreams; must stay in use.
     double maxUntriedShareCalm = 0.5; // While hardly a request fails, so that the judgements are right.
     double calmLossShare = 0.06; // Of a service's requests; the capacity floor counts from a tenth.
-    int probation = 2; // Successes after a trial before an upstream gets its full share again.
+    int probation = 3; // Successes, trials included, before an upstream gets its full share again.
     double stallFactor = 3.0; // Of the service's usual latency.
     std::chrono::milliseconds minStall { 700 };
     double commonCauseShare = 0.34; // Of a service's upstreams that refuse; then the load is at fault.
@@ -88,6 +105,7 @@
     std::span<const std::string> tried; // Upstreams that this request has been sent to.
     bool isAtMostOnce = false;
     bool isPressed = false; // Waiting on costs more than an upstream that may fail.
+    bool mayRetry = true; // A failure can be made good at another upstream.
 };
 
 // How a choice ended.
@@ -171,7 +189,10 @@
     record* longestUntried(
         service_record& service, std::span<const std::string> tried, steady_clock::time_point now) const;
     void exclude(record& each, std::chrono::milliseconds hold, steady_clock::time_point now);
+    bool noteErrorAtWork(record& each, bool isAtMostOnce, steady_clock::time_point now);
+    void notePeersLoss(const record& each, bool isAtMostOnce, steady_clock::time_point now);
     void strike(record& each, bool isAtMostOnce, steady_clock::time_point now);
+    void continueTrial(record& each, steady_clock::time_point now);
     void readmit(record& each);
     bool isRefusingCommon(const record& each, steady_clock::time_point now) const;
     int allowedUntried(const service_record& service, steady_clock::time_point now) const;
--- a/marlsill/placement/window_budget.h
+++ b/marlsill/placement/window_budget.h
@@ -39,10 +39,9 @@
     // Counts the first arrival of a request.
     void countRequest(steady_clock::time_point now) { ++slotAt(now).requests; }
 
-    // Takes one extra arrival if the window has room for it.
-    bool tryTake(steady_clock::time_point now)
+    // Returns whether the window has room for one extra arrival beside the share `reserved` of its bound.
+    bool hasRoom(steady_clock::time_point now, double reserved = 0) const
     {
-        auto& current = slotAt(now);
         auto oldest = indexAt(now) - static_cast<std::int64_t>(slotsPerWindow);
         double requests = 0;
         double taken = 0;
@@ -52,10 +51,16 @@
                 taken += each.taken;
             }
         }
-        if (taken + 1 > m_options.ratio * requests + m_options.slack) {
+        return taken + 1 <= (1 - reserved) * (m_options.ratio * requests + m_options.slack);
+    }
+
+    // Takes one extra arrival if hasRoom().
+    bool tryTake(steady_clock::time_point now, double reserved = 0)
+    {
+        if (!hasRoom(now, reserved)) {
             return false;
         }
-        ++current.taken;
+        ++slotAt(now).taken;
         return true;
     }
 
--- a/testing/gateway_test.cc
+++ b/testing/gateway_test.cc
@@ -157,6 +157,19 @@
             }
         }
 
+        // Returns the registrations, with the upstream of an index as one that is leaving.
+        std::vector<placement::upstream_entry> entriesWithLeaving(std::size_t index) const
+        {
+            auto list = entries();
+            list[index].isLeaving = true;
+            return list;
+        }
+
+        void post(std::function<void(gateway::gateway&)> work)
+        {
+            asio::post(m_io, [this, work = std::move(work)] { work(*m_gateway); });
+        }
+
         // Runs `work` on the gateway's thread.
         template <typename Work> void onLoop(Work work)
         {
@@ -168,7 +181,6 @@
             done.get_future().wait();
         }
 
-    private:
         std::vector<placement::upstream_entry> entries() const
         {
             std::vector<placement::upstream_entry> list;
@@ -178,6 +190,7 @@
             return list;
         }
 
+    private:
         static unsigned short freePort()
         {
             Poco::Net::ServerSocket probe(Poco::Net::SocketAddress("127.0.0.1", 0));
@@ -272,6 +285,46 @@
     CHECK(served == 30);
 }
 
+TEST_CASE("Answers lost after the work count against the upstream, also on reused connections")
+{
+    // Found by the incident inc-7089: upstreams that lost answers stayed in use.
+    fixture tested(2);
+    using enum upstream_step;
+    tested.upstream(0).plan({ answer, lateReset, lateReset, lateReset, lateReset });
+    int lost = 0;
+    for (int turn = 0; turn < 12; ++turn) {
+        lost += tested.ask("POST", "/once/a", "r" + std::to_string(turn), 2000, "b").status == 502 ? 1 : 0;
+    }
+    CHECK(lost == 1);
+}
+
+TEST_CASE("Forgotten idle connections lose one request, not one for each connection")
+{
+    fixture tested(3);
+    tested.planAll(std::vector<upstream_step>(20, upstream_step::forget));
+    int lost = 0;
+    for (int turn = 0; turn < 12; ++turn) {
+        std::this_thread::sleep_for(milliseconds(130));
+        lost += tested.ask("POST", "/once/a", "r" + std::to_string(turn), 2000, "b").status == 502 ? 1 : 0;
+    }
+    CHECK(lost == 1);
+}
+
+TEST_CASE("An upstream that begins to leave while a connection to it is opened gets nothing")
+{
+    fixture tested(2);
+    tested.onLoop([&](gateway::gateway& gateway) {
+        gateway.requests().setUpstreams(std::vector { tested.entries()[0] });
+        gateway.requests().setShares([&](const std::string&) {
+            tested.post([&](auto& later) { later.requests().setUpstreams(tested.entriesWithLeaving(0)); });
+            return gateway::service_share();
+        });
+    });
+    CHECK(tested.ask("POST", "/once/a", "r1", 2000, "b").status == 200);
+    CHECK(tested.upstream(0).runsOf("r1") == 0);
+    CHECK(tested.upstream(1).runsOf("r1") == 1);
+}
+
 TEST_CASE("A late second answer reaches nobody")
 {
     fixture tested(1);
@@ -295,6 +348,10 @@
     auto connection = tested.connect();
     connection.sendRequest("POST", "/once/slow", "r1", 700, "b");
     connection.sendRequest("POST", "/once/slow", "r2", 700, "b");
+    // The third must not meet the step that is planned for one of these.
+    while (tested.upstream(0).arrivals() + tested.upstream(1).arrivals() < 2) {
+        std::this_thread::sleep_for(milliseconds(1));
+    }
     connection.sendRequest("GET", "/repeat/a", "r3", 2000);
     CHECK(connection.receive().has("X-Request-Id: r1"));
     CHECK(connection.receive().has("X-Request-Id: r2"));
--- a/testing/scripted_upstream.cc
+++ b/testing/scripted_upstream.cc
@@ -9,6 +9,7 @@
 namespace {
 
     constexpr const char* body = "the whole body";
+    constexpr std::chrono::milliseconds workTime { 100 };
 
     std::string fieldOf(const std::string& head, const std::string& name)
     {
@@ -186,6 +187,16 @@
     case upstream_step::reset:
         resetConnection(socket);
         return false;
+    case upstream_step::lateReset:
+        std::this_thread::sleep_for(workTime);
+        resetConnection(socket);
+        return false;
+    case upstream_step::forget:
+        sendText(socket, whole);
+        if (receive()) {
+            resetConnection(socket);
+        }
+        return false;
     case upstream_step::cut:
         sendText(socket, start + "Content-Length: 500\r\n\r\nhalf");
         ::shutdown(socket.impl()->sockfd(), SHUT_RDWR);
--- a/testing/scripted_upstream.h
+++ b/testing/scripted_upstream.h
@@ -34,6 +34,8 @@
     lateExtra, // Answers, and sends the answer once more on the same connection a little later.
     unsealed, // Answers 200 without a seal.
     hang, // Runs it and never answers.
+    lateReset, // Works on it for a while, then resets the connection.
+    forget, // Answers, and resets the connection when the next request arrives on it, without running that.
     early, // Answers before it has read the body, and keeps the connection.
 };
 
