Let callers take turns, and refuse early while a service stays overloaded

Change: the line of a service is code of its own (placement/waiting_line): urgent requests first, callers take turns, then by time limit. While the line has not been empty for 1.5 s, what would miss the objective is refused on arrival, with a Retry-After from the expected wait; a passing burst is still served late. A caller that comes back before it was told does not wait in line (placement/return_gate).

--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -20,7 +20,6 @@
 namespace {
 
     constexpr std::chrono::milliseconds crashCheckDelay { 100 }; // A crashed process's port closes by then.
-    constexpr std::chrono::milliseconds refusalWait { 300 }; // Where no better estimate is known.
     constexpr std::chrono::milliseconds unroutedWait { 1'000 }; // Until a registration or a restart is known.
 
     std::chrono::milliseconds toLength(steady_clock::duration length)
@@ -100,7 +99,7 @@
 void forwarder::setUpstreams(std::span<const placement::upstream_entry> upstreams)
 {
     m_board.replaceUpstreams(upstreams, steady_clock::now());
-    for (auto& [service, waiters] : m_waiters) {
+    for (auto& [service, line] : m_lines) {
         wakeWaiter(service);
     }
 }
@@ -159,28 +158,35 @@
     return http::makeResponse(status, "text/plain", std::string(why) + "\n");
 }
 
-http::response_message forwarder::makeRefusal(
-    std::string_view why, std::chrono::milliseconds expectedWait) const
+http::response_message forwarder::makeRefusal(std::string_view why, std::chrono::milliseconds expectedWait)
+{
+    return makeRefusalUntil(why, spreadReturn(expectedWait));
+}
+
+std::chrono::milliseconds forwarder::spreadReturn(std::chrono::milliseconds expectedWait)
+{
+    return placement::retryAfter(expectedWait, std::uniform_real_distribution<>()(m_random));
+}
+
+http::response_message forwarder::makeRefusalUntil(
+    std::string_view why, std::chrono::milliseconds pause) const
 {
     auto message = makeAnswer(Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE, why);
-    double fraction = std::uniform_real_distribution<>()(const_cast<std::mt19937_64&>(m_random));
-    auto wait = placement::retryAfter(expectedWait, fraction);
     char seconds[32];
-    std::snprintf(seconds, sizeof seconds, "%.2f", static_cast<double>(wait.count()) / 1000.0);
+    std::snprintf(seconds, sizeof seconds, "%.2f", static_cast<double>(pause.count()) / 1000.0);
     message.head.set("Retry-After", seconds);
     return message;
 }
 
-std::chrono::milliseconds forwarder::expectedWait(
-    const std::string& service, steady_clock::time_point now) const
+placement::line_outlook forwarder::outlookOf(const std::string& service, steady_clock::time_point now) const
 {
     auto condition = m_board.conditionOf(service, now);
-    if (condition.slots == 0 || condition.latencyMs == 0) {
-        return refusalWait;
+    auto line = m_lines.find(service);
+    auto usual = std::chrono::milliseconds(condition.latencyMs);
+    if (line == m_lines.end()) {
+        return { 0, condition.slots, usual };
     }
-    auto waiting = m_waiters.find(service);
-    auto queued = waiting == m_waiters.end() ? 0 : static_cast<int>(waiting->second.size());
-    return std::chrono::milliseconds(condition.latencyMs * (queued + 1) / condition.slots);
+    return { line->second.size(), condition.slots, usual, line->second.isStanding(now) };
 }
 
 asio::awaitable<std::optional<final_answer>> forwarder::run(std::shared_ptr<request_run> current)
@@ -218,11 +224,9 @@
     return !isArrival || budgetOf(current.service).tryTake(now);
 }
 
-// Returns whether the request would not be answered in time if it waited for its turn.
-bool forwarder::isQueueTooLong(const request_run& current, steady_clock::time_point now) const
+placement::line_limits forwarder::limitsOf(const request_run& current)
 {
-    auto usual = std::chrono::milliseconds(m_board.conditionOf(current.service, now).latencyMs);
-    return now + expectedWait(current.service, now) + usual > current.limit;
+    return { current.arrivedAt + current.routed->latencyObjective, current.limit };
 }
 
 bool forwarder::mayHedge(request_run& current, steady_clock::time_point now)
@@ -397,20 +401,11 @@
 
 void forwarder::wakeWaiter(const std::string& service)
 {
-    auto found = m_waiters.find(service);
-    if (found == m_waiters.end()) {
+    auto found = m_lines.find(service);
+    if (found == m_lines.end()) {
         return;
     }
-    auto& waiters = found->second;
-    std::erase_if(waiters, [](const auto& each) { return each.expired(); });
-    std::shared_ptr<request_run> first;
-    for (const auto& each : waiters) {
-        auto candidate = each.lock();
-        bool isBefore = !first || candidate->routed->priority < first->routed->priority
-            || (candidate->routed->priority == first->routed->priority && candidate->limit < first->limit);
-        first = isBefore ? candidate : first;
-    }
-    if (first) {
+    if (auto first = found->second.first()) {
         first->event.cancel();
     }
 }
@@ -418,17 +413,16 @@
 void forwarder::joinQueue(const std::shared_ptr<request_run>& current)
 {
     if (!std::exchange(current->isQueued, true)) {
-        m_waiters[current->service].push_back(current);
+        m_lines[current->service].join(current,
+            { .priority = current->routed->priority, .limit = current->limit, .caller = current->caller },
+            steady_clock::now());
     }
 }
 
 void forwarder::leaveQueue(request_run& current)
 {
     if (std::exchange(current.isQueued, false)) {
-        std::erase_if(m_waiters[current.service], [&](const auto& each) {
-            auto waiting = each.lock();
-            return !waiting || waiting.get() == &current;
-        });
+        m_lines[current.service].leave(current);
     }
 }
 
@@ -486,7 +480,8 @@
     final_answer answer;
     if (step == next_step::refuse) {
         ++m_counters.refused;
-        answer.message = makeRefusal(why, expectedWait(current.service, steady_clock::now()));
+        answer.message
+            = makeRefusal(why, placement::expectedWait(outlookOf(current.service, steady_clock::now())));
     } else {
         ++m_counters.unknown;
         bool isLate = hasPassed(current.limit, steady_clock::now());
@@ -498,6 +493,17 @@
     return answer;
 }
 
+final_answer forwarder::refuseForLoad(
+    request_run& current, std::string_view why, steady_clock::time_point now)
+{
+    ++m_counters.refused;
+    auto pause = spreadReturn(placement::expectedWait(outlookOf(current.service, now)));
+    m_returnGate.noteRefused(current.caller, now + pause, now);
+    final_answer answer { makeRefusalUntil(why, pause) };
+    logEnd(current, answer, why);
+    return answer;
+}
+
 final_answer forwarder::timeOut(request_run& current)
 {
     abortAttempts(current);
@@ -603,8 +609,12 @@
                 auto step = current->mayHaveRun() ? next_step::giveUp : next_step::refuse;
                 co_return refuseOrGiveUp(*current, step, "no upstream left to try");
             } else if (needsAnother) {
-                if (!current->mayHaveRun() && isQueueTooLong(*current, now)) {
-                    co_return refuseOrGiveUp(*current, next_step::refuse, "the queue is too long");
+                bool isHopeless
+                    = placement::isHopeless(outlookOf(current->service, now), limitsOf(*current), now);
+                bool isEarly = !current->isQueued && m_returnGate.isEarly(current->caller, now);
+                if (!current->mayHaveRun() && (isHopeless || isEarly)) {
+                    co_return refuseForLoad(
+                        *current, isHopeless ? "the queue is too long" : "came back too early", now);
                 }
                 joinQueue(current);
             }
--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -16,10 +16,11 @@
 #include "marlsill/placement/attempt_policy.h"
 #include "marlsill/placement/crash_list.h"
 #include "marlsill/placement/idle_limits.h"
+#include "marlsill/placement/return_gate.h"
 #include "marlsill/placement/upstream_board.h"
+#include "marlsill/placement/waiting_line.h"
 #include "marlsill/placement/window_budget.h"
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -149,7 +150,7 @@
 
     // Makes an answer of our own.
     http::response_message makeAnswer(int status, std::string_view why) const;
-    http::response_message makeRefusal(std::string_view why, std::chrono::milliseconds expectedWait) const;
+    http::response_message makeRefusal(std::string_view why, std::chrono::milliseconds expectedWait);
 
 private:
     using attempt = request_run::attempt;
@@ -160,15 +161,18 @@
         placement::choice_status& status);
     std::optional<final_answer> conclude(request_run& current, attempt& each, bool& needsAnother);
     final_answer refuseOrGiveUp(request_run& current, placement::next_step step, std::string_view why);
+    final_answer refuseForLoad(request_run& current, std::string_view why, steady_clock::time_point now);
     final_answer timeOut(request_run& current);
+    std::chrono::milliseconds spreadReturn(std::chrono::milliseconds expectedWait);
+    http::response_message makeRefusalUntil(std::string_view why, std::chrono::milliseconds pause) const;
     void abortAttempts(request_run& current);
     void finishAttempt(request_run& current, attempt& each, steady_clock::time_point now);
     void checkForCrash(request_run& current, const attempt& each);
     bool mayRetry(request_run& current, bool isArrival, steady_clock::time_point now);
     bool mayHedge(request_run& current, steady_clock::time_point now);
-    bool isQueueTooLong(const request_run& current, steady_clock::time_point now) const;
+    static placement::line_limits limitsOf(const request_run& current);
     deadline hedgeTime(const request_run& current) const;
-    std::chrono::milliseconds expectedWait(const std::string& service, steady_clock::time_point now) const;
+    placement::line_outlook outlookOf(const std::string& service, steady_clock::time_point now) const;
     std::string serializeFor(
         const request_run& current, const attempt& each, steady_clock::time_point now) const;
     bool isInUse(const std::string& upstream) const;
@@ -185,12 +189,13 @@
     placement::upstream_board m_board;
     placement::crash_list m_crashes;
     placement::idle_limits m_idleLimits;
+    placement::return_gate m_returnGate;
     link_pool m_pool;
     traffic_counters m_counters;
     peer_notices m_notices;
     std::shared_ptr<const configuration> m_rules;
     std::map<std::string, placement::window_budget, std::less<>> m_budgets;
-    std::map<std::string, std::deque<std::weak_ptr<request_run>>, std::less<>> m_waiters;
+    std::map<std::string, placement::waiting_line<request_run>, std::less<>> m_lines;
     std::mt19937_64 m_random { std::random_device {}() };
     std::function<service_share(const std::string&)> m_shareOf = [](const auto&) { return service_share(); };
     int m_inWork = 0;
--- a/marlsill/placement/attempt_policy.cc
+++ b/marlsill/placement/attempt_policy.cc
@@ -1,16 +1,11 @@
 #include "marlsill/placement/attempt_policy.h"
 
-#include <algorithm>
-
 namespace marlsill::placement {
 
 namespace {
 
     constexpr int maxRefusals = 4; // Each costs a round trip, an unreachable upstream the limit of a connect.
     constexpr int firstServerError = 500;
-    constexpr std::chrono::milliseconds minRetryAfter { 50 }; // About one round trip and a new connection.
-    constexpr std::chrono::milliseconds maxRetryAfter { 5'000 };
-
     // An upstream that has forgotten a connection answers with a reset within a round trip, packet loss
     // aside.
     constexpr std::chrono::milliseconds maxIdleRaceElapsed { 50 };
@@ -87,11 +82,4 @@
     return isSlow ? attempt_verdict::failed : attempt_verdict::neutral;
 }
 
-std::chrono::milliseconds retryAfter(std::chrono::milliseconds expected, double fraction)
-{
-    auto spread = std::chrono::milliseconds(
-        static_cast<std::int64_t>(static_cast<double>(expected.count()) * (1.0 + fraction)));
-    return std::clamp(spread, minRetryAfter, maxRetryAfter);
-}
-
 }
--- a/marlsill/placement/attempt_policy.h
+++ b/marlsill/placement/attempt_policy.h
@@ -73,8 +73,4 @@
 // Returns what the attempt says about its upstream. `usual` is the service's usual latency, 0 if unknown.
 attempt_verdict judge(const ended_attempt& attempt, std::chrono::milliseconds usual);
 
-// Returns how long a caller should wait before it comes again: `expected` until there is room, spread by
-// `fraction` (0 to 1, drawn by the caller) so that those refused together do not return together.
-std::chrono::milliseconds retryAfter(std::chrono::milliseconds expected, double fraction);
-
 }
--- a/marlsill/placement/attempt_policy_test.cc
+++ b/marlsill/placement/attempt_policy_test.cc
@@ -117,13 +117,4 @@
     }
 }
 
-TEST_CASE("Callers that are refused together return spread out, within bounds")
-{
-    using std::chrono::milliseconds;
-    CHECK(retryAfter(milliseconds(0), 0.5) == milliseconds(50));
-    CHECK(retryAfter(milliseconds(400), 0.0) == milliseconds(400));
-    CHECK(retryAfter(milliseconds(400), 1.0) == milliseconds(800));
-    CHECK(retryAfter(milliseconds(60'000), 0.0) == milliseconds(5'000));
-}
-
 }
--- /dev/null
+++ b/marlsill/placement/return_gate_test.cc
@@ -0,0 +1,60 @@
+#include "marlsill/placement/return_gate.h"
+
+#include <doctest/doctest.h>
+#include <vector>
+
+namespace marlsill::placement {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    const steady_clock::time_point start { std::chrono::hours(1) };
+
+}
+
+TEST_CASE("A caller is early until the last time it was told")
+{
+    struct refusal {
+        int atMs;
+        int tellMs;
+    };
+    struct gate_case {
+        const char* name;
+        std::vector<refusal> refusals;
+        const char* caller;
+        int askedAtMs;
+        bool isEarly;
+    };
+    const gate_case cases[] = {
+        { "never refused", {}, "x", 0, false },
+        { "too early", { { 0, 300 } }, "x", 200, true },
+        { "on time", { { 0, 300 } }, "x", 300, false },
+        { "another caller", { { 0, 300 } }, "y", 200, false },
+        { "a sooner time does not shorten it", { { 0, 300 }, { 50, 100 } }, "x", 200, true },
+        { "refused again", { { 0, 300 }, { 200, 600 } }, "x", 400, true },
+    };
+    for (const auto& each : cases) {
+        CAPTURE(each.name);
+        return_gate gate;
+        for (const auto& refused : each.refusals) {
+            gate.noteRefused("x", start + milliseconds(refused.tellMs), start + milliseconds(refused.atMs));
+        }
+        CHECK(gate.isEarly(each.caller, start + milliseconds(each.askedAtMs)) == each.isEarly);
+    }
+}
+
+TEST_CASE("A flood of callers does not grow the memory without bound, and keeps what is remembered")
+{
+    return_gate gate;
+    gate.noteRefused("first", start + milliseconds(1'000), start);
+    for (int caller = 0; caller < 20'000; ++caller) {
+        gate.noteRefused(std::to_string(caller), start + milliseconds(1'000), start);
+    }
+    CHECK(gate.isEarly("first", start));
+    CHECK_FALSE(gate.isEarly("19999", start));
+    gate.noteRefused("later", start + milliseconds(3'000), start + milliseconds(2'000));
+    CHECK(gate.isEarly("later", start + milliseconds(2'000)));
+}
+
+}
