Add a fault soak of the real programs on loopback

The trace showed a restarted process that answered 503 before it knew any configuration; the check took every status but 404 for an answer by that version. It now takes 200 only.

--- a/testing/gateway_test.cc
+++ b/testing/gateway_test.cc
@@ -1,6 +1,7 @@
 // The event-driven request path over loopback: what callers get and what upstreams run, fault by fault.
 
 #include "marlsill/gateway/gateway.h"
+#include "testing/raw_caller.h"
 #include "testing/scripted_upstream.h"
 
 #include <Poco/Net/StreamSocket.h>
@@ -17,73 +18,8 @@
     namespace asio = boost::asio;
     using std::chrono::milliseconds;
 
-    struct answer {
-        int status = 0; // 0 when the connection ended without one.
-        std::string head;
-        std::string body;
-
-        bool has(const std::string& text) const { return head.find(text) != std::string::npos; }
-    };
-
-    // A caller's connection.
-    class caller {
-    public:
-        explicit caller(const std::string& address)
-            : m_socket(Poco::Net::SocketAddress(address))
-        {
-            m_socket.setReceiveTimeout(Poco::Timespan(5, 0));
-        }
-
-        void send(const std::string& text) { m_socket.sendBytes(text.data(), static_cast<int>(text.size())); }
-
-        void sendRequest(const std::string& method, const std::string& path, const std::string& id,
-            int timeoutMs = 2000, const std::string& body = {})
-        {
-            auto length = body.empty() ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n";
-            send(method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + id
-                + "\r\nX-Request-Timeout-Ms: " + std::to_string(timeoutMs) + "\r\n" + length + "\r\n" + body);
-        }
-
-        answer receive()
-        {
-            answer result;
-            std::size_t end = 0;
-            while ((end = m_buffer.find("\r\n\r\n")) == std::string::npos) {
-                if (!fill()) {
-                    return result;
-                }
-            }
-            result.head = m_buffer.substr(0, end + 4);
-            m_buffer.erase(0, end + 4);
-            result.status = std::stoi(result.head.substr(9, 3));
-            auto at = result.head.find("Content-Length: ");
-            std::size_t length = at == std::string::npos ? 0 : std::stoul(result.head.substr(at + 16));
-            while (m_buffer.size() < length && fill()) { }
-            result.body = m_buffer.substr(0, length);
-            m_buffer.erase(0, length);
-            return result;
-        }
-
-        bool isEnded() { return m_buffer.empty() && !fill(); }
-
-        void close() { m_socket.close(); }
-
-    private:
-        bool fill()
-        {
-            char chunk[4096];
-            try {
-                int count = m_socket.receiveBytes(chunk, sizeof chunk);
-                m_buffer.append(chunk, static_cast<std::size_t>(std::max(0, count)));
-                return count > 0;
-            } catch (const Poco::Exception&) {
-                return false;
-            }
-        }
-
-        Poco::Net::StreamSocket m_socket;
-        std::string m_buffer;
-    };
+    using answer = raw_answer;
+    using caller = raw_caller;
 
     // A gateway on a thread of its own before some scripted upstreams of one service.
     class fixture {
--- a/testing/scripted_upstream.cc
+++ b/testing/scripted_upstream.cc
@@ -67,6 +67,12 @@
     m_steps.assign(steps.begin(), steps.end());
 }
 
+void scripted_upstream::setRunListener(std::function<void(const std::string&)> listener)
+{
+    std::lock_guard lock(m_mutex);
+    m_listener = std::move(listener);
+}
+
 int scripted_upstream::runsOf(const std::string& request) const
 {
     std::lock_guard lock(m_mutex);
@@ -168,9 +174,13 @@
         bool isRun = step != upstream_step::refuse && step != upstream_step::misdirect
             && step != upstream_step::early;
         m_runs[request] += isRun ? 1 : 0;
+        if (isRun && m_listener) {
+            m_listener(request);
+        }
     }
     switch (step) {
     case upstream_step::answer:
+        std::this_thread::sleep_for(m_workTime.load());
         sendText(socket, whole);
         return true;
     case upstream_step::error:
--- a/testing/scripted_upstream.h
+++ b/testing/scripted_upstream.h
@@ -12,7 +12,9 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 #include <atomic>
+#include <chrono>
 #include <deque>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <string>
@@ -50,6 +52,12 @@
     // Sets what happens to the next requests, in order; after them all are answered.
     void plan(std::vector<upstream_step> steps);
 
+    // Sets how long each request that is answered takes.
+    void setWorkTime(std::chrono::milliseconds length) { m_workTime = length; }
+
+    // Sets who is told of each request that is run, on the upstream's threads.
+    void setRunListener(std::function<void(const std::string& request)> listener);
+
     // Returns how often a request was run.
     int runsOf(const std::string& request) const;
 
@@ -79,7 +87,9 @@
     std::atomic<int> m_arrivals = 0;
     std::atomic<int> m_connections = 0;
     std::atomic<bool> m_sawCancel = false;
+    std::atomic<std::chrono::milliseconds> m_workTime = std::chrono::milliseconds(0);
     mutable std::mutex m_mutex; // Guards what follows.
+    std::function<void(const std::string&)> m_listener;
     std::deque<upstream_step> m_steps;
     std::map<std::string, int> m_runs;
     std::string m_lastHead;
--- /dev/null
+++ b/testing/soak/entry_process.cc
@@ -0,0 +1,90 @@
+#include "testing/soak/entry_process.h"
+
+#include "marlsill/base/time.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <fstream>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <thread>
+
+namespace marlsill::testing {
+
+namespace {
+
+    constexpr std::chrono::milliseconds endCheck { 10 };
+
+}
+
+entry_process::entry_process(entry_options options)
+    : m_options(std::move(options))
+{
+}
+
+entry_process::~entry_process() { kill(); }
+
+void entry_process::writeSettings() const
+{
+    std::ofstream file(m_options.folder + "/" + m_options.name + ".conf");
+    auto at = [&](int port) { return m_options.host + ":" + std::to_string(port); };
+    file << "name = " << m_options.name << "\nregion = r\nfailure-domain = " << m_options.domain
+         << "\nhost = " << m_options.host << "\ncaller-address = " << at(m_options.callerPort)
+         << "\nreadiness-address = " << at(m_options.readinessPort)
+         << "\ndirectory-address = " << at(m_options.directoryPort) << "\npeer-port = " << m_options.peerPort
+         << "\nseeds = " << m_options.seeds << "\nstore-address = " << m_options.store
+         << "\nstop-grace-s = " << m_options.graceSeconds << "\n";
+}
+
+bool entry_process::start()
+{
+    writeSettings();
+    auto base = m_options.folder + "/" + m_options.name;
+    auto variable = "MARLSILL_NODE_FILE=" + base + ".conf";
+    char* environment[] = { variable.data(), nullptr };
+    auto program = m_options.program;
+    char* arguments[] = { program.data(), nullptr };
+    auto log = base + ".log";
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, 1, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    posix_spawn_file_actions_adddup2(&actions, 1, 2);
+    int wrong = posix_spawn(&m_pid, program.c_str(), &actions, nullptr, arguments, environment);
+    posix_spawn_file_actions_destroy(&actions);
+    m_pid = wrong == 0 ? m_pid : 0;
+    ++m_starts;
+    return wrong == 0;
+}
+
+void entry_process::signal(int number) const
+{
+    if (m_pid > 0) {
+        ::kill(m_pid, number);
+    }
+}
+
+void entry_process::kill()
+{
+    if (m_pid > 0) {
+        ::kill(m_pid, SIGKILL);
+        ::waitpid(m_pid, nullptr, 0);
+        m_pid = 0;
+    }
+}
+
+bool entry_process::awaitEnd()
+{
+    auto limit = deadlineAfter(std::chrono::seconds(m_options.graceSeconds));
+    while (m_pid > 0 && !hasPassed(limit, steady_clock::now())) {
+        if (::waitpid(m_pid, nullptr, WNOHANG) == m_pid) {
+            m_pid = 0;
+            return true;
+        }
+        std::this_thread::sleep_for(endCheck);
+    }
+    bool hasEnded = m_pid <= 0;
+    kill();
+    return hasEnded;
+}
+
+}
--- /dev/null
+++ b/testing/soak/entry_process.h
@@ -0,0 +1,67 @@
+#pragma once
+
+// One entry daemon as a process of its own, for the soak.
+//
+//     entry_process entry(options);
+//     entry.start();
+//     entry.signal(SIGSTOP);
+//
+// The process is ended, by its id, when the object goes.
+
+#include <string>
+#include <sys/types.h>
+
+namespace marlsill::testing {
+
+// What an entry daemon is started with.
+struct entry_options {
+    std::string program;
+    std::string folder; // For its settings file and its log.
+    std::string name;
+    std::string host; // A loopback IP number of its own.
+    std::string domain;
+    std::string store; // Address.
+    std::string seeds;
+    int callerPort = 0;
+    int readinessPort = 0;
+    int directoryPort = 0;
+    int peerPort = 0;
+    int graceSeconds = 3;
+};
+
+class entry_process {
+public:
+    explicit entry_process(entry_options options);
+    ~entry_process();
+
+    // Starts the process. Returns whether that was possible.
+    bool start();
+
+    void signal(int number) const;
+
+    // Kills the process and waits for its end.
+    void kill();
+
+    // Waits until the process has ended by itself. Returns false if it had to be killed at `graceSeconds`.
+    bool awaitEnd();
+
+    bool isRunning() const { return m_pid > 0; }
+
+    // Names this life of the process.
+    std::string life() const { return m_options.name + "#" + std::to_string(m_starts); }
+
+    std::string callerAddress() const { return m_options.host + ":" + std::to_string(m_options.callerPort); }
+    std::string readinessAddress() const
+    {
+        return m_options.host + ":" + std::to_string(m_options.readinessPort);
+    }
+
+private:
+    void writeSettings() const;
+
+    const entry_options m_options;
+    pid_t m_pid = 0;
+    int m_starts = 0;
+};
+
+}
--- /dev/null
+++ b/testing/soak/soak_run.cc
@@ -0,0 +1,433 @@
+#include "testing/soak/soak_run.h"
+
+#include "platform/decode.h"
+#include "platform/platform_fields.h"
+#include "platform/testing/store_objects.h"
+#include "testing/raw_caller.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/DatagramSocket.h>
+#include <Poco/Net/ServerSocket.h>
+#include <csignal>
+
+namespace marlsill::testing {
+
+using platform_adapter::platformFields;
+using platform_adapter::store_trouble;
+using std::chrono::milliseconds;
+
+namespace {
+
+    constexpr const char* service = "s";
+    constexpr const char* host = "h.example";
+    constexpr milliseconds workTime { 20 };
+    constexpr milliseconds startLimit { 10'000 };
+    constexpr milliseconds recoveryLimit { 15'000 }; // The users' bound after faults.
+    constexpr milliseconds drainBound { 2'500 }; // The users' bound for news of a leaving upstream.
+    constexpr milliseconds drainCheck { 1'000 }; // How long it is watched beyond the bound.
+    constexpr int callsPerConnection = 20;
+    constexpr int timeoutMs = 2'000;
+    constexpr milliseconds pauseAfterRefusal { 50 };
+    constexpr std::size_t minServing = 3; // Upstreams that do not drain.
+
+    int freePort(const std::string& address)
+    {
+        Poco::Net::ServerSocket probe(Poco::Net::SocketAddress(address, 0));
+        return probe.address().port();
+    }
+
+    std::string hostOf(int entry) { return "127.0.1." + std::to_string(entry + 1); }
+
+    // Returns a UDP port that is free on all hosts.
+    int freePeerPort(int entries)
+    {
+        while (true) {
+            Poco::Net::DatagramSocket probe(Poco::Net::SocketAddress(hostOf(0), 0));
+            auto port = probe.address().port();
+            try {
+                for (int entry = 1; entry < entries; ++entry) {
+                    Poco::Net::DatagramSocket other(Poco::Net::SocketAddress(hostOf(entry), port));
+                }
+                return port;
+            } catch (const Poco::Exception&) {
+                continue; // Taken on another host.
+            }
+        }
+    }
+
+    std::string versionPrefix(int version) { return "/version-" + std::to_string(version) + "/"; }
+
+}
+
+soak_run::soak_run(soak_options options)
+    : m_options(std::move(options))
+    , m_random(m_options.seed)
+{
+}
+
+soak_run::~soak_run() = default;
+
+milliseconds soak_run::drawLength(int shortestMs, int longestMs)
+{
+    return milliseconds(shortestMs + draw(longestMs - shortestMs + 1));
+}
+
+void soak_run::publishConfiguration()
+{
+    int version = ++m_version;
+    m_store.put(platform_adapter::configurationKind, platform_adapter::configurationName,
+        platform_adapter::configurationObject(version, host, service,
+            { { "once", "/once/", true }, { "repeat", "/repeat/" }, { "version", versionPrefix(version) } }));
+}
+
+void soak_run::publishUpstream(const upstream_place& place, const std::string& state)
+{
+    m_store.put(platform_adapter::upstreamKind, place.upstream->id(),
+        platform_adapter::upstreamObject(service, place.link->address(), state));
+}
+
+void soak_run::startFleet()
+{
+    publishConfiguration();
+    for (int index = 0; index < m_options.upstreams; ++index) {
+        auto place = std::make_unique<upstream_place>();
+        place->upstream = std::make_unique<scripted_upstream>("u" + std::to_string(index), platformFields());
+        place->upstream->setWorkTime(workTime);
+        place->upstream->setRunListener([this, id = place->upstream->id()](const std::string& request) {
+            m_checker.noteRun(request, id, steady_clock::now());
+        });
+        place->link = std::make_unique<loopback_proxy>(place->upstream->address());
+        publishUpstream(*place, "ready");
+        m_upstreams.push_back(std::move(place));
+    }
+    int peerPort = freePeerPort(m_options.entries);
+    auto seeds
+        = hostOf(0) + ":" + std::to_string(peerPort) + "," + hostOf(1) + ":" + std::to_string(peerPort);
+    for (int index = 0; index < m_options.entries; ++index) {
+        auto place = std::make_unique<entry_place>();
+        place->storeLink = std::make_unique<loopback_proxy>(m_store.address());
+        auto own = hostOf(index);
+        place->process = std::make_unique<entry_process>(entry_options { .program = m_options.program,
+            .folder = m_options.folder,
+            .name = "entry-" + std::to_string(index),
+            .host = own,
+            .domain = "domain-" + std::to_string(index % 3),
+            .store = place->storeLink->address(),
+            .seeds = seeds,
+            .callerPort = freePort(own),
+            .readinessPort = freePort(own),
+            .directoryPort = freePort(own),
+            .peerPort = peerPort });
+        m_entries.push_back(std::move(place));
+    }
+    for (auto& entry : m_entries) {
+        if (!entry->process->start()) {
+            m_checker.noteBroken("an entry daemon cannot be started: " + m_options.program);
+        }
+    }
+}
+
+bool soak_run::awaitServing(entry_place& entry, milliseconds limit)
+{
+    auto until = deadlineAfter(limit);
+    while (!hasPassed(until, steady_clock::now())) {
+        try {
+            raw_caller caller(entry.process->callerAddress(), platformFields());
+            auto id = "serving-" + std::to_string(++m_probes);
+            caller.sendRequest("GET", "/repeat/" + id, id, timeoutMs);
+            if (caller.receive().status == 200) {
+                return true;
+            }
+        } catch (const Poco::Exception&) {
+            // Nobody listens there yet.
+        }
+        std::this_thread::sleep_for(pauseAfterRefusal);
+    }
+    return false;
+}
+
+std::string soak_run::lifeOf(std::size_t entry)
+{
+    std::lock_guard lock(m_entries[entry]->mutex);
+    return m_entries[entry]->process->life();
+}
+
+void soak_run::callerLoop(int number)
+{
+    std::mt19937_64 random(m_options.seed * 1'000 + static_cast<std::uint64_t>(number));
+    int count = 0;
+    auto prefix = "c" + std::to_string(number) + "-";
+    while (!m_isOver) {
+        auto entry = random() % m_entries.size();
+        try {
+            callOn(entry, random, prefix, count);
+        } catch (const Poco::Exception&) {
+            std::this_thread::sleep_for(pauseAfterRefusal); // The process is away.
+        }
+    }
+}
+
+void soak_run::callOn(std::size_t entry, std::mt19937_64& random, const std::string& prefix, int& count)
+{
+    auto life = lifeOf(entry);
+    raw_caller caller(m_entries[entry]->process->callerAddress(), platformFields());
+    if (lifeOf(entry) != life) {
+        return; // The connection may be to either life.
+    }
+    for (int call = 0; call < callsPerConnection && !m_isOver; ++call) {
+        auto id = prefix + std::to_string(++count);
+        bool isVersionCall = random() % 5 == 0;
+        bool isAtMostOnce = !isVersionCall && random() % 2 == 0;
+        int version = std::max(1, m_version.load() - static_cast<int>(random() % 3));
+        auto path
+            = isVersionCall ? versionPrefix(version) : std::string(isAtMostOnce ? "/once/" : "/repeat/");
+        auto sentAt = steady_clock::now();
+        m_checker.noteSent(id, isAtMostOnce);
+        caller.sendRequest(
+            isAtMostOnce ? "POST" : "GET", path + id, id, timeoutMs, isAtMostOnce ? "body " + id : "");
+        auto answer = caller.receive();
+        if (answer.status == 0) {
+            m_checker.noteUnanswered(id, life);
+            return;
+        }
+        auto fields = platformFields();
+        m_checker.noteAnswer(id,
+            { .status = answer.status,
+                .request = answer.field(fields.requestId),
+                .seal = answer.field(fields.seal),
+                .isWhole = answer.isWhole,
+                .isExpectedBody = answer.body == "the whole body" });
+        if (isVersionCall && answer.status == 200 && lifeOf(entry) == life) {
+            m_checker.noteConfiguration(life, version, sentAt, steady_clock::now());
+        }
+        if (answer.status == 503) {
+            std::this_thread::sleep_for(pauseAfterRefusal);
+        }
+    }
+}
+
+bool soak_run::isKnowledgeTroubled() const
+{
+    auto now = steady_clock::now();
+    bool isEntryTroubled = std::any_of(m_entries.begin(), m_entries.end(), [&](const auto& each) {
+        return !hasPassed(each->pausedUntil, now) || !hasPassed(each->linkTroubleUntil, now);
+    });
+    return isEntryTroubled || !hasPassed(m_storeTroubleUntil, now);
+}
+
+// Drains whose news may come late because of a trouble are not checked.
+void soak_run::spoilDrains()
+{
+    for (auto& each : m_upstreams) {
+        if (each->isDraining && !hasPassed(each->drainBound, steady_clock::now())) {
+            m_checker.forgetLeaving(each->upstream->id());
+            each->isDrainChecked = false;
+        }
+    }
+}
+
+void soak_run::killEntry(entry_place& entry)
+{
+    spoilDrains();
+    std::lock_guard lock(entry.mutex);
+    m_checker.noteDisturbed(entry.process->life());
+    entry.process->kill();
+    entry.process->start();
+}
+
+void soak_run::stopEntry(entry_place& entry)
+{
+    if (!hasPassed(entry.pausedUntil, steady_clock::now())) {
+        return;
+    }
+    spoilDrains();
+    auto life = entry.process->life();
+    m_checker.notePlannedStop(life);
+    entry.process->signal(SIGTERM);
+    if (!entry.process->awaitEnd()) {
+        m_checker.noteDisturbed(life);
+        m_checker.noteBroken("planned stop: " + life + " did not end within its grace time");
+    }
+    std::lock_guard lock(entry.mutex);
+    entry.process->start();
+}
+
+void soak_run::pauseEntry(entry_place& entry)
+{
+    spoilDrains();
+    m_checker.noteDisturbed(entry.process->life());
+    entry.process->signal(SIGSTOP);
+    entry.pausedUntil = deadlineAfter(drawLength(200, 2'000));
+}
+
+void soak_run::cutStoreLink(entry_place& entry)
+{
+    constexpr link_trouble troubles[]
+        = { link_trouble::delayed, link_trouble::silent, link_trouble::cutOneWay, link_trouble::reset };
+    spoilDrains();
+    entry.storeLink->setTrouble(troubles[draw(4)]);
+    entry.linkTroubleUntil = deadlineAfter(drawLength(300, 3'000));
+}
+
+void soak_run::troubleStore()
+{
+    constexpr store_trouble troubles[] = { store_trouble::busy, store_trouble::tooMany, store_trouble::reset,
+        store_trouble::silent, store_trouble::loseAnswers };
+    spoilDrains();
+    if (draw(5) == 0) {
+        m_store.dropHistory();
+        return;
+    }
+    m_store.setTrouble(troubles[draw(5)]);
+    m_storeTroubleUntil = deadlineAfter(drawLength(300, 4'000));
+}
+
+void soak_run::troubleUpstream(upstream_place& place)
+{
+    constexpr upstream_step steps[]
+        = { upstream_step::error, upstream_step::refuse, upstream_step::misdirect, upstream_step::reset,
+              upstream_step::cut, upstream_step::garbage, upstream_step::unframed, upstream_step::lateExtra,
+              upstream_step::unsealed, upstream_step::hang, upstream_step::lateReset, upstream_step::forget };
+    std::vector<upstream_step> planned;
+    for (int step = draw(4); step >= 0; --step) {
+        planned.push_back(steps[draw(static_cast<int>(std::size(steps)))]);
+    }
+    place.upstream->plan(planned);
+}
+
+void soak_run::troubleUpstreamLink(upstream_place& place)
+{
+    constexpr link_trouble troubles[]
+        = { link_trouble::delayed, link_trouble::silent, link_trouble::cutOneWay, link_trouble::reset };
+    place.link->setTrouble(troubles[draw(4)]);
+    place.troubleUntil = deadlineAfter(drawLength(200, 2'000));
+}
+
+void soak_run::drainUpstream(upstream_place& place)
+{
+    auto serving = std::count_if(
+        m_upstreams.begin(), m_upstreams.end(), [](const auto& each) { return !each->isDraining; });
+    if (place.isDraining || static_cast<std::size_t>(serving) <= minServing) {
+        return;
+    }
+    publishUpstream(place, "draining");
+    place.isDraining = true;
+    place.drainBound = deadlineAfter(drainBound);
+    place.isDrainChecked = !isKnowledgeTroubled();
+    if (place.isDrainChecked) {
+        m_checker.noteLeaving(place.upstream->id(), place.drainBound);
+    }
+}
+
+void soak_run::endTroubles(bool isAll)
+{
+    auto now = steady_clock::now();
+    for (auto& each : m_entries) {
+        if (isAll || hasPassed(each->pausedUntil, now)) {
+            each->process->signal(SIGCONT);
+        }
+        if (isAll || hasPassed(each->linkTroubleUntil, now)) {
+            each->storeLink->setTrouble(link_trouble::none);
+        }
+    }
+    if (isAll || hasPassed(m_storeTroubleUntil, now)) {
+        m_store.setTrouble(store_trouble::none);
+    }
+    for (auto& each : m_upstreams) {
+        if (isAll || hasPassed(each->troubleUntil, now)) {
+            each->link->setTrouble(link_trouble::none);
+        }
+        bool isWatched = each->isDraining && hasPassed(each->drainBound + drainCheck, now);
+        if (isWatched || (isAll && each->isDraining)) {
+            m_drainsChecked += each->isDrainChecked && isWatched ? 1 : 0;
+            m_checker.forgetLeaving(each->upstream->id());
+            each->isDraining = false;
+            publishUpstream(*each, "ready");
+        }
+    }
+}
+
+void soak_run::playFault()
+{
+    auto& entry = *m_entries[static_cast<std::size_t>(draw(m_options.entries))];
+    auto& place = *m_upstreams[static_cast<std::size_t>(draw(m_options.upstreams))];
+    ++m_faults;
+    switch (draw(12)) {
+    case 0:
+        return killEntry(entry);
+    case 1:
+        return stopEntry(entry);
+    case 2:
+        return pauseEntry(entry);
+    case 3:
+        return entry.process->signal(SIGHUP);
+    case 4:
+        return cutStoreLink(entry);
+    case 5:
+        return troubleStore();
+    case 6:
+    case 7:
+        return troubleUpstream(place);
+    case 8:
+        return troubleUpstreamLink(place);
+    case 9:
+        return drainUpstream(place);
+    default:
+        return publishConfiguration();
+    }
+}
+
+// Faults come in series that overlap, with quiet times between them in which drains can be checked.
+void soak_run::faultLoop()
+{
+    auto until = deadlineAfter(m_options.length);
+    while (!hasPassed(until, steady_clock::now())) {
+        for (int left = draw(6); left >= 0; --left) {
+            playFault();
+            std::this_thread::sleep_for(drawLength(10, 400));
+            endTroubles(false);
+        }
+        if (draw(2) == 0) {
+            endTroubles(true);
+            drainUpstream(*m_upstreams[static_cast<std::size_t>(draw(m_options.upstreams))]);
+            std::this_thread::sleep_for(drainBound + drainCheck);
+            endTroubles(false);
+        }
+    }
+}
+
+soak_report soak_run::run()
+{
+    startFleet();
+    for (auto& each : m_entries) {
+        if (!awaitServing(*each, startLimit)) {
+            m_checker.noteBroken("start: " + each->process->life() + " does not serve");
+        }
+    }
+    {
+        std::vector<std::jthread> callers;
+        for (int number = 0; number < m_options.callers; ++number) {
+            callers.emplace_back([this, number] { callerLoop(number); });
+        }
+        faultLoop();
+        endTroubles(true);
+        for (auto& each : m_entries) {
+            if (!awaitServing(*each, recoveryLimit)) {
+                m_checker.noteBroken("recovery: " + each->process->life() + " does not serve");
+            }
+        }
+        m_isOver = true;
+    }
+    for (auto& each : m_entries) {
+        each->process->signal(SIGTERM);
+    }
+    for (auto& each : m_entries) {
+        if (!each->process->awaitEnd()) {
+            m_checker.noteBroken("planned stop: " + each->process->life() + " did not end at the end");
+        }
+    }
+    return { m_checker.broken(), m_checker.sent(), m_checker.answered(200), m_checker.answered(503), m_faults,
+        m_drainsChecked };
+}
+
+}
--- /dev/null
+++ b/testing/soak/soak_run.h
@@ -0,0 +1,107 @@
+#pragma once
+
+// Plays random faults on a small fleet of entry daemons and checks the promises to callers and upstreams.
+//
+//     soak_run soak({ .seed = 7, .program = "build/platform/marlsill-platform-entry", .folder = "/tmp/soak-7"
+//     }); auto report = soak.run(); if (!report.broken.empty())
+//         ...
+//
+// The daemons are processes; the store, the upstreams and the links are stand-ins of this process.
+
+#include "platform/testing/store_stand_in.h"
+#include "testing/scripted_upstream.h"
+#include "testing/soak/entry_process.h"
+#include "testing/soak/loopback_proxy.h"
+#include "testing/soak/promise_checker.h"
+
+#include <atomic>
+#include <memory>
+#include <random>
+#include <set>
+#include <thread>
+#include <vector>
+
+namespace marlsill::testing {
+
+struct soak_options {
+    std::uint64_t seed = 1;
+    std::chrono::milliseconds length { 20'000 };
+    int entries = 5;
+    int upstreams = 6;
+    int callers = 8;
+    std::string program;
+    std::string folder;
+};
+
+struct soak_report {
+    std::vector<std::string> broken; // Promises, in words.
+    int sent = 0;
+    int served = 0;
+    int refused = 0;
+    int faults = 0;
+    int drainsChecked = 0;
+};
+
+class soak_run {
+public:
+    explicit soak_run(soak_options options);
+    ~soak_run();
+
+    soak_report run();
+
+private:
+    struct upstream_place {
+        std::unique_ptr<scripted_upstream> upstream;
+        std::unique_ptr<loopback_proxy> link;
+        steady_clock::time_point troubleUntil {};
+        steady_clock::time_point drainBound {}; // In the future while it drains.
+        bool isDraining = false;
+        bool isDrainChecked = false;
+    };
+
+    struct entry_place {
+        std::unique_ptr<entry_process> process;
+        std::unique_ptr<loopback_proxy> storeLink;
+        steady_clock::time_point linkTroubleUntil {};
+        steady_clock::time_point pausedUntil {};
+        std::mutex mutex; // Guards the process's life against callers that ask for its name.
+    };
+
+    void startFleet();
+    bool awaitServing(entry_place& entry, std::chrono::milliseconds limit);
+    void callerLoop(int number);
+    void callOn(std::size_t entry, std::mt19937_64& random, const std::string& prefix, int& count);
+    std::string lifeOf(std::size_t entry);
+    void publishConfiguration();
+    void publishUpstream(const upstream_place& place, const std::string& state);
+    void faultLoop();
+    void playFault();
+    void killEntry(entry_place& entry);
+    void stopEntry(entry_place& entry);
+    void pauseEntry(entry_place& entry);
+    void cutStoreLink(entry_place& entry);
+    void troubleStore();
+    void troubleUpstream(upstream_place& place);
+    void troubleUpstreamLink(upstream_place& place);
+    void drainUpstream(upstream_place& place);
+    void endTroubles(bool isAll);
+    void spoilDrains();
+    bool isKnowledgeTroubled() const;
+    int draw(int limit) { return static_cast<int>(m_random() % static_cast<std::uint64_t>(limit)); }
+    std::chrono::milliseconds drawLength(int shortestMs, int longestMs);
+
+    const soak_options m_options;
+    std::mt19937_64 m_random; // Of the faults' thread.
+    promise_checker m_checker;
+    platform_adapter::store_stand_in m_store;
+    steady_clock::time_point m_storeTroubleUntil {};
+    std::vector<std::unique_ptr<upstream_place>> m_upstreams;
+    std::vector<std::unique_ptr<entry_place>> m_entries;
+    std::atomic<int> m_version = 0;
+    std::atomic<bool> m_isOver = false;
+    int m_probes = 0; // Requests that ask whether an entry serves.
+    int m_faults = 0;
+    int m_drainsChecked = 0;
+};
+
+}
