Let drained upstreams of the soak return as new lives

The soak registered a drained upstream as ready again in the same life; leaving is final within a life, as a write that was done late may say ready after it. The soak was wrong.

Change: the registration is removed and comes back with a new start time.

--- a/testing/soak/entry_process.cc
+++ b/testing/soak/entry_process.cc
@@ -5,9 +5,10 @@
 #include <csignal>
 #include <fcntl.h>
 #include <fstream>
-#include <spawn.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <thread>
+#include <unistd.h>
 
 namespace marlsill::testing {
 
@@ -45,15 +46,18 @@
     auto program = m_options.program;
     char* arguments[] = { program.data(), nullptr };
     auto log = base + ".log";
-    posix_spawn_file_actions_t actions;
-    posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, 1, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-    posix_spawn_file_actions_adddup2(&actions, 1, 2);
-    int wrong = posix_spawn(&m_pid, program.c_str(), &actions, nullptr, arguments, environment);
-    posix_spawn_file_actions_destroy(&actions);
-    m_pid = wrong == 0 ? m_pid : 0;
     ++m_starts;
-    return wrong == 0;
+    m_pid = ::fork();
+    if (m_pid == 0) {
+        // Nothing but system calls here, as other threads of the soak may hold locks.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL); // No daemon outlives a soak that is ended from outside.
+        int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+        ::dup2(output, STDOUT_FILENO);
+        ::dup2(output, STDERR_FILENO);
+        ::execve(program.c_str(), arguments, environment);
+        ::_exit(1);
+    }
+    return m_pid > 0;
 }
 
 void entry_process::signal(int number) const
--- a/testing/soak/soak_run.cc
+++ b/testing/soak/soak_run.cc
@@ -83,7 +83,7 @@
 void soak_run::publishUpstream(const upstream_place& place, const std::string& state)
 {
     m_store.put(platform_adapter::upstreamKind, place.upstream->id(),
-        platform_adapter::upstreamObject(service, place.link->address(), state));
+        platform_adapter::upstreamObject(service, place.link->address(), state, place.life));
 }
 
 void soak_run::startFleet()
@@ -342,6 +342,8 @@
             m_drainsChecked += each->isDrainChecked && isWatched ? 1 : 0;
             m_checker.forgetLeaving(each->upstream->id());
             each->isDraining = false;
+            ++each->life;
+            m_store.remove(platform_adapter::upstreamKind, each->upstream->id());
             publishUpstream(*each, "ready");
         }
     }
--- a/testing/soak/soak_run.h
+++ b/testing/soak/soak_run.h
@@ -56,6 +56,7 @@
         steady_clock::time_point troubleUntil {};
         steady_clock::time_point drainBound {}; // In the future while it drains.
         bool isDraining = false;
+        int life = 1;
         bool isDrainChecked = false;
     };
 
