--- a/marlsill/placement/upstream_board.cc
+++ b/marlsill/placement/upstream_board.cc
@@ -56,7 +56,7 @@
     int strikes = 0; // Failures in a row, trials included.
     int proofsLeft = 0; // Trials that must succeed before it is readmitted.
     int probationLeft = 0; // Successes until it gets its full share.
-    std::chrono::milliseconds trialDelay {}; // Of this VM, beyond the end of the hold.
+    double trialPlace = 0; // Of this VM among those that may begin the next trial, 0 to 1.
     deadline excludedUntil {};
     deadline trialUntil {};
     steady_clock::time_point excludedSince {};
@@ -135,10 +135,16 @@
 
 bool upstream_board::isTrialDue(const record& each, steady_clock::time_point now) const
 {
-    return each.isExcluded && hasPassed(each.excludedUntil + each.trialDelay, now)
+    return each.isExcluded && hasPassed(each.excludedUntil + trialDelay(each), now)
         && hasPassed(each.trialUntil, now);
 }
 
+// Returns how long this VM leaves a trial that is due to others.
+std::chrono::milliseconds upstream_board::trialDelay(const record& each) const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(each.trialPlace * m_options.trialSpread);
+}
+
 int upstream_board::inFlightAt(const record& each, steady_clock::time_point now) const
 {
     int sum = each.inFlight;
@@ -166,7 +172,8 @@
     record* oldest = nullptr;
     int untried = 0;
     for (auto* each : service.upstreams) {
-        bool isUntried = each->isExcluded && each->lastTried + m_options.untriedAfter + each->trialDelay < now
+        bool isUntried = each->isExcluded
+            && each->lastTried + m_options.untriedAfter + trialDelay(*each) < now
             && hasPassed(each->trialUntil, now);
         if (!isUntried) {
             continue;
@@ -315,8 +322,7 @@
     each.isExcluded = true;
     each.excludedUntil = std::max(each.excludedUntil, now + hold);
     each.trialUntil = now;
-    each.trialDelay = std::chrono::milliseconds(
-        std::uniform_int_distribution<std::int64_t>(0, m_options.trialSpread.count())(m_random));
+    each.trialPlace = std::uniform_real_distribution<>()(m_random);
 }
 
 void upstream_board::strike(record& each, bool isAtMostOnce, steady_clock::time_point now)
@@ -347,7 +353,7 @@
 {
     each.excludedUntil = now;
     each.trialUntil = now;
-    each.trialDelay = {};
+    each.trialPlace = 0;
 }
 
 void upstream_board::readmit(record& each)
--- a/marlsill/placement/upstream_board.h
+++ b/marlsill/placement/upstream_board.h
@@ -185,6 +185,7 @@
 
     bool isExcluded(const record& each, steady_clock::time_point now) const;
     bool isTrialDue(const record& each, steady_clock::time_point now) const;
+    std::chrono::milliseconds trialDelay(const record& each) const;
     int inFlightAt(const record& each, steady_clock::time_point now) const;
     record* longestUntried(
         service_record& service, std::span<const std::string> tried, steady_clock::time_point now) const;
