Keep sessions and links alive until their coroutines have begun

The kernel's note points to the first step of caller_session::writeOut(), which takes a reference to its session. co_spawn() starts that step later; a caller's reset in between frees the session.

Change: sessions and links spawn their coroutines with a reference that lives as long as the coroutine.

The new case of gateway_test passed three times; that it fails before was not shown.

--- a/marlsill/gateway/session_server.cc
+++ b/marlsill/gateway/session_server.cc
@@ -124,7 +124,8 @@
     m_lastUse = current->request->arrivedAt;
     m_slots.push_back(current);
     m_isReading = m_slots.size() < maxReadAhead;
-    asio::co_spawn(m_server.m_io, serve(current), asio::detached);
+    asio::co_spawn(
+        m_server.m_io, [self = shared_from_this(), current] { return self->serve(current); }, asio::detached);
 }
 
 void caller_session::answerOwn(int status, std::string_view why)
@@ -176,7 +177,8 @@
     m_lastUse = steady_clock::now();
     if (wasFull && !m_isReading && !m_isEnding && m_slots.size() < maxReadAhead) {
         m_isReading = true;
-        asio::co_spawn(m_server.m_io, run(), asio::detached);
+        asio::co_spawn(
+            m_server.m_io, [self = shared_from_this()] { return self->run(); }, asio::detached);
     }
     startWriting();
 }
@@ -185,7 +187,8 @@
 {
     if (!m_isWriting && !m_out.empty()) {
         m_isWriting = true;
-        asio::co_spawn(m_server.m_io, writeOut(), asio::detached);
+        asio::co_spawn(
+            m_server.m_io, [self = shared_from_this()] { return self->writeOut(); }, asio::detached);
     }
 }
 
@@ -255,7 +258,8 @@
         return;
     }
     m_isEnding = true;
-    asio::co_spawn(m_server.m_io, writeOut(), asio::detached);
+    asio::co_spawn(
+        m_server.m_io, [self = shared_from_this()] { return self->writeOut(); }, asio::detached);
 }
 
 // Ends the connection and cancels its requests.
@@ -313,7 +317,8 @@
         }
         auto session = std::make_shared<caller_session>(*this, std::move(socket));
         m_sessions.insert(session);
-        asio::co_spawn(m_io, session->run(), asio::detached);
+        asio::co_spawn(
+            m_io, [session] { return session->run(); }, asio::detached);
     }
 }
 
--- a/marlsill/gateway/upstream_link.cc
+++ b/marlsill/gateway/upstream_link.cc
@@ -133,7 +133,8 @@
     m_isWriting = !m_out.empty();
     armTimer(limit);
     if (m_isWriting) {
-        asio::co_spawn(m_io, writeRest(), asio::detached);
+        asio::co_spawn(
+            m_io, [self = shared_from_this()] { return self->writeRest(); }, asio::detached);
     }
     http::response_parser parser(options.isHead);
     auto parsed = http::parse_status::needMore;
--- a/testing/gateway_test.cc
+++ b/testing/gateway_test.cc
@@ -315,6 +315,21 @@
     CHECK(tested.upstream(0).sawCancel());
 }
 
+TEST_CASE("Callers that reset their connections as answers begin do no harm")
+{
+    // Found by a hunt: a session that ended between an answer and the start of its writing was used again.
+    fixture tested(2);
+    for (int turn = 0; turn < 400; ++turn) {
+        auto connection = tested.connect();
+        connection.sendRequest("GET", turn % 2 == 0 ? "/repeat/a" : "/other/a", "r" + std::to_string(turn));
+        if (turn % 4 < 2) {
+            std::this_thread::sleep_for(std::chrono::microseconds(50 * (turn % 16)));
+        }
+        connection.reset();
+    }
+    CHECK(tested.ask("GET", "/repeat/a", "last").status == 200);
+}
+
 TEST_CASE("Upstreams are told what is left of the time, and who is meant")
 {
     fixture tested(1);
--- a/testing/raw_caller.h
+++ b/testing/raw_caller.h
@@ -41,6 +41,13 @@
 
     void close() { m_socket.close(); }
 
+    // Closes the connection with a reset.
+    void reset()
+    {
+        m_socket.setLinger(true, 0);
+        m_socket.close();
+    }
+
 private:
     bool fill();
 
