Log what VMs tell each other of requests that crash upstreams

Callers saw one request crash upstream after upstream; the lines could not tell whether reports arrived and did not add up, were lost, or copies passed behind the check.

E5102 names the fingerprint, E5107 each peer's report and the count after it, E2020 the begin of a quarantine, and E2100 the crashes known at each send. Three counters beside them.

No decision is changed.

--- a/marlsill/events/events.cc
+++ b/marlsill/events/events.cc
@@ -105,6 +105,8 @@
             "A registration went missing in an outage; it stays in use until the outage has been over for a while." },
         { event::idleLimitLearned, severity::info, "idle_limit_learned",
             "An upstream had forgotten an idle connection; its service's connections are reused sooner only." },
+        { event::crashReported, severity::info, "crash_reported",
+            "A peer reported that a request has crashed upstreams; `known` is the count with it." },
         { event::recordGap, severity::error, "record_gap",
             "Facts were dropped before they could be stored; the gap is part of the record." },
     };
--- a/marlsill/events/events.h
+++ b/marlsill/events/events.h
@@ -63,6 +63,7 @@
     upstreamEntryIgnored = 5104,
     upstreamDoubtful = 5105,
     idleLimitLearned = 5106,
+    crashReported = 5107,
     recordGap = 6001,
 };
 
--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -138,7 +138,24 @@
 
 void forwarder::applyPeerCrashCount(std::uint64_t fingerprint, int crashes)
 {
-    m_crashQuarantine.mergePeerCount(fingerprint, crashes, steady_clock::now());
+    auto now = steady_clock::now();
+    bool wasQuarantined = m_crashQuarantine.isQuarantined(fingerprint, now);
+    m_crashQuarantine.mergePeerCount(fingerprint, crashes, now);
+    ++m_counters.crashReports;
+    logEvent(event::crashReported,
+        { { "fingerprint", std::to_string(fingerprint) }, { "crashes", std::to_string(crashes) },
+            { "known", std::to_string(m_crashQuarantine.crashesOf(fingerprint, now)) } });
+    logIfNewlyQuarantined(fingerprint, wasQuarantined);
+}
+
+void forwarder::logIfNewlyQuarantined(std::uint64_t fingerprint, bool wasQuarantined)
+{
+    auto now = steady_clock::now();
+    if (!wasQuarantined && m_crashQuarantine.isQuarantined(fingerprint, now)) {
+        logEvent(event::requestQuarantined,
+            { { "fingerprint", std::to_string(fingerprint) },
+                { "crashes", std::to_string(m_crashQuarantine.crashesOf(fingerprint, now)) } });
+    }
 }
 
 void forwarder::sweep()
@@ -403,9 +420,14 @@
         if (isAlive) {
             co_return;
         }
-        int crashes = m_crashQuarantine.recordCrash(fingerprint, upstream, steady_clock::now());
+        auto now = steady_clock::now();
+        bool wasQuarantined = m_crashQuarantine.isQuarantined(fingerprint, now);
+        int crashes = m_crashQuarantine.recordCrash(fingerprint, upstream, now);
+        ++m_counters.upstreamCrashes;
         logEvent(event::upstreamCrashed,
-            { { "request", id }, { "upstream", upstream }, { "crashes", std::to_string(crashes) } });
+            { { "request", id }, { "upstream", upstream }, { "fingerprint", std::to_string(fingerprint) },
+                { "crashes", std::to_string(crashes) } });
+        logIfNewlyQuarantined(fingerprint, wasQuarantined);
         if (m_peerCallbacks.crash) {
             m_peerCallbacks.crash(fingerprint, crashes);
         }
@@ -476,7 +498,8 @@
             { "in_flight", std::to_string(chosen.inFlight) },
             { "entry", std::to_string(chosen.upstream->version) },
             { "left_ms", std::to_string(millisecondsUntil(current->effectiveDeadline, now)) },
-            { "config", std::to_string(current->config->version) } });
+            { "config", std::to_string(current->config->version) },
+            { "crashes", std::to_string(m_crashQuarantine.crashesOf(current->fingerprint, now)) } });
     asio::co_spawn(m_io, runAttempt(current, thisAttempt), asio::detached);
     return true;
 }
@@ -593,6 +616,7 @@
     }
     current->service = target->service;
     if (m_crashQuarantine.isQuarantined(current->fingerprint, now)) {
+        ++m_counters.quarantined;
         co_return finishWithLocalReply(*current, next_step::refuse, "upstreams crashed under this request");
     }
     retryBudgetOf(current->service).countRequest(now);
--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -179,6 +179,7 @@
     void abortAttempts(active_request& current);
     void recordAttemptResult(active_request& current, attempt& thisAttempt, steady_clock::time_point now);
     void checkForCrash(active_request& current, const attempt& thisAttempt);
+    void logIfNewlyQuarantined(std::uint64_t fingerprint, bool wasQuarantined);
     bool tryTakeRetry(active_request& current, bool countsAsRetry, steady_clock::time_point now);
     bool tryTakeHedge(active_request& current, steady_clock::time_point now);
     static placement::answer_deadlines queueDeadlinesOf(const active_request& current);
--- a/marlsill/gateway/traffic_counters.cc
+++ b/marlsill/gateway/traffic_counters.cc
@@ -48,6 +48,9 @@
     appendCounter("hedges_total", hedges);
     appendCounter("upstream_failures_total", upstreamFailures);
     appendCounter("upstream_refusals_total", upstreamRefusals);
+    appendCounter("upstream_crashes_total", upstreamCrashes);
+    appendCounter("crash_reports_total", crashReports);
+    appendCounter("quarantined_total", quarantined);
     appendCounter("new_connections_total", newConnections);
     appendCounter("reused_connections_total", reusedConnections);
     appendCounter("late_answers_skipped_total", lateAnswersSkipped);
--- a/marlsill/placement/crash_quarantine.h
+++ b/marlsill/placement/crash_quarantine.h
@@ -51,12 +51,18 @@
         found.crashCount = std::max(found.crashCount, crashes);
     }
 
+    // Returns how many upstreams the request is known to have crashed.
+    int crashesOf(std::uint64_t fingerprint, steady_clock::time_point now) const
+    {
+        auto found = m_entries.find(fingerprint);
+        return found == m_entries.end() || hasPassed(found->second.expiresAt, now) ? 0
+                                                                                   : found->second.crashCount;
+    }
+
     // Returns whether the request must not be sent to any upstream.
     bool isQuarantined(std::uint64_t fingerprint, steady_clock::time_point now) const
     {
-        auto found = m_entries.find(fingerprint);
-        return found != m_entries.end() && found->second.crashCount >= m_options.maxCrashes
-            && !hasPassed(found->second.expiresAt, now);
+        return crashesOf(fingerprint, now) >= m_options.maxCrashes;
     }
 
 private:
