--- a/testing/scripted_upstream.cc
+++ b/testing/scripted_upstream.cc
@@ -34,10 +34,10 @@
 
 }
 
-scripted_upstream::scripted_upstream(std::string id, gateway::wire_fields fields)
+scripted_upstream::scripted_upstream(std::string id, gateway::wire_fields fields, unsigned short port)
     : m_id(std::move(id))
     , m_fields(std::move(fields))
-    , m_socket(Poco::Net::SocketAddress("127.0.0.1", 0))
+    , m_socket(Poco::Net::SocketAddress("127.0.0.1", port))
     , m_address(m_socket.address().toString())
 {
     m_threads.emplace_back([this] { acceptLoop(); });
@@ -67,6 +67,12 @@
     m_steps.assign(steps.begin(), steps.end());
 }
 
+void scripted_upstream::crashOn(const std::string& text)
+{
+    std::lock_guard lock(m_mutex);
+    m_crashText = text;
+}
+
 void scripted_upstream::setRunListener(std::function<void(const std::string&)> listener)
 {
     std::lock_guard lock(m_mutex);
@@ -168,9 +174,11 @@
         }
     }
     buffer.erase(0, bodySize);
+    bool isCrash = false;
     {
         std::lock_guard lock(m_mutex);
         m_lastHead = head;
+        isCrash = !m_crashText.empty() && head.find(m_crashText) != std::string::npos;
         bool isRun = step != upstream_step::refuse && step != upstream_step::misdirect
             && step != upstream_step::early;
         m_runs[request] += isRun ? 1 : 0;
@@ -178,6 +186,10 @@
             m_listener(request);
         }
     }
+    if (isCrash) {
+        crash();
+        return false;
+    }
     switch (step) {
     case upstream_step::answer:
         std::this_thread::sleep_for(m_workTime.load());
--- a/testing/scripted_upstream.h
+++ b/testing/scripted_upstream.h
@@ -43,7 +43,8 @@
 
 class scripted_upstream {
 public:
-    scripted_upstream(std::string id, gateway::wire_fields fields);
+    // Listens on `port` of 127.0.0.1, or on a free one if it is 0.
+    scripted_upstream(std::string id, gateway::wire_fields fields, unsigned short port = 0);
     ~scripted_upstream();
 
     std::string address() const { return m_address; }
@@ -55,6 +56,11 @@
     // Sets how long each request that is answered takes.
     void setWorkTime(std::chrono::milliseconds length) { m_workTime = length; }
 
+    // Makes every request whose header block contains `text` crash the upstream once it has begun to run.
+    void crashOn(const std::string& text);
+
+    bool hasCrashed() const { return m_isStopped.load(); }
+
     // Sets who is told of each request that is run, on the upstream's threads.
     void setRunListener(std::function<void(const std::string& request)> listener);
 
@@ -93,6 +99,7 @@
     std::deque<upstream_step> m_steps;
     std::map<std::string, int> m_runs;
     std::string m_lastHead;
+    std::string m_crashText; // Empty: no request crashes the upstream.
     std::vector<Poco::Net::StreamSocket> m_open;
     std::vector<std::thread> m_threads;
 };
--- a/testing/soak/entry_process.cc
+++ b/testing/soak/entry_process.cc
@@ -2,6 +2,9 @@
 
 #include "marlsill/base/time.h"
 
+#include <Poco/Exception.h>
+#include <Poco/Net/DatagramSocket.h>
+#include <Poco/Net/ServerSocket.h>
 #include <csignal>
 #include <fcntl.h>
 #include <fstream>
@@ -16,6 +19,51 @@
 
     constexpr std::chrono::milliseconds endCheck { 10 };
 
+    int freePort(const std::string& address)
+    {
+        Poco::Net::ServerSocket probe(Poco::Net::SocketAddress(address, 0));
+        return probe.address().port();
+    }
+
+    std::string hostOf(int entry) { return "127.0.1." + std::to_string(entry + 1); }
+
+    // Returns a UDP port that is free on all hosts.
+    int freePeerPort(int entries)
+    {
+        while (true) {
+            Poco::Net::DatagramSocket probe(Poco::Net::SocketAddress(hostOf(0), 0));
+            auto port = probe.address().port();
+            try {
+                for (int entry = 1; entry < entries; ++entry) {
+                    Poco::Net::DatagramSocket other(Poco::Net::SocketAddress(hostOf(entry), port));
+                }
+                return port;
+            } catch (const Poco::Exception&) {
+                continue; // Taken on another host.
+            }
+        }
+    }
+
+}
+
+std::vector<entry_options> planFleet(int entries)
+{
+    int peerPort = freePeerPort(entries);
+    auto seeds
+        = hostOf(0) + ":" + std::to_string(peerPort) + "," + hostOf(1) + ":" + std::to_string(peerPort);
+    std::vector<entry_options> fleet;
+    for (int index = 0; index < entries; ++index) {
+        auto own = hostOf(index);
+        fleet.push_back({ .name = "entry-" + std::to_string(index),
+            .host = own,
+            .domain = "domain-" + std::to_string(index % 3),
+            .seeds = seeds,
+            .callerPort = freePort(own),
+            .readinessPort = freePort(own),
+            .directoryPort = freePort(own),
+            .peerPort = peerPort });
+    }
+    return fleet;
 }
 
 entry_process::entry_process(entry_options options)
--- a/testing/soak/entry_process.h
+++ b/testing/soak/entry_process.h
@@ -10,6 +10,7 @@
 
 #include <string>
 #include <sys/types.h>
+#include <vector>
 
 namespace marlsill::testing {
 
@@ -29,6 +30,10 @@
     int graceSeconds = 3;
 };
 
+// Returns options for daemons that form a fleet: hosts from 127.0.1.1 on, free ports, three failure domains
+// in turn, and the first two daemons as seeds. The program, the folder and the store are left empty.
+std::vector<entry_options> planFleet(int entries);
+
 class entry_process {
 public:
     explicit entry_process(entry_options options);
--- a/testing/soak/soak_run.cc
+++ b/testing/soak/soak_run.cc
@@ -6,8 +6,6 @@
 #include "testing/raw_caller.h"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/DatagramSocket.h>
-#include <Poco/Net/ServerSocket.h>
 #include <csignal>
 
 namespace marlsill::testing {
@@ -30,31 +28,6 @@
     constexpr milliseconds pauseAfterRefusal { 50 };
     constexpr std::size_t minServing = 3; // Upstreams that do not drain.
 
-    int freePort(const std::string& address)
-    {
-        Poco::Net::ServerSocket probe(Poco::Net::SocketAddress(address, 0));
-        return probe.address().port();
-    }
-
-    std::string hostOf(int entry) { return "127.0.1." + std::to_string(entry + 1); }
-
-    // Returns a UDP port that is free on all hosts.
-    int freePeerPort(int entries)
-    {
-        while (true) {
-            Poco::Net::DatagramSocket probe(Poco::Net::SocketAddress(hostOf(0), 0));
-            auto port = probe.address().port();
-            try {
-                for (int entry = 1; entry < entries; ++entry) {
-                    Poco::Net::DatagramSocket other(Poco::Net::SocketAddress(hostOf(entry), port));
-                }
-                return port;
-            } catch (const Poco::Exception&) {
-                continue; // Taken on another host.
-            }
-        }
-    }
-
     std::string versionPrefix(int version) { return "/version-" + std::to_string(version) + "/"; }
 
 }
@@ -100,24 +73,13 @@
         publishUpstream(*place, "ready");
         m_upstreams.push_back(std::move(place));
     }
-    int peerPort = freePeerPort(m_options.entries);
-    auto seeds
-        = hostOf(0) + ":" + std::to_string(peerPort) + "," + hostOf(1) + ":" + std::to_string(peerPort);
-    for (int index = 0; index < m_options.entries; ++index) {
+    for (auto& planned : planFleet(m_options.entries)) {
         auto place = std::make_unique<entry_place>();
         place->storeLink = std::make_unique<loopback_proxy>(m_store.address());
-        auto own = hostOf(index);
-        place->process = std::make_unique<entry_process>(entry_options { .program = m_options.program,
-            .folder = m_options.folder,
-            .name = "entry-" + std::to_string(index),
-            .host = own,
-            .domain = "domain-" + std::to_string(index % 3),
-            .store = place->storeLink->address(),
-            .seeds = seeds,
-            .callerPort = freePort(own),
-            .readinessPort = freePort(own),
-            .directoryPort = freePort(own),
-            .peerPort = peerPort });
+        planned.program = m_options.program;
+        planned.folder = m_options.folder;
+        planned.store = place->storeLink->address();
+        place->process = std::make_unique<entry_process>(std::move(planned));
         m_entries.push_back(std::move(place));
     }
     for (auto& entry : m_entries) {
