Add up the upstreams that a request crashed on different VMs

Callers lost upstream after upstream to one request: it was sent to as many upstreams as there are entry VMs, plus one.

Cause: each VM kept the set of upstreams that it saw crash, and told its peers only the size of it. A receiver kept the larger of two counts. Counts of different things cannot be merged by maximum: two VMs with one crash each both say one, and nobody ever knows of two.

Ruled out for it: lost reports (none missing), copies behind the check (no send with two known crashes).

Change: a report names the upstream. The state is one counter per request and upstream, merged by maximum, and the sum decides; the merge gives the same sum in any order and however often a report arrives. An upstream that came back and crashed again counts again: an attempt that began after its last recorded crash must have met a new process. Totals of earlier versions are still read, as a record without an upstream.

--- a/marlsill/cluster/peer_mesh.cc
+++ b/marlsill/cluster/peer_mesh.cc
@@ -260,7 +260,7 @@
     scheduleBatch();
 }
 
-void peer_mesh::publish(const crash_notice& crash)
+void peer_mesh::publish(const placement::crash_record& crash)
 {
     for (const auto& host : m_members.reachableHosts()) {
         m_outbox[host].crashes.push_back(crash);
--- a/marlsill/cluster/peer_mesh.h
+++ b/marlsill/cluster/peer_mesh.h
@@ -45,7 +45,7 @@
     // Called with what peers sent.
     std::function<void(const placement::upstream_evidence&)> evidence;
     std::function<void(std::string_view peer, const placement::upstream_load&)> load;
-    std::function<void(const crash_notice&)> crash;
+    std::function<void(const placement::crash_record&)> crash;
     // Returns the loads that changed since the last call.
     std::function<std::vector<placement::upstream_load>()> changedLoads;
     // Called with every message, which may hold data of the store.
@@ -77,8 +77,8 @@
     // subscribers.
     void publish(const placement::upstream_evidence& evidence);
 
-    // Sends a notice of a request that crashes upstreams to all reachable VMs, with the next batch.
-    void publish(const crash_notice& crash);
+    // Sends the record of a request that crashed an upstream to all reachable VMs, with the next batch.
+    void publish(const placement::crash_record& crash);
 
     // Sends a message to one VM at once. Errors are ignored, as datagrams may be lost anyway.
     void send(const std::string& host, peer_message message);
--- a/marlsill/cluster/peer_message.cc
+++ b/marlsill/cluster/peer_message.cc
@@ -2,6 +2,7 @@
 
 #include <Poco/DeflatingStream.h>
 #include <Poco/InflatingStream.h>
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
@@ -90,6 +91,26 @@
         return entry;
     }
 
+    json encodeCrash(const placement::crash_record& record)
+    {
+        return json::array({ record.fingerprint, record.crashes, record.upstream,
+            millisecondsUntil(record.expiresAt, steady_clock::now()) });
+    }
+
+    // Decodes a crash record. Earlier versions send a total that names no upstream.
+    placement::crash_record decodeCrash(const json& item)
+    {
+        constexpr auto retention = placement::crash_quarantine_options().retention;
+        auto left = std::int64_t { retention.count() };
+        std::string upstream;
+        if (item.size() > 2) {
+            upstream = item.at(2).get<std::string>();
+            left = std::clamp<std::int64_t>(item.at(3).get<std::int64_t>(), 0, left);
+        }
+        return { item.at(0).get<std::uint64_t>(), std::move(upstream), item.at(1).get<int>(),
+            deadlineAfter(std::chrono::milliseconds(left)) };
+    }
+
     template <typename Items, typename Encode>
     void putList(json& value, const char* name, const Items& items, Encode encodeItem)
     {
@@ -142,9 +163,7 @@
     putList(value, loadsField, message.loads, [](const placement::upstream_load& entry) {
         return json::array({ entry.upstream, entry.inFlight, entry.latencyMs });
     });
-    putList(value, crashesField, message.crashes, [](const crash_notice& entry) {
-        return json::array({ entry.fingerprint, entry.crashes });
-    });
+    putList(value, crashesField, message.crashes, encodeCrash);
     if (message.summary) {
         const auto& entry = *message.summary;
         value[summaryField] = json::array(
@@ -207,9 +226,8 @@
             message.loads.push_back(
                 { item.at(0).get<std::string>(), item.at(1).get<int>(), item.at(2).get<int>() });
         });
-        forEachItem(value, crashesField, [&](const json& item) {
-            message.crashes.push_back({ item.at(0).get<std::uint64_t>(), item.at(1).get<int>() });
-        });
+        forEachItem(
+            value, crashesField, [&](const json& item) { message.crashes.push_back(decodeCrash(item)); });
         if (auto found = value.find(summaryField); found != value.end()) {
             message.summary
                 = store_summary { found->at(0).get<std::uint64_t>(), found->at(1).get<std::uint64_t>(),
--- a/marlsill/cluster/peer_message.h
+++ b/marlsill/cluster/peer_message.h
@@ -8,6 +8,7 @@
 
 #include "marlsill/base/reason.h"
 #include "marlsill/cluster/member_list.h"
+#include "marlsill/placement/crash_quarantine.h"
 #include "marlsill/placement/load_balancer.h"
 
 #include <optional>
@@ -17,12 +18,6 @@
 
 namespace marlsill::cluster {
 
-// Reports a request that crashed upstreams.
-struct crash_notice {
-    std::uint64_t fingerprint = 0; // Of the request.
-    int crashes = 0; // Number of upstreams that it crashed.
-};
-
 // Versions and age of a VM's copy of the store's contents.
 struct store_summary {
     std::uint64_t configurationVersion = 0;
@@ -42,7 +37,7 @@
     std::vector<std::string> unreachableHosts; // Hosts that the sender cannot reach.
     std::vector<placement::upstream_evidence> evidence;
     std::vector<placement::upstream_load> loads;
-    std::vector<crash_notice> crashes;
+    std::vector<placement::crash_record> crashes;
     std::optional<store_summary> summary;
     bool isBeacon = false; // Whether `summary` is a watcher's periodic announcement.
     bool wantsConfiguration = false; // Requests the configuration.
--- a/marlsill/cluster/peer_message_test.cc
+++ b/marlsill/cluster/peer_message_test.cc
@@ -1,6 +1,7 @@
 #include "marlsill/cluster/peer_message.h"
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
 namespace marlsill::cluster {
@@ -19,7 +20,7 @@
         message.unreachableHosts = { "10.0.0.3" };
         message.evidence = { { "u1", placement::lastEvidenceKind } };
         message.loads = { { "u1", 2, 340 } };
-        message.crashes = { { 99, 2 } };
+        message.crashes = { { 99, "u1", 2, {} } };
         message.summary = store_summary { 3, 40, 50, 60 };
         message.isBeacon = true;
         message.wantsConfiguration = true;
@@ -52,6 +53,44 @@
     CHECK(decoded->digest == 0xfedcba9876543210);
 }
 
+TEST_CASE("Crash records keep their time left, within the retention")
+{
+    struct row {
+        const char* name;
+        std::chrono::milliseconds sent;
+        std::chrono::milliseconds received;
+    };
+    using std::chrono::milliseconds;
+    constexpr auto retention = placement::crash_quarantine_options().retention;
+    constexpr milliseconds tolerance { 5'000 };
+    const row rows[] = { { "half of it", retention / 2, retention / 2 }, { "none", {}, {} },
+        { "more than the retention", 1'000 * retention, retention } };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        peer_message message;
+        message.crashes = { { 99, "u1", 2, deadlineAfter(each.sent) } };
+        reason why;
+        auto decoded = decodePeerMessage(encode(message), why);
+        REQUIRE(decoded);
+        CHECK(decoded->crashes.front().upstream == "u1");
+        CHECK(decoded->crashes.front().crashes == 2);
+        auto left = decoded->crashes.front().expiresAt - steady_clock::now();
+        CHECK(left <= each.received);
+        CHECK(left > each.received - tolerance);
+    }
+}
+
+TEST_CASE("The crash total of an earlier version is a record that names no upstream")
+{
+    auto value = nlohmann::json { { "v", 1 }, { "s", "10.0.0.1" } };
+    value["c"] = nlohmann::json::array({ nlohmann::json::array({ 99, 2 }) });
+    reason why;
+    auto decoded = decodePeerMessage(nlohmann::json::to_cbor(value), why);
+    REQUIRE(decoded);
+    CHECK(decoded->crashes.front().upstream.empty());
+    CHECK(decoded->crashes.front().crashes == 2);
+}
+
 TEST_CASE("An empty message is small")
 {
     peer_message message;
--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -136,22 +136,24 @@
     m_loadBalancer.applyPeerLoad(peer, load, steady_clock::now());
 }
 
-void forwarder::applyPeerCrashCount(std::uint64_t fingerprint, int crashes)
+void forwarder::applyPeerCrash(const placement::crash_record& record)
 {
     auto now = steady_clock::now();
-    bool wasQuarantined = m_crashQuarantine.isQuarantined(fingerprint, now);
-    m_crashQuarantine.mergePeerCount(fingerprint, crashes, now);
     ++m_counters.crashReports;
+    bool isNews = m_crashQuarantine.merge(record, now);
     logEvent(event::crashReported,
-        { { "fingerprint", std::to_string(fingerprint) }, { "crashes", std::to_string(crashes) },
-            { "known", std::to_string(m_crashQuarantine.crashesOf(fingerprint, now)) } });
-    logIfNewlyQuarantined(fingerprint, wasQuarantined);
+        { { "fingerprint", std::to_string(record.fingerprint) }, { "upstream", record.upstream },
+            { "crashes", std::to_string(record.crashes) },
+            { "known", std::to_string(m_crashQuarantine.crashesOf(record.fingerprint, now)) } });
+    if (isNews) {
+        logQuarantine(record.fingerprint, now);
+    }
 }
 
-void forwarder::logIfNewlyQuarantined(std::uint64_t fingerprint, bool wasQuarantined)
+// Logs that a request is quarantined, if it is.
+void forwarder::logQuarantine(std::uint64_t fingerprint, steady_clock::time_point now)
 {
-    auto now = steady_clock::now();
-    if (!wasQuarantined && m_crashQuarantine.isQuarantined(fingerprint, now)) {
+    if (m_crashQuarantine.isQuarantined(fingerprint, now)) {
         logEvent(event::requestQuarantined,
             { { "fingerprint", std::to_string(fingerprint) },
                 { "crashes", std::to_string(m_crashQuarantine.crashesOf(fingerprint, now)) } });
@@ -360,6 +362,9 @@
         }
     }
     recordAttemptResult(*current, *thisAttempt, steady_clock::now());
+    if (thisAttempt->outcome.outcome == attempt_outcome::noAnswer) {
+        checkForCrash(current, *thisAttempt);
+    }
     thisAttempt->isFinished = true;
     current->wakeTimer.cancel();
 }
@@ -398,18 +403,18 @@
     }
     if (thisAttempt.outcome.outcome == attempt_outcome::noAnswer) {
         m_pool.closeIdle(thisAttempt.upstream);
-        checkForCrash(current, thisAttempt);
     }
     wakeNextQueued(current.service);
 }
 
-void forwarder::checkForCrash(active_request& current, const attempt& thisAttempt)
+// Finds out, a little later, whether the upstream of an attempt that ended without a response still listens.
+void forwarder::checkForCrash(const std::shared_ptr<active_request>& current, const attempt& thisAttempt)
 {
     auto address = parseEndpoint(thisAttempt.address);
     if (!address) {
         return;
     }
-    auto check = [this, upstream = thisAttempt.upstream, fingerprint = current.fingerprint, id = current.id,
+    auto check = [this, current, upstream = thisAttempt.upstream, startedAt = thisAttempt.startedAt,
                      endpoint = *address]() -> asio::awaitable<void> {
         asio::steady_timer delay(m_io, crashCheckDelay);
         boost::system::error_code ignored;
@@ -417,24 +422,32 @@
         auto connection = std::make_shared<upstream_connection>(m_io, endpoint);
         bool isAlive = co_await connection->open(steady_clock::now() + m_options.connectTimeout);
         connection->abort();
-        if (isAlive) {
-            co_return;
-        }
-        auto now = steady_clock::now();
-        bool wasQuarantined = m_crashQuarantine.isQuarantined(fingerprint, now);
-        int crashes = m_crashQuarantine.recordCrash(fingerprint, upstream, now);
-        ++m_counters.upstreamCrashes;
-        logEvent(event::upstreamCrashed,
-            { { "request", id }, { "upstream", upstream }, { "fingerprint", std::to_string(fingerprint) },
-                { "crashes", std::to_string(crashes) } });
-        logIfNewlyQuarantined(fingerprint, wasQuarantined);
-        if (m_peerCallbacks.crash) {
-            m_peerCallbacks.crash(fingerprint, crashes);
+        if (!isAlive) {
+            recordCrash(*current, upstream, startedAt);
         }
     };
     asio::co_spawn(m_io, std::move(check), asio::detached);
 }
 
+void forwarder::recordCrash(
+    const active_request& current, const std::string& upstream, steady_clock::time_point startedAt)
+{
+    auto now = steady_clock::now();
+    ++m_counters.upstreamCrashes;
+    auto record = m_crashQuarantine.recordCrash(current.fingerprint, upstream, startedAt, now);
+    logEvent(event::upstreamCrashed,
+        { { "request", current.id }, { "upstream", upstream },
+            { "fingerprint", std::to_string(current.fingerprint) },
+            { "crashes", std::to_string(m_crashQuarantine.crashesOf(current.fingerprint, now)) } });
+    if (!record) {
+        return;
+    }
+    logQuarantine(current.fingerprint, now);
+    if (m_peerCallbacks.crash) {
+        m_peerCallbacks.crash(*record);
+    }
+}
+
 void forwarder::wakeNextQueued(const std::string& service)
 {
     auto found = m_queues.find(service);
--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -112,7 +112,7 @@
 // Called to tell peers what this VM has observed. Either may be empty.
 struct peer_callbacks {
     std::function<void(const placement::upstream_evidence&)> evidence;
-    std::function<void(std::uint64_t fingerprint, int crashes)> crash;
+    std::function<void(const placement::crash_record&)> crash;
 };
 
 // See the file comment.
@@ -138,10 +138,10 @@
         m_serviceShareOf = std::move(provider);
     }
 
-    // Apply a peer's health evidence, load, or count of the upstreams that a request has crashed.
+    // Apply a peer's health evidence, load, or record of a request that crashed an upstream.
     void applyPeerEvidence(const placement::upstream_evidence& evidence);
     void applyPeerLoad(std::string_view peer, const placement::upstream_load& load);
-    void applyPeerCrashCount(std::uint64_t fingerprint, int crashes);
+    void applyPeerCrash(const placement::crash_record& record);
 
     // Detects stalled upstreams and closes expired idle connections. Call a few times a second.
     void sweep();
@@ -178,8 +178,10 @@
         std::string_view why, std::chrono::milliseconds delay) const;
     void abortAttempts(active_request& current);
     void recordAttemptResult(active_request& current, attempt& thisAttempt, steady_clock::time_point now);
-    void checkForCrash(active_request& current, const attempt& thisAttempt);
-    void logIfNewlyQuarantined(std::uint64_t fingerprint, bool wasQuarantined);
+    void checkForCrash(const std::shared_ptr<active_request>& current, const attempt& thisAttempt);
+    void recordCrash(
+        const active_request& current, const std::string& upstream, steady_clock::time_point startedAt);
+    void logQuarantine(std::uint64_t fingerprint, steady_clock::time_point now);
     bool tryTakeRetry(active_request& current, bool countsAsRetry, steady_clock::time_point now);
     bool tryTakeHedge(active_request& current, steady_clock::time_point now);
     static placement::answer_deadlines queueDeadlinesOf(const active_request& current);
--- /dev/null
+++ b/marlsill/placement/crash_quarantine.cc
@@ -0,0 +1,77 @@
+#include "marlsill/placement/crash_quarantine.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace marlsill::placement {
+
+int crash_quarantine::entry::crashes() const
+{
+    return std::accumulate(upstreams.begin(), upstreams.end(), 0,
+        [](int sum, const auto& each) { return sum + each.second.count; });
+}
+
+std::optional<crash_record> crash_quarantine::recordCrash(std::uint64_t fingerprint,
+    const std::string& upstream, steady_clock::time_point startedAt, steady_clock::time_point now)
+{
+    auto& found = findOrCreate(fingerprint, now);
+    auto& known = found.upstreams[upstream];
+    if (known.count > 0 && startedAt <= known.recordedAt) {
+        return std::nullopt;
+    }
+    ++known.count;
+    known.recordedAt = now;
+    found.expiresAt = now + m_options.retention;
+    return crash_record { fingerprint, upstream, known.count, found.expiresAt };
+}
+
+bool crash_quarantine::merge(const crash_record& record, steady_clock::time_point now)
+{
+    auto expiresAt = std::min(record.expiresAt, now + m_options.retention);
+    if (record.crashes <= 0 || hasPassed(expiresAt, now)) {
+        return false;
+    }
+    auto& found = findOrCreate(record.fingerprint, now);
+    found.expiresAt = std::max(found.expiresAt, expiresAt);
+    auto& known = found.upstreams[record.upstream];
+    if (record.crashes <= known.count) {
+        return false;
+    }
+    known.count = record.crashes;
+    known.recordedAt = now;
+    return true;
+}
+
+int crash_quarantine::crashesOf(std::uint64_t fingerprint, steady_clock::time_point now) const
+{
+    auto found = m_entries.find(fingerprint);
+    return found == m_entries.end() || hasPassed(found->second.expiresAt, now) ? 0 : found->second.crashes();
+}
+
+bool crash_quarantine::isQuarantined(std::uint64_t fingerprint, steady_clock::time_point now) const
+{
+    return crashesOf(fingerprint, now) >= m_options.maxCrashes;
+}
+
+// Returns the entry of a request. Makes room for a new one if the quarantine is full.
+crash_quarantine::entry& crash_quarantine::findOrCreate(
+    std::uint64_t fingerprint, steady_clock::time_point now)
+{
+    std::erase_if(m_entries, [&](const auto& each) { return hasPassed(each.second.expiresAt, now); });
+    if (m_entries.size() >= m_options.maxEntries && !m_entries.contains(fingerprint)) {
+        evictLeastImportant();
+    }
+    return m_entries[fingerprint];
+}
+
+// Evicts the entry that expires first among those that are not quarantined, or among all if all are.
+void crash_quarantine::evictLeastImportant()
+{
+    auto rank = [this](const auto& each) {
+        return std::pair(each.second.crashes() >= m_options.maxCrashes, each.second.expiresAt);
+    };
+    m_entries.erase(std::min_element(m_entries.begin(), m_entries.end(),
+        [&](const auto& left, const auto& right) { return rank(left) < rank(right); }));
+}
+
+}
--- a/marlsill/placement/crash_quarantine.h
+++ b/marlsill/placement/crash_quarantine.h
@@ -1,21 +1,25 @@
 #pragma once
 
-// Quarantines requests that crashed upstreams, so that they are not sent to further ones.
+// Quarantines requests that crash upstreams, so that they are not sent to further ones.
 //
 //     if (quarantine.isQuarantined(fingerprint, now))
 //         return refuse();
-//     auto crashes = quarantine.recordCrash(fingerprint, upstream, now); // Report it to the peers.
+//     if (auto record = quarantine.recordCrash(fingerprint, upstream, startedAt, now))
+//         sendToPeers(*record);
 //
-// The fingerprint covers the request as the upstream receives it, and the caller. Not thread safe.
+// What VMs exchange is one counter per request and upstream, merged by maximum. The sum over the upstreams is
+// therefore the same on all VMs that have the same records, whichever VM saw which crash, and however often
+// or in which order the records arrive. The fingerprint covers the request as the upstream receives it, and
+// the caller. Not thread safe.
 
 #include "marlsill/base/time.h"
 
-#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <map>
-#include <set>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace marlsill::placement {
 
@@ -26,6 +30,14 @@
     std::size_t maxEntries = 10'000;
 };
 
+// How often a request has crashed one upstream, as VMs report it to each other.
+struct crash_record {
+    std::uint64_t fingerprint = 0; // Of the request.
+    std::string upstream;
+    int crashes = 0;
+    deadline expiresAt; // When the request is forgotten unless something more is recorded.
+};
+
 // See the file comment.
 class crash_quarantine {
 public:
@@ -34,56 +46,36 @@
     {
     }
 
-    // Records that `upstream` crashed while it executed the request. Returns how many upstreams the request
-    // is known to have crashed.
-    int recordCrash(std::uint64_t fingerprint, const std::string& upstream, steady_clock::time_point now)
-    {
-        auto& found = findOrCreate(fingerprint, now);
-        found.upstreams.insert(upstream);
-        found.crashCount = std::max(found.crashCount, static_cast<int>(found.upstreams.size()));
-        return found.crashCount;
-    }
+    // Records that `upstream` crashed while it executed the request in an attempt that began at `startedAt`.
+    // Attempts that had begun when a crash of the upstream was recorded ended with that crash, and do not
+    // count again. Returns the record to send to the peers, or std::nullopt if the crash was known.
+    std::optional<crash_record> recordCrash(std::uint64_t fingerprint, const std::string& upstream,
+        steady_clock::time_point startedAt, steady_clock::time_point now);
 
-    // Raises the crash count to a peer's, if that is higher.
-    void mergePeerCount(std::uint64_t fingerprint, int crashes, steady_clock::time_point now)
-    {
-        auto& found = findOrCreate(fingerprint, now);
-        found.crashCount = std::max(found.crashCount, crashes);
-    }
+    // Merges a peer's record. Returns whether the number of crashes has changed.
+    bool merge(const crash_record& record, steady_clock::time_point now);
 
-    // Returns how many upstreams the request is known to have crashed.
-    int crashesOf(std::uint64_t fingerprint, steady_clock::time_point now) const
-    {
-        auto found = m_entries.find(fingerprint);
-        return found == m_entries.end() || hasPassed(found->second.expiresAt, now) ? 0
-                                                                                   : found->second.crashCount;
-    }
+    // Returns how many crashes the request has caused, as far as known.
+    int crashesOf(std::uint64_t fingerprint, steady_clock::time_point now) const;
 
     // Returns whether the request must not be sent to any upstream.
-    bool isQuarantined(std::uint64_t fingerprint, steady_clock::time_point now) const
-    {
-        return crashesOf(fingerprint, now) >= m_options.maxCrashes;
-    }
+    bool isQuarantined(std::uint64_t fingerprint, steady_clock::time_point now) const;
 
 private:
+    struct upstream_crashes {
+        int count = 0;
+        steady_clock::time_point recordedAt {}; // Of the last one, on this VM.
+    };
+
     struct entry {
-        std::set<std::string> upstreams;
-        int crashCount = 0; // The larger of `upstreams.size()` and the peers' counts.
-        deadline expiresAt;
+        std::map<std::string, upstream_crashes> upstreams;
+        deadline expiresAt {};
+
+        int crashes() const;
     };
 
-    // Returns the entry of a request and renews its retention; evicts an arbitrary one if the quarantine is
-    // full.
-    entry& findOrCreate(std::uint64_t fingerprint, steady_clock::time_point now)
-    {
-        std::erase_if(m_entries, [&](const auto& each) { return hasPassed(each.second.expiresAt, now); });
-        if (m_entries.size() >= m_options.maxEntries && !m_entries.contains(fingerprint)) {
-            m_entries.erase(m_entries.begin());
-        }
-        auto& found = m_entries[fingerprint];
-        found.expiresAt = now + m_options.retention;
-        return found;
-    }
+    entry& findOrCreate(std::uint64_t fingerprint, steady_clock::time_point now);
+    void evictLeastImportant();
 
     const crash_quarantine_options m_options;
     std::map<std::uint64_t, entry> m_entries;
--- /dev/null
+++ b/marlsill/placement/crash_quarantine_test.cc
@@ -0,0 +1,169 @@
+#include "marlsill/placement/crash_quarantine.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <random>
+#include <vector>
+
+namespace marlsill::placement {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr std::uint64_t fingerprint = 7;
+    constexpr steady_clock::time_point start { std::chrono::hours(1) };
+    constexpr milliseconds noticeDelay { 30 }; // A batch of peer messages.
+
+    crash_record crashOf(std::uint64_t request, const std::string& upstream, int crashes = 1)
+    {
+        return { request, upstream, crashes, start + std::chrono::hours(1) };
+    }
+
+}
+
+TEST_CASE("Only a request that crashed two upstreams is quarantined")
+{
+    struct row {
+        const char* name;
+        std::vector<const char*> upstreams;
+        bool isQuarantined;
+    };
+    const row rows[] = {
+        { "no crash", {}, false },
+        { "one crash", { "a" }, false },
+        { "copies that ended with one crash", { "a", "a" }, false },
+        { "two upstreams", { "a", "b" }, true },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        crash_quarantine quarantine;
+        for (const auto* upstream : each.upstreams) {
+            quarantine.recordCrash(fingerprint, upstream, start, start);
+        }
+        CHECK(quarantine.isQuarantined(fingerprint, start) == each.isQuarantined);
+        CHECK_FALSE(quarantine.isQuarantined(fingerprint + 1, start));
+    }
+}
+
+TEST_CASE("An upstream that came back and crashed again counts twice")
+{
+    crash_quarantine quarantine;
+    auto first = quarantine.recordCrash(fingerprint, "a", start, start + milliseconds(100));
+    CHECK(first->crashes == 1);
+    CHECK_FALSE(
+        quarantine.recordCrash(fingerprint, "a", start + milliseconds(50), start + milliseconds(200)));
+    auto second
+        = quarantine.recordCrash(fingerprint, "a", start + milliseconds(5'000), start + milliseconds(5'100));
+    CHECK(second->crashes == 2);
+    CHECK(quarantine.isQuarantined(fingerprint, start + milliseconds(5'100)));
+}
+
+TEST_CASE("A request is forgotten a while after its last crash")
+{
+    crash_quarantine quarantine({ .retention = milliseconds(60'000) });
+    quarantine.recordCrash(fingerprint, "a", start, start);
+    quarantine.recordCrash(fingerprint, "b", start, start + milliseconds(1'000));
+    CHECK(quarantine.isQuarantined(fingerprint, start + milliseconds(60'999)));
+    CHECK_FALSE(quarantine.isQuarantined(fingerprint, start + milliseconds(61'000)));
+}
+
+TEST_CASE("Records merge to the same count in any order and however often they arrive")
+{
+    std::vector<crash_record> records { crashOf(fingerprint, "a"), crashOf(fingerprint, "b"),
+        crashOf(fingerprint, "b", 2), crashOf(fingerprint, "a"), crashOf(fingerprint, "b") };
+    std::mt19937 random(1);
+    for (int order = 0; order < 20; ++order) {
+        std::shuffle(records.begin(), records.end(), random);
+        crash_quarantine quarantine;
+        for (const auto& each : records) {
+            quarantine.merge(each, start);
+        }
+        CHECK(quarantine.crashesOf(fingerprint, start) == 3);
+    }
+}
+
+TEST_CASE("Crashes that different VMs saw add up")
+{
+    // Guards against VMs that each count the crash they saw as the first.
+    struct row {
+        const char* name;
+        std::size_t vms;
+        int arrivals;
+        milliseconds interval;
+        bool hasOneUpstream; // It comes back each time.
+    };
+    const row rows[] = {
+        { "32 VMs in turn", 32, 200, milliseconds(300), false },
+        { "32 VMs in turn, one upstream that comes back", 32, 200, milliseconds(300), true },
+        { "two VMs", 2, 50, milliseconds(2'000), false },
+        { "faster than notices", 32, 200, milliseconds(15), false },
+    };
+    constexpr int maxRuns = 6; // The users' bound: three crashes and three more.
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        std::vector<crash_quarantine> vms(each.vms);
+        std::vector<std::pair<steady_clock::time_point, crash_record>> notices;
+        auto now = start;
+        int runs = 0;
+        for (int arrival = 0; arrival < each.arrivals; ++arrival, now += each.interval) {
+            std::erase_if(notices, [&](const auto& notice) {
+                bool isDue = notice.first <= now;
+                for (auto& vm : vms) {
+                    isDue&& vm.merge(notice.second, now);
+                }
+                return isDue;
+            });
+            auto& vm = vms[static_cast<std::size_t>(arrival) % each.vms];
+            if (vm.isQuarantined(fingerprint, now)) {
+                continue;
+            }
+            auto upstream = each.hasOneUpstream ? std::string("u") : "u" + std::to_string(runs % 24);
+            ++runs;
+            if (auto record = vm.recordCrash(fingerprint, upstream, now, now)) {
+                notices.emplace_back(now + noticeDelay, *record);
+            }
+        }
+        CHECK(runs >= 2);
+        CHECK(runs <= maxRuns);
+    }
+}
+
+TEST_CASE("A peer's record can quarantine a request, and never lowers the count")
+{
+    crash_quarantine quarantine;
+    CHECK(quarantine.merge(crashOf(fingerprint, "a", 2), start));
+    CHECK(quarantine.isQuarantined(fingerprint, start));
+    CHECK_FALSE(quarantine.merge(crashOf(fingerprint, "a", 1), start));
+    CHECK(quarantine.isQuarantined(fingerprint, start));
+}
+
+TEST_CASE("The number of quarantined requests is bounded")
+{
+    crash_quarantine quarantine({ .maxEntries = 10 });
+    for (std::uint64_t request = 1; request <= 100; ++request) {
+        quarantine.merge(crashOf(request, "a", 2), start);
+    }
+    int quarantined = 0;
+    for (std::uint64_t request = 1; request <= 100; ++request) {
+        quarantined += quarantine.isQuarantined(request, start) ? 1 : 0;
+    }
+    CHECK(quarantined == 10);
+}
+
+TEST_CASE("A full quarantine forgets requests that are not quarantined first")
+{
+    crash_quarantine quarantine({ .maxEntries = 10 });
+    quarantine.merge(crashOf(1, "a", 2), start);
+    for (std::uint64_t other = 2; other < 100; ++other) {
+        quarantine.merge(crashOf(other, "a"), start);
+    }
+    CHECK(quarantine.isQuarantined(1, start));
+    int known = 0;
+    for (std::uint64_t request = 1; request < 100; ++request) {
+        known += quarantine.crashesOf(request, start) > 0 ? 1 : 0;
+    }
+    CHECK(known == 10);
+}
+
+}
--- a/marlsill/placement/windowed_retry_budget_test.cc
+++ b/marlsill/placement/windowed_retry_budget_test.cc
@@ -1,4 +1,3 @@
-#include "marlsill/placement/crash_quarantine.h"
 #include "marlsill/placement/windowed_retry_budget.h"
 
 #include <algorithm>
@@ -64,39 +63,4 @@
     }
 }
 
-TEST_CASE("Only a request that crashed two upstreams is quarantined")
-{
-    crash_quarantine quarantine;
-    CHECK(quarantine.recordCrash(1, "a", start) == 1);
-    CHECK_FALSE(quarantine.isQuarantined(1, start));
-    CHECK(quarantine.recordCrash(1, "a", start) == 1);
-    CHECK_FALSE(quarantine.isQuarantined(1, start));
-    CHECK(quarantine.recordCrash(1, "b", start) == 2);
-    CHECK(quarantine.isQuarantined(1, start));
-    CHECK_FALSE(quarantine.isQuarantined(2, start));
-    CHECK_FALSE(quarantine.isQuarantined(1, start + milliseconds(60'000)));
-}
-
-TEST_CASE("A peer's count can quarantine a request, but never lowers the local count")
-{
-    crash_quarantine quarantine;
-    quarantine.mergePeerCount(1, 2, start);
-    CHECK(quarantine.isQuarantined(1, start));
-    quarantine.mergePeerCount(1, 1, start);
-    CHECK(quarantine.isQuarantined(1, start));
-}
-
-TEST_CASE("The number of quarantined requests is bounded")
-{
-    crash_quarantine quarantine({ .maxEntries = 10 });
-    for (std::uint64_t fingerprint = 1; fingerprint <= 100; ++fingerprint) {
-        quarantine.mergePeerCount(fingerprint, 2, start);
-    }
-    int quarantined = 0;
-    for (std::uint64_t fingerprint = 1; fingerprint <= 100; ++fingerprint) {
-        quarantined += quarantine.isQuarantined(fingerprint, start) ? 1 : 0;
-    }
-    CHECK(quarantined == 10);
-}
-
 }
