Check the crash quarantine at each send, not only on arrival

Callers: a copy of a crashing request that waited for a free upstream when the request was quarantined was sent all the same, up to its whole time limit later, and ended one more upstream.

Cause: the check stood before the admission queue, the decision to send comes after it. Evidence: the new case of gateway_test, which puts a copy behind four slow requests and then reports two crashes; before this change the copy ran (200 instead of 503, one run instead of none).

Change: the loop that starts attempts asks before each of them, and a hedge is not due for a quarantined request. A copy that waits is refused within the queue's poll interval. After: refused in under 400 ms, no run.

--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -53,16 +53,15 @@
         return attempt_outcome::cancelled;
     }
 
-    std::uint64_t fingerprintOf(const active_request& current)
-    {
-        const auto& head = current.request.head;
-        auto fingerprint = fastHash(head.getMethod());
-        fingerprint = fastHash(head.getHost(), fingerprint);
-        fingerprint = fastHash(head.getURI(), fingerprint);
-        fingerprint = fastHash(current.caller, fingerprint);
-        return fastHash(current.request.body, fingerprint);
-    }
+}
 
+std::uint64_t fingerprintOf(const http::request_message& request, std::string_view caller)
+{
+    auto fingerprint = fastHash(request.head.getMethod());
+    fingerprint = fastHash(request.head.getHost(), fingerprint);
+    fingerprint = fastHash(request.head.getURI(), fingerprint);
+    fingerprint = fastHash(caller, fingerprint);
+    return fastHash(request.body, fingerprint);
 }
 
 void active_request::cancel()
@@ -258,12 +257,13 @@
 
 deadline forwarder::hedgeTime(const active_request& current) const
 {
+    auto now = steady_clock::now();
     bool canHedge = !current.state.isAtMostOnce && current.state.possibleRuns < current.state.maxUpstreams
-        && current.attempts.size() == 1;
+        && current.attempts.size() == 1 && !m_crashQuarantine.isQuarantined(current.fingerprint, now);
     if (!canHedge) {
         return deadline::max();
     }
-    auto condition = m_loadBalancer.statsOf(current.service, steady_clock::now());
+    auto condition = m_loadBalancer.statsOf(current.service, now);
     auto usualLatency = std::chrono::milliseconds(
         static_cast<std::int64_t>(m_options.hedgeLatencyFactor * condition.latencyMs));
     auto delay = condition.latencyMs == 0 ? current.matchedRoute->latencyObjective
@@ -619,7 +619,7 @@
     auto now = steady_clock::now();
     current->effectiveDeadline
         = std::min(current->callerDeadline, current->arrivedAt + current->matchedRoute->timeout);
-    current->fingerprint = fingerprintOf(*current);
+    current->fingerprint = fingerprintOf(current->request, current->caller);
     current->state.isAtMostOnce = current->matchedRoute->isAtMostOnce;
     current->state.maxUpstreams = current->matchedRoute->maxUpstreams;
     const auto* target
@@ -628,10 +628,6 @@
         co_return finishWithLocalReply(*current, next_step::refuse, "the route leads to no service");
     }
     current->service = target->service;
-    if (m_crashQuarantine.isQuarantined(current->fingerprint, now)) {
-        ++m_counters.quarantined;
-        co_return finishWithLocalReply(*current, next_step::refuse, "upstreams crashed under this request");
-    }
     retryBudgetOf(current->service).countRequest(now);
     bool needsAttempt = true;
     std::size_t evaluatedCount = 0;
@@ -657,6 +653,12 @@
         if (hasPassed(current->effectiveDeadline, now)) {
             co_return finishTimedOut(*current);
         }
+        if (needsAttempt && m_crashQuarantine.isQuarantined(current->fingerprint, now)) {
+            ++m_counters.quarantined;
+            co_return finishWithLocalReply(*current,
+                current->mayHaveRun() ? next_step::giveUp : next_step::refuse,
+                "upstreams crashed under this request");
+        }
         auto hedgeAt = hedgeTime(*current);
         bool isHedge = !needsAttempt && hasPassed(hedgeAt, now);
         auto status = choice_status::chosen;
--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -26,6 +26,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace marlsill::gateway {
@@ -48,6 +49,9 @@
     std::chrono::milliseconds retryWindow { 10'000 }; // The sliding window of the retry budget.
 };
 
+// Returns a hash of what makes two requests copies of one another: method, host, target, body and caller.
+std::uint64_t fingerprintOf(const http::request_message& request, std::string_view caller);
+
 // A request in flight. The gateway fills in the members above cancel(); the forwarder manages those below it.
 struct active_request {
     active_request(asio::io_context& io, http::request_message message)
--- a/testing/gateway_test.cc
+++ b/testing/gateway_test.cc
@@ -104,6 +104,16 @@
             return list;
         }
 
+        // Returns the fingerprint of a request without a body.
+        static std::uint64_t fingerprintOf(const std::string& method, const std::string& path)
+        {
+            http::request_message request;
+            request.head.setMethod(method);
+            request.head.setURI(path);
+            request.head.setHost("h.example");
+            return gateway::fingerprintOf(request, "127.0.0.1");
+        }
+
         // Schedules `work` on the gateway's thread.
         void post(std::function<void(gateway::gateway&)> work)
         {
@@ -416,6 +426,34 @@
     CHECK(totalArrivals == 2);
 }
 
+TEST_CASE("A request that is quarantined while it waits is refused at once")
+{
+    // Guards against copies that were admitted before the quarantine and are sent after it.
+    constexpr milliseconds slowWork { 700 };
+    gateway_fixture tested(1, milliseconds(1'500));
+    tested.upstream(0).setWorkTime(slowWork);
+    std::vector<std::future<answer>> slow;
+    for (int request = 0; request < 4; ++request) {
+        slow.push_back(std::async(std::launch::async, [&tested, id = "slow" + std::to_string(request)] {
+            return tested.sendAndReceive("POST", "/once/slow", id, 2'000, "b");
+        }));
+    }
+    std::this_thread::sleep_for(milliseconds(100));
+    auto sentAt = steady_clock::now();
+    auto copy = std::async(
+        std::launch::async, [&] { return tested.sendAndReceive("POST", "/once/crash", "copy", 2'000); });
+    std::this_thread::sleep_for(milliseconds(100));
+    tested.post([](gateway::gateway& target) {
+        for (const auto* upstream : { "u8", "u9" }) {
+            target.requestForwarder().applyPeerCrash({ gateway_fixture::fingerprintOf("POST", "/once/crash"),
+                upstream, 1, deadlineAfter(std::chrono::seconds(10)) });
+        }
+    });
+    CHECK(copy.get().status == 503);
+    CHECK(steady_clock::now() - sentAt < milliseconds(400));
+    CHECK(tested.runsOf("copy") == 0);
+}
+
 TEST_CASE("A planned stop finishes requests in flight and still serves new ones")
 {
     gateway_fixture tested(2);
