Clear a request of crashes that it cannot have caused

Callers of sound requests were refused for a minute: 4,429 of 4,693 requests for one often read page, while other requests crashed the upstreams that they were at work on.

Cause: whatever was at work on a crashed upstream is suspected, and nothing spoke for a request that upstreams complete all the time. Adding up the crashes over all VMs made two coincidences likely.

Change: a request that crashes every upstream that runs it never gets a 2xx. A 2xx therefore clears all crashes known so far; the record of a crash holds how many of its upstream's crashes are cleared, a second counter merged by maximum, so that clearing is neither lost nor undone by an old report. A crash is not recorded at all if another attempt of the same request has succeeded by the time the upstream is found gone.

--- a/marlsill/cluster/peer_message.cc
+++ b/marlsill/cluster/peer_message.cc
@@ -94,7 +94,7 @@
 
     json encodeCrash(const placement::crash_record& record)
     {
-        return json::array({ record.fingerprint, record.crashes, record.upstream,
+        return json::array({ record.fingerprint, record.crashes, record.upstream, record.cleared,
             millisecondsUntil(record.expiresAt, steady_clock::now()) });
     }
 
@@ -104,11 +104,13 @@
         constexpr auto retention = placement::crash_quarantine_options().retention;
         auto left = std::int64_t { retention.count() };
         std::string upstream;
+        int cleared = 0;
         if (item.size() > 2) {
             upstream = item.at(2).get<std::string>();
-            left = std::clamp<std::int64_t>(item.at(3).get<std::int64_t>(), 0, left);
+            cleared = item.at(3).get<int>();
+            left = std::clamp<std::int64_t>(item.at(4).get<std::int64_t>(), 0, left);
         }
-        return { item.at(0).get<std::uint64_t>(), std::move(upstream), item.at(1).get<int>(),
+        return { item.at(0).get<std::uint64_t>(), std::move(upstream), item.at(1).get<int>(), cleared,
             deadlineAfter(std::chrono::milliseconds(left)) };
     }
 
--- a/marlsill/events/events.cc
+++ b/marlsill/events/events.cc
@@ -107,6 +107,8 @@
             "An upstream had forgotten an idle connection; its service's connections are reused sooner only." },
         { event::crashReported, severity::info, "crash_reported",
             "A peer reported that a request has crashed upstreams; `known` is the count with it." },
+        { event::crashCleared, severity::info, "crash_cleared",
+            "A request suspected of crashing an upstream succeeded; the crash counts against it no longer." },
         { event::recordGap, severity::error, "record_gap",
             "Facts were dropped before they could be stored; the gap is part of the record." },
     };
--- a/marlsill/events/events.h
+++ b/marlsill/events/events.h
@@ -64,6 +64,7 @@
     upstreamDoubtful = 5105,
     idleLimitLearned = 5106,
     crashReported = 5107,
+    crashCleared = 5108,
     recordGap = 6001,
 };
 
--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -29,6 +29,11 @@
 
     std::int64_t toMs(steady_clock::duration interval) { return toMilliseconds(interval).count(); }
 
+    bool isSuccess(const placement::completed_attempt& attempt)
+    {
+        return attempt.outcome == attempt_outcome::answered && attempt.status >= 200 && attempt.status < 300;
+    }
+
     std::string_view toText(attempt_outcome end)
     {
         constexpr std::string_view names[] = { "answered", "refused", "wrong_upstream", "not_sent",
@@ -78,6 +83,12 @@
     });
 }
 
+bool active_request::hasSucceeded() const
+{
+    return std::any_of(
+        attempts.begin(), attempts.end(), [](const auto& each) { return isSuccess(each->outcome); });
+}
+
 forwarder::forwarder(asio::io_context& io, forwarder_options options, wire_fields wire)
     : m_io(io)
     , m_options(std::move(options))
@@ -144,7 +155,7 @@
     }
     logEvent(event::crashReported,
         { { "fingerprint", std::to_string(record.fingerprint) }, { "upstream", record.upstream },
-            { "crashes", std::to_string(record.crashes) },
+            { "crashes", std::to_string(record.crashes) }, { "cleared", std::to_string(record.cleared) },
             { "known", std::to_string(m_crashQuarantine.crashesOf(record.fingerprint, now)) } });
     logQuarantine(record.fingerprint, now);
 }
@@ -364,6 +375,8 @@
     recordAttemptResult(*current, *thisAttempt, steady_clock::now());
     if (thisAttempt->outcome.outcome == attempt_outcome::noAnswer) {
         checkForCrash(current, *thisAttempt);
+    } else if (isSuccess(thisAttempt->outcome)) {
+        recordSuccess(*current);
     }
     thisAttempt->isFinished = true;
     current->wakeTimer.cancel();
@@ -434,7 +447,10 @@
 {
     auto now = steady_clock::now();
     ++m_counters.upstreamCrashes;
-    auto record = m_crashQuarantine.recordCrash(current.fingerprint, upstream, startedAt, now);
+    std::optional<placement::crash_record> record;
+    if (!current.hasSucceeded()) {
+        record = m_crashQuarantine.recordCrash(current.fingerprint, upstream, startedAt, now);
+    }
     logEvent(event::upstreamCrashed,
         { { "request", current.id }, { "upstream", upstream },
             { "fingerprint", std::to_string(current.fingerprint) },
@@ -448,6 +464,20 @@
     }
 }
 
+// Clears a request of the crashes that it is suspected of.
+void forwarder::recordSuccess(const active_request& current)
+{
+    auto now = steady_clock::now();
+    for (const auto& each : m_crashQuarantine.recordSuccess(current.fingerprint, now)) {
+        logEvent(event::crashCleared,
+            { { "request", current.id }, { "fingerprint", std::to_string(current.fingerprint) },
+                { "upstream", each.upstream }, { "crashes", std::to_string(each.crashes) } });
+        if (m_peerCallbacks.crash) {
+            m_peerCallbacks.crash(each);
+        }
+    }
+}
+
 void forwarder::wakeNextQueued(const std::string& service)
 {
     auto found = m_queues.find(service);
--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -92,6 +92,9 @@
     // Returns whether some upstream may have executed the request or may still execute it.
     bool mayHaveRun() const;
 
+    // Returns whether some upstream has completed the request.
+    bool hasSucceeded() const;
+
     std::string service;
     deadline effectiveDeadline; // The earlier of the caller's deadline and the route's timeout.
     std::vector<std::string> triedUpstreams;
@@ -186,6 +189,7 @@
     void checkForCrash(const std::shared_ptr<active_request>& current, const attempt& thisAttempt);
     void recordCrash(
         const active_request& current, const std::string& upstream, steady_clock::time_point startedAt);
+    void recordSuccess(const active_request& current);
     void logQuarantine(std::uint64_t fingerprint, steady_clock::time_point now);
     bool tryTakeRetry(active_request& current, bool countsAsRetry, steady_clock::time_point now);
     bool tryTakeHedge(active_request& current, steady_clock::time_point now);
--- a/marlsill/placement/crash_quarantine.cc
+++ b/marlsill/placement/crash_quarantine.cc
@@ -10,7 +10,7 @@
 int crash_quarantine::entry::crashes() const
 {
     return std::accumulate(upstreams.begin(), upstreams.end(), 0,
-        [](int sum, const auto& each) { return sum + each.second.count; });
+        [](int sum, const auto& each) { return sum + each.second.count - each.second.cleared; });
 }
 
 std::optional<crash_record> crash_quarantine::recordCrash(std::uint64_t fingerprint,
@@ -24,7 +24,25 @@
     ++known.count;
     known.recordedAt = now;
     found.expiresAt = now + m_options.retention;
-    return crash_record { fingerprint, upstream, known.count, found.expiresAt };
+    return crash_record { fingerprint, upstream, known.count, known.cleared, found.expiresAt };
+}
+
+std::vector<crash_record> crash_quarantine::recordSuccess(
+    std::uint64_t fingerprint, steady_clock::time_point now)
+{
+    std::vector<crash_record> changed;
+    auto found = m_entries.find(fingerprint);
+    if (found == m_entries.end() || hasPassed(found->second.expiresAt, now)) {
+        return changed;
+    }
+    for (auto& [upstream, crashes] : found->second.upstreams) {
+        if (crashes.cleared < crashes.count) {
+            crashes.cleared = crashes.count;
+            changed.push_back(
+                { fingerprint, upstream, crashes.count, crashes.cleared, found->second.expiresAt });
+        }
+    }
+    return changed;
 }
 
 bool crash_quarantine::merge(const crash_record& record, steady_clock::time_point now)
@@ -36,11 +54,15 @@
     auto& found = findOrCreate(record.fingerprint, now);
     found.expiresAt = std::max(found.expiresAt, expiresAt);
     auto& known = found.upstreams[record.upstream];
-    if (record.crashes <= known.count) {
+    auto cleared = std::min(record.cleared, record.crashes);
+    if (record.crashes <= known.count && cleared <= known.cleared) {
         return false;
     }
-    known.count = record.crashes;
-    known.recordedAt = now;
+    if (record.crashes > known.count) {
+        known.count = record.crashes;
+        known.recordedAt = now;
+    }
+    known.cleared = std::max(known.cleared, cleared);
     return true;
 }
 
@@ -61,7 +83,8 @@
     std::uint64_t sum = 0;
     for (const auto& [fingerprint, each] : m_entries) {
         for (const auto& [upstream, crashes] : each.upstreams) {
-            sum += fastHash(upstream, fingerprint * 31 + static_cast<std::uint64_t>(crashes.count));
+            auto counts = std::to_string(crashes.count) + "/" + std::to_string(crashes.cleared);
+            sum += fastHash(upstream, fastHash(counts, fingerprint));
         }
     }
     return sum;
@@ -77,7 +100,8 @@
             next = m_entries.begin();
         }
         for (const auto& [upstream, crashes] : next->second.upstreams) {
-            records.push_back({ next->first, upstream, crashes.count, next->second.expiresAt });
+            records.push_back(
+                { next->first, upstream, crashes.count, crashes.cleared, next->second.expiresAt });
         }
         m_lastReturned = next->first;
         ++next;
--- a/marlsill/placement/crash_quarantine.h
+++ b/marlsill/placement/crash_quarantine.h
@@ -35,6 +35,7 @@
     std::uint64_t fingerprint = 0; // Of the request.
     std::string upstream;
     int crashes = 0;
+    int cleared = 0; // Those of `crashes` that the request did not cause.
     deadline expiresAt; // When the request is forgotten unless something more is recorded.
 };
 
@@ -52,10 +53,14 @@
     std::optional<crash_record> recordCrash(std::uint64_t fingerprint, const std::string& upstream,
         steady_clock::time_point startedAt, steady_clock::time_point now);
 
-    // Merges a peer's record. Returns whether the number of crashes has changed.
+    // Records that an upstream completed the request, which therefore caused none of its crashes so far.
+    // Returns the changed records to send to the peers.
+    std::vector<crash_record> recordSuccess(std::uint64_t fingerprint, steady_clock::time_point now);
+
+    // Merges a peer's record. Returns whether it changed anything.
     bool merge(const crash_record& record, steady_clock::time_point now);
 
-    // Returns how many crashes the request has caused, as far as known.
+    // Returns how many crashes the request may have caused, as far as known.
     int crashesOf(std::uint64_t fingerprint, steady_clock::time_point now) const;
 
     // Returns a digest of all records, equal on two VMs that have the same ones and, with high probability,
@@ -71,6 +76,7 @@
 private:
     struct upstream_crashes {
         int count = 0;
+        int cleared = 0; // Never above `count`.
         steady_clock::time_point recordedAt {}; // Of the last one, on this VM.
     };
 
