Keep a crashing request quarantined for as long as it comes

Callers: a request that came for an hour, every 10 s, ended 104 upstreams; one that came every 90 s ended one each time, 40 in an hour.

Cause: the quarantine ended a minute after the last crash, also while the request kept coming and was refused, and one crash was forgotten just as quickly.

Evidence: the new rows of crash_quarantine_test, red before with these figures (bound 6).

Change: an arrival of a quarantined request renews its retention, and is told to the peers at most four times in a retention, so that VMs that it does not come to keep it as well. The retention is 10 minutes, as in the entry daemon; sound requests do not need it short, as a success clears them.

--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -588,6 +588,18 @@
     return response;
 }
 
+final_response forwarder::rejectQuarantined(active_request& current, steady_clock::time_point now)
+{
+    ++m_counters.quarantined;
+    for (const auto& each : m_crashQuarantine.recordArrival(current.fingerprint, now)) {
+        if (m_peerCallbacks.crash) {
+            m_peerCallbacks.crash(each);
+        }
+    }
+    return finishWithLocalReply(current, current.mayHaveRun() ? next_step::giveUp : next_step::refuse,
+        "upstreams crashed under this request");
+}
+
 final_response forwarder::finishTimedOut(active_request& current)
 {
     abortAttempts(current);
@@ -684,10 +696,7 @@
             co_return finishTimedOut(*current);
         }
         if (needsAttempt && m_crashQuarantine.isQuarantined(current->fingerprint, now)) {
-            ++m_counters.quarantined;
-            co_return finishWithLocalReply(*current,
-                current->mayHaveRun() ? next_step::giveUp : next_step::refuse,
-                "upstreams crashed under this request");
+            co_return rejectQuarantined(*current, now);
         }
         auto hedgeAt = hedgeTime(*current);
         bool isHedge = !needsAttempt && hasPassed(hedgeAt, now);
--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -180,6 +180,7 @@
     final_response finishWithLocalReply(
         active_request& current, placement::next_step step, std::string_view why);
     final_response shedRequest(active_request& current, std::string_view why, steady_clock::time_point now);
+    final_response rejectQuarantined(active_request& current, steady_clock::time_point now);
     final_response finishTimedOut(active_request& current);
     std::chrono::milliseconds jitteredRetryAfter(std::chrono::milliseconds expectedWait);
     http::response_message makeServiceUnavailableAfter(
--- a/marlsill/placement/crash_quarantine.cc
+++ b/marlsill/placement/crash_quarantine.cc
@@ -13,6 +13,15 @@
         [](int sum, const auto& each) { return sum + each.second.count - each.second.cleared; });
 }
 
+std::vector<crash_record> crash_quarantine::entry::records(std::uint64_t fingerprint) const
+{
+    std::vector<crash_record> all;
+    for (const auto& [upstream, crashes] : upstreams) {
+        all.push_back({ fingerprint, upstream, crashes.count, crashes.cleared, expiresAt });
+    }
+    return all;
+}
+
 std::optional<crash_record> crash_quarantine::recordCrash(std::uint64_t fingerprint,
     const std::string& upstream, steady_clock::time_point startedAt, steady_clock::time_point now)
 {
@@ -21,9 +30,11 @@
     if (known.count > 0 && startedAt <= known.recordedAt) {
         return std::nullopt;
     }
+    m_digest.reset();
     ++known.count;
     known.recordedAt = now;
     found.expiresAt = now + m_options.retention;
+    found.reportedExpiry = found.expiresAt;
     return crash_record { fingerprint, upstream, known.count, known.cleared, found.expiresAt };
 }
 
@@ -37,6 +48,7 @@
     }
     for (auto& [upstream, crashes] : found->second.upstreams) {
         if (crashes.cleared < crashes.count) {
+            m_digest.reset();
             crashes.cleared = crashes.count;
             changed.push_back(
                 { fingerprint, upstream, crashes.count, crashes.cleared, found->second.expiresAt });
@@ -45,6 +57,22 @@
     return changed;
 }
 
+std::vector<crash_record> crash_quarantine::recordArrival(
+    std::uint64_t fingerprint, steady_clock::time_point now)
+{
+    auto found = m_entries.find(fingerprint);
+    if (found == m_entries.end() || !isQuarantined(fingerprint, now)) {
+        return {};
+    }
+    auto& each = found->second;
+    each.expiresAt = now + m_options.retention;
+    if (each.expiresAt < each.reportedExpiry + m_options.retention / 4) {
+        return {};
+    }
+    each.reportedExpiry = each.expiresAt;
+    return each.records(fingerprint);
+}
+
 bool crash_quarantine::merge(const crash_record& record, steady_clock::time_point now)
 {
     auto expiresAt = std::min(record.expiresAt, now + m_options.retention);
@@ -53,11 +81,13 @@
     }
     auto& found = findOrCreate(record.fingerprint, now);
     found.expiresAt = std::max(found.expiresAt, expiresAt);
+    found.reportedExpiry = std::max(found.reportedExpiry, expiresAt);
     auto& known = found.upstreams[record.upstream];
     auto cleared = std::min(record.cleared, record.crashes);
     if (record.crashes <= known.count && cleared <= known.cleared) {
         return false;
     }
+    m_digest.reset();
     if (record.crashes > known.count) {
         known.count = record.crashes;
         known.recordedAt = now;
@@ -80,6 +110,9 @@
 std::uint64_t crash_quarantine::digest(steady_clock::time_point now)
 {
     forgetExpired(now);
+    if (m_digest) {
+        return *m_digest;
+    }
     std::uint64_t sum = 0;
     for (const auto& [fingerprint, each] : m_entries) {
         for (const auto& [upstream, crashes] : each.upstreams) {
@@ -87,6 +120,7 @@
             sum += fastHash(upstream, fastHash(counts, fingerprint));
         }
     }
+    m_digest = sum;
     return sum;
 }
 
@@ -99,10 +133,8 @@
         if (next == m_entries.end()) {
             next = m_entries.begin();
         }
-        for (const auto& [upstream, crashes] : next->second.upstreams) {
-            records.push_back(
-                { next->first, upstream, crashes.count, crashes.cleared, next->second.expiresAt });
-        }
+        auto ofRequest = next->second.records(next->first);
+        records.insert(records.end(), ofRequest.begin(), ofRequest.end());
         m_lastReturned = next->first;
         ++next;
     }
@@ -111,7 +143,11 @@
 
 void crash_quarantine::forgetExpired(steady_clock::time_point now)
 {
-    std::erase_if(m_entries, [&](const auto& each) { return hasPassed(each.second.expiresAt, now); });
+    auto forgotten
+        = std::erase_if(m_entries, [&](const auto& each) { return hasPassed(each.second.expiresAt, now); });
+    if (forgotten > 0) {
+        m_digest.reset();
+    }
 }
 
 // Returns the entry of a request. Makes room for a new one if the quarantine is full.
@@ -131,6 +167,7 @@
     auto rank = [this](const auto& each) {
         return std::pair(each.second.crashes() >= m_options.maxCrashes, each.second.expiresAt);
     };
+    m_digest.reset();
     m_entries.erase(std::min_element(m_entries.begin(), m_entries.end(),
         [&](const auto& left, const auto& right) { return rank(left) < rank(right); }));
 }
--- a/marlsill/placement/crash_quarantine.h
+++ b/marlsill/placement/crash_quarantine.h
@@ -26,7 +26,8 @@
 // Settings of the quarantine.
 struct crash_quarantine_options {
     int maxCrashes = 2; // One may be a coincidence, and a third upstream must not crash.
-    std::chrono::milliseconds retention { 60'000 }; // Since the last crash; longer than callers retry.
+    // Since the last crash, or the last arrival while quarantined; longer than callers wait between retries.
+    std::chrono::milliseconds retention { 600'000 };
     std::size_t maxEntries = 10'000;
 };
 
@@ -57,6 +58,10 @@
     // Returns the changed records to send to the peers.
     std::vector<crash_record> recordSuccess(std::uint64_t fingerprint, steady_clock::time_point now);
 
+    // Keeps a quarantined request that has arrived again for a further retention. Returns the records to send
+    // to the peers, so that they keep it too; none if they were told within the last quarter of a retention.
+    std::vector<crash_record> recordArrival(std::uint64_t fingerprint, steady_clock::time_point now);
+
     // Merges a peer's record. Returns whether it changed anything.
     bool merge(const crash_record& record, steady_clock::time_point now);
 
@@ -83,8 +88,10 @@
     struct entry {
         std::map<std::string, upstream_crashes> upstreams;
         deadline expiresAt {};
+        deadline reportedExpiry {}; // The latest `expiresAt` that this VM and its peers have told each other.
 
         int crashes() const;
+        std::vector<crash_record> records(std::uint64_t fingerprint) const;
     };
 
     void forgetExpired(steady_clock::time_point now);
@@ -93,6 +100,7 @@
 
     const crash_quarantine_options m_options;
     std::map<std::uint64_t, entry> m_entries;
+    std::optional<std::uint64_t> m_digest; // Of `m_entries`; unset after a change.
     std::uint64_t m_lastReturned = 0; // Fingerprint up to which nextRecords() has come.
 };
 
--- a/marlsill/placement/crash_quarantine_test.cc
+++ b/marlsill/placement/crash_quarantine_test.cc
@@ -89,6 +89,22 @@
     CHECK_FALSE(quarantine.isQuarantined(fingerprint, start + milliseconds(61'000)));
 }
 
+TEST_CASE("Arrivals of a quarantined request are reported to the peers a few times in a retention")
+{
+    crash_quarantine quarantine({ .retention = milliseconds(60'000) });
+    quarantine.recordCrash(fingerprint, "a", start, start);
+    CHECK(quarantine.recordArrival(fingerprint, start + milliseconds(20'000)).empty()); // Not quarantined.
+    quarantine.recordCrash(fingerprint, "b", start, start);
+    int reports = 0;
+    for (int second = 1; second <= 60; ++second) {
+        reports
+            += quarantine.recordArrival(fingerprint, start + std::chrono::seconds(second)).empty() ? 0 : 1;
+    }
+    CHECK(reports == 4);
+    CHECK(quarantine.isQuarantined(fingerprint, start + std::chrono::seconds(119)));
+    CHECK_FALSE(quarantine.isQuarantined(fingerprint, start + std::chrono::seconds(120)));
+}
+
 TEST_CASE("Records merge to the same count in any order and however often they arrive")
 {
     std::vector<crash_record> records { crashOf(fingerprint, "a"), crashOf(fingerprint, "b"),
@@ -112,13 +128,18 @@
         std::size_t vms;
         int arrivals;
         milliseconds interval;
-        bool hasOneUpstream; // It comes back each time.
+        bool hasOneUpstream = false; // It comes back each time.
+        bool movesLate = false; // All but the last tenth of the arrivals are at the first VM.
     };
     const row rows[] = {
-        { "32 VMs in turn", 32, 200, milliseconds(300), false },
+        { "32 VMs in turn", 32, 200, milliseconds(300) },
         { "32 VMs in turn, one upstream that comes back", 32, 200, milliseconds(300), true },
-        { "two VMs", 2, 50, milliseconds(2'000), false },
-        { "faster than notices", 32, 200, milliseconds(15), false },
+        { "two VMs", 2, 50, milliseconds(2'000) },
+        { "faster than notices", 32, 200, milliseconds(15) },
+        { "an arrival every 90 s", 32, 40, milliseconds(90'000) },
+        { "an hour at one VM", 1, 360, milliseconds(10'000) },
+        { "an hour at 32 VMs in turn", 32, 360, milliseconds(10'000) },
+        { "an hour, first at one VM and later at another", 2, 360, milliseconds(10'000), false, true },
     };
     constexpr int maxRuns = 6; // The users' bound: three crashes and three more.
     for (const auto& each : rows) {
@@ -135,8 +156,12 @@
                 }
                 return isDue;
             });
-            auto& vm = vms[static_cast<std::size_t>(arrival) % each.vms];
+            auto turn = each.movesLate ? (arrival < each.arrivals * 9 / 10 ? 0 : 1) : arrival;
+            auto& vm = vms[static_cast<std::size_t>(turn) % each.vms];
             if (vm.isQuarantined(fingerprint, now)) {
+                for (const auto& record : vm.recordArrival(fingerprint, now)) {
+                    notices.emplace_back(now + noticeDelay, record);
+                }
                 continue;
             }
             auto upstream = each.hasOneUpstream ? std::string("u") : "u" + std::to_string(runs % 24);
@@ -201,8 +226,8 @@
 
 TEST_CASE("Peers that repeat their records do not keep a request in the quarantine for ever")
 {
-    crash_quarantine one;
-    crash_quarantine other;
+    crash_quarantine one({ .retention = milliseconds(60'000) });
+    crash_quarantine other({ .retention = milliseconds(60'000) });
     one.recordCrash(fingerprint, "a", start, start);
     one.recordCrash(fingerprint, "b", start, start);
     auto now = start;
