Recognise upstreams that are back before they are checked

Cause: an attempt without an answer is a crash if nobody listens at the upstream's address 100 ms later. A new process there, under a new id or the old one, looks like an upstream that never ended.

Change: such an end is kept for 5 s as unexplained. A registration at the same address, or under the same id, that started later than the one the attempt was sent to shows the crash. A success of the request drops it.

Left: the same while the store is away, as then nobody hears of the new process.

--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -20,7 +20,10 @@
 namespace {
 
     constexpr std::chrono::milliseconds crashCheckDelay { 100 }; // A crashed process's port closes by then.
-    constexpr std::chrono::milliseconds unroutedDelay { 1'000 }; // Until a registration or a restart is seen.
+    constexpr std::chrono::milliseconds registrationDelay {
+        5'000
+    }; // Until a restart is registered and seen.
+    constexpr std::size_t maxUnexplainedEnds = 1'000;
 
     std::chrono::milliseconds toMilliseconds(steady_clock::duration interval)
     {
@@ -109,6 +112,7 @@
 void forwarder::setUpstreams(std::span<const placement::upstream_entry> upstreams)
 {
     m_loadBalancer.replaceUpstreams(upstreams, steady_clock::now());
+    recordCrashesOfRestarted();
     for (auto& [service, queue] : m_queues) {
         wakeNextQueued(service);
     }
@@ -374,7 +378,7 @@
     }
     recordAttemptResult(*current, *thisAttempt, steady_clock::now());
     if (thisAttempt->outcome.outcome == attempt_outcome::noAnswer) {
-        checkForCrash(current, *thisAttempt);
+        checkForCrash(current, thisAttempt);
     } else if (isSuccess(thisAttempt->outcome)) {
         recordSuccess(*current);
     }
@@ -420,45 +424,76 @@
     wakeNextQueued(current.service);
 }
 
-// Finds out, a little later, whether the upstream of an attempt that ended without a response still listens.
-void forwarder::checkForCrash(const std::shared_ptr<active_request>& current, const attempt& thisAttempt)
+// Finds out, a little later, whether the upstream of an attempt that ended without a response has crashed.
+void forwarder::checkForCrash(
+    const std::shared_ptr<active_request>& current, const std::shared_ptr<attempt>& thisAttempt)
 {
-    auto address = parseEndpoint(thisAttempt.address);
+    auto address = parseEndpoint(thisAttempt->address);
     if (!address) {
         return;
     }
-    auto check = [this, current, upstream = thisAttempt.upstream, startedAt = thisAttempt.startedAt,
-                     endpoint = *address]() -> asio::awaitable<void> {
+    auto check = [this, current, thisAttempt, endpoint = *address]() -> asio::awaitable<void> {
         asio::steady_timer delay(m_io, crashCheckDelay);
         boost::system::error_code ignored;
         co_await delay.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         auto connection = std::make_shared<upstream_connection>(m_io, endpoint);
-        bool isAlive = co_await connection->open(steady_clock::now() + m_options.connectTimeout);
+        bool isListening = co_await connection->open(steady_clock::now() + m_options.connectTimeout);
         connection->abort();
-        if (!isAlive) {
-            recordCrash(*current, upstream, startedAt);
+        if (current->hasSucceeded()) {
+            co_return; // Whatever happened to the upstream, the request did not cause it.
+        }
+        unexplained_end ended { current->id, current->fingerprint, thisAttempt->upstream,
+            thisAttempt->address, thisAttempt->upstreamStartedUnixMs, thisAttempt->startedAt,
+            deadlineAfter(registrationDelay) };
+        if (!isListening || hasRestarted(ended)) {
+            recordCrash(ended);
+            co_return;
+        }
+        m_unexplainedEnds.push_back(std::move(ended));
+        if (m_unexplainedEnds.size() > maxUnexplainedEnds) {
+            m_unexplainedEnds.pop_front();
         }
     };
     asio::co_spawn(m_io, std::move(check), asio::detached);
 }
 
-void forwarder::recordCrash(
-    const active_request& current, const std::string& upstream, steady_clock::time_point startedAt)
+// Returns whether the registrations show that another process has replaced the upstream.
+bool forwarder::hasRestarted(const unexplained_end& ended) const
+{
+    auto isNewer = [&](const placement::upstream_entry* current) {
+        return current && current->startedUnixMs > ended.upstreamStartedUnixMs;
+    };
+    return ended.upstreamStartedUnixMs != 0
+        && (isNewer(m_loadBalancer.find(ended.upstream))
+            || isNewer(m_loadBalancer.findNewestAt(ended.address)));
+}
+
+// Records the crashes of upstreams that accepted connections again before they were checked.
+void forwarder::recordCrashesOfRestarted()
+{
+    auto now = steady_clock::now();
+    std::erase_if(m_unexplainedEnds, [&](const auto& each) {
+        bool isCrash = hasRestarted(each);
+        if (isCrash) {
+            recordCrash(each);
+        }
+        return isCrash || hasPassed(each.forgetAt, now);
+    });
+}
+
+void forwarder::recordCrash(const unexplained_end& ended)
 {
     auto now = steady_clock::now();
     ++m_counters.upstreamCrashes;
-    std::optional<placement::crash_record> record;
-    if (!current.hasSucceeded()) {
-        record = m_crashQuarantine.recordCrash(current.fingerprint, upstream, startedAt, now);
-    }
+    auto record = m_crashQuarantine.recordCrash(ended.fingerprint, ended.upstream, ended.startedAt, now);
     logEvent(event::upstreamCrashed,
-        { { "request", current.id }, { "upstream", upstream },
-            { "fingerprint", std::to_string(current.fingerprint) },
-            { "crashes", std::to_string(m_crashQuarantine.crashesOf(current.fingerprint, now)) } });
+        { { "request", ended.request }, { "upstream", ended.upstream },
+            { "fingerprint", std::to_string(ended.fingerprint) },
+            { "crashes", std::to_string(m_crashQuarantine.crashesOf(ended.fingerprint, now)) } });
     if (!record) {
         return;
     }
-    logQuarantine(current.fingerprint, now);
+    logQuarantine(ended.fingerprint, now);
     if (m_peerCallbacks.crash) {
         m_peerCallbacks.crash(*record);
     }
@@ -467,8 +502,9 @@
 // Clears a request of the crashes that it is suspected of.
 void forwarder::recordSuccess(const active_request& current)
 {
-    auto now = steady_clock::now();
-    for (const auto& each : m_crashQuarantine.recordSuccess(current.fingerprint, now)) {
+    std::erase_if(
+        m_unexplainedEnds, [&](const auto& each) { return each.fingerprint == current.fingerprint; });
+    for (const auto& each : m_crashQuarantine.recordSuccess(current.fingerprint, steady_clock::now())) {
         logEvent(event::crashCleared,
             { { "request", current.id }, { "fingerprint", std::to_string(current.fingerprint) },
                 { "upstream", each.upstream }, { "crashes", std::to_string(each.crashes) } });
@@ -525,6 +561,7 @@
     auto thisAttempt = std::make_shared<attempt>();
     thisAttempt->upstream = chosen.upstream->id;
     thisAttempt->address = chosen.upstream->address;
+    thisAttempt->upstreamStartedUnixMs = chosen.upstream->startedUnixMs;
     thisAttempt->isProbe = chosen.isProbe;
     thisAttempt->startedAt = now;
     m_loadBalancer.startAttempt(thisAttempt->upstream, chosen.isProbe, now);
--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -22,9 +22,11 @@
 #include "marlsill/placement/retry_after_gate.h"
 #include "marlsill/placement/windowed_retry_budget.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -77,6 +79,7 @@
     struct attempt {
         std::string upstream;
         std::string address;
+        std::int64_t upstreamStartedUnixMs = 0; // As registered when the attempt began; 0 if unknown.
         bool isProbe = false; // Tests whether a suspect upstream has recovered.
         steady_clock::time_point startedAt;
         std::shared_ptr<upstream_connection> connection;
@@ -170,6 +173,17 @@
 private:
     using attempt = active_request::attempt;
 
+    // An attempt that ended without a response, although its upstream's address accepts connections.
+    struct unexplained_end {
+        std::string request; // Its id.
+        std::uint64_t fingerprint = 0;
+        std::string upstream;
+        std::string address;
+        std::int64_t upstreamStartedUnixMs = 0;
+        steady_clock::time_point startedAt;
+        deadline forgetAt;
+    };
+
     asio::awaitable<void> runAttempt(
         std::shared_ptr<active_request> current, std::shared_ptr<attempt> thisAttempt);
     asio::awaitable<std::optional<final_response>> processRequest(std::shared_ptr<active_request> current);
@@ -187,9 +201,11 @@
         std::string_view why, std::chrono::milliseconds delay) const;
     void abortAttempts(active_request& current);
     void recordAttemptResult(active_request& current, attempt& thisAttempt, steady_clock::time_point now);
-    void checkForCrash(const std::shared_ptr<active_request>& current, const attempt& thisAttempt);
-    void recordCrash(
-        const active_request& current, const std::string& upstream, steady_clock::time_point startedAt);
+    void checkForCrash(
+        const std::shared_ptr<active_request>& current, const std::shared_ptr<attempt>& thisAttempt);
+    bool hasRestarted(const unexplained_end& ended) const;
+    void recordCrashesOfRestarted();
+    void recordCrash(const unexplained_end& ended);
     void recordSuccess(const active_request& current);
     void logQuarantine(std::uint64_t fingerprint, steady_clock::time_point now);
     bool tryTakeRetry(active_request& current, bool countsAsRetry, steady_clock::time_point now);
@@ -213,6 +229,7 @@
     const wire_fields m_wire;
     placement::load_balancer m_loadBalancer;
     placement::crash_quarantine m_crashQuarantine;
+    std::deque<unexplained_end> m_unexplainedEnds; // Oldest first.
     placement::idle_limits m_idleLimits;
     placement::retry_after_gate m_retryAfterGate;
     connection_pool m_pool;
--- a/marlsill/placement/load_balancer.cc
+++ b/marlsill/placement/load_balancer.cc
@@ -129,6 +129,18 @@
     return found ? &found->entry : nullptr;
 }
 
+const upstream_entry* load_balancer::findNewestAt(std::string_view address) const
+{
+    const upstream_entry* newest = nullptr;
+    for (const auto& [id, each] : m_upstreams) {
+        bool isNewer = !newest || each->entry.startedUnixMs > newest->startedUnixMs;
+        if (each->entry.address == address && isNewer) {
+            newest = &each->entry;
+        }
+    }
+    return newest;
+}
+
 bool load_balancer::isExcluded(const upstream_state& each, steady_clock::time_point) const
 {
     return each.isExcluded;
--- a/marlsill/placement/load_balancer.h
+++ b/marlsill/placement/load_balancer.h
@@ -184,6 +184,9 @@
     // Returns the registered entry of an upstream, or nullptr.
     const upstream_entry* find(std::string_view upstream) const;
 
+    // Returns the registered upstream at an address that started last, or nullptr. Searches all upstreams.
+    const upstream_entry* findNewestAt(std::string_view address) const;
+
     // Returns the sum of slots of a service's upstreams, excluded ones included, leaving ones not.
     int slotsOf(std::string_view service) const;
 
