entry: call it a crash only if the upstream stopped listening

Callers of a sound path got 422 from every daemon, for good, after answers of it had been cut or lost.

Cause: each connection that ended under a request counted as a crash of its upstream, also one that was cut in the body or closed by an upstream that went on living. Two of them quarantine the request, and that has no end.

Evidence: the new cases of request_path_test (answers cut in the body; connections closed without an answer), red before: 422 from all three daemons.

Change: after such an end the daemon connects to the upstream. It has crashed if the connection is refused or does not stay open for 100 ms.

--- a/marlsill/entry/dispatcher.cc
+++ b/marlsill/entry/dispatcher.cc
@@ -13,6 +13,7 @@
     constexpr std::chrono::milliseconds defaultRetryAfter { 1000 };
     constexpr std::chrono::milliseconds maxFirstByteWait { 250 };
     constexpr std::size_t streamChunkBytes = 64 * 1024;
+    constexpr std::chrono::milliseconds crashCheckTimeout { 400 }; // Far above a round trip.
 
     // Converts the result of one attempt into evidence about its upstream.
     routing::upstream_evidence makeEvidence(const attempt_result& result)
@@ -184,7 +185,9 @@
     {
         m_admission->release(*upstream.state, result.elapsed);
         upstream.state->addEvidence(makeEvidence(result));
-        if (result.status == attempt_status::connectionEnded) {
+        bool hasCrashed = result.status == attempt_status::connectionEnded
+            && !isAcceptingConnections(upstream.state->address, deadlineAfter(crashCheckTimeout));
+        if (hasCrashed) {
             m_owner.m_quarantine.reportCrash(
                 m_fingerprint, m_job.service.name, upstream.spec.name, m_isProbe);
         }
--- a/marlsill/entry/upstream_exchange.cc
+++ b/marlsill/entry/upstream_exchange.cc
@@ -9,6 +9,8 @@
 namespace {
 
     constexpr std::chrono::milliseconds connectTimeout { 1000 };
+    // A process that is ending closes its listening socket, and connections to it, within this time.
+    constexpr std::chrono::milliseconds endOfProcessTime { 100 };
 
     std::optional<pooled_connection> connectToUpstream(const std::string& address, deadline limit)
     {
@@ -41,6 +43,13 @@
     return status != attempt_status::notSent && status != attempt_status::refused;
 }
 
+bool isAcceptingConnections(const std::string& address, deadline limit)
+{
+    auto connection = connectToUpstream(address, limit);
+    return connection
+        && connection->channel.fill(deadlineAfter(endOfProcessTime)) == http::io_status::timedOut;
+}
+
 attempt_result upstream_exchange::run(const http::request_message& request,
     const routing::upstream_state& upstream, const attempt_limits& limits)
 {
--- a/marlsill/entry/upstream_exchange.h
+++ b/marlsill/entry/upstream_exchange.h
@@ -32,6 +32,10 @@
 // Returns whether the upstream may have run the request.
 bool mayHaveRun(attempt_status status);
 
+// Returns whether a process accepts connections at an upstream's address and keeps them open. Blocks for a
+// tenth of a second, or until `limit` if nobody answers.
+bool isAcceptingConnections(const std::string& address, deadline limit);
+
 // Deadlines and limits of one attempt.
 struct attempt_limits {
     deadline requestDeadline; // Sent to the upstream.
--- a/testing/request_path_test.cc
+++ b/testing/request_path_test.cc
@@ -221,6 +221,39 @@
     CHECK(eventually([&] { return isOwn(fleet.call(0, get("/jobs/1", "well")), "well"); }));
 }
 
+TEST_CASE("a path whose answers were lost is served again, by every daemon")
+{
+    // Guards against sound requests that are quarantined although no upstream has crashed under them.
+    struct row {
+        const char* name;
+        spoilt_answer spoilt;
+    };
+    constexpr row rows[] = {
+        { "answers cut in the body", spoilt_answer::shortLength },
+        { "connections closed without an answer", spoilt_answer::closed },
+    };
+    constexpr std::size_t entries = 3;
+    constexpr std::size_t upstreams = 3;
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        loopback_fleet fleet({ .entries = entries, .upstreams = upstreams });
+        for (std::size_t upstream = 0; upstream < upstreams; ++upstream) {
+            fleet.upstream(upstream).setFaults({ .spoilt = each.spoilt });
+        }
+        for (int sending = 0; sending < 6; ++sending) {
+            fleet.call(static_cast<std::size_t>(sending) % entries, get("/jobs/1", "lost"));
+        }
+        for (std::size_t upstream = 0; upstream < upstreams; ++upstream) {
+            fleet.upstream(upstream).setFaults({});
+        }
+        for (std::size_t entry = 0; entry < entries; ++entry) {
+            auto result = fleet.call(entry, get("/jobs/1", "sound"));
+            CHECK(isOwn(result, "sound"));
+            CHECK(result.status == 200);
+        }
+    }
+}
+
 TEST_CASE("a leaving upstream gets no new work once that is in force, on any daemon")
 {
     loopback_fleet fleet({ .entries = 3, .upstreams = 2 });
--- a/testing/upstream_stand_in.cc
+++ b/testing/upstream_stand_in.cc
@@ -222,6 +222,8 @@
     case spoilt_answer::noLastChunk:
         channel.write(chunked(body), limit);
         return false;
+    case spoilt_answer::closed:
+        return false;
     case spoilt_answer::garbage:
         channel.write("\x01\x02 not HTTP\r\n\r\n", limit);
         return false;
--- a/testing/upstream_stand_in.h
+++ b/testing/upstream_stand_in.h
@@ -30,6 +30,7 @@
     extraBytes, // A second answer that nobody asked for follows the first.
     serverError,
     never,
+    closed, // The connection ends without an answer.
 };
 
 // Faults on command.
