entry: count crashes by upstream, not by the VM that reports them

Callers: a request was quarantined for good, with 422, after a single crash, if copies of it were at work on that upstream for two VMs.

A suspicion named its reporter; a second reporter was a second crash, and two crashes that one VM saw were one. What was counted were messengers, not crashes.

Change: a suspicion names the upstream, in the reporter's field after a slash, so that both versions read each other's messages; an earlier version's counts by reporter as before. Of two VMs that saw the same crash, the one with the lower incarnation keeps the right to probe, as both could probe at once.

--- a/marlsill/entry/fleet.cc
+++ b/marlsill/entry/fleet.cc
@@ -13,6 +13,7 @@
     using membership::member_record;
     using membership::member_state;
 
+    constexpr char upstreamSeparator = '/'; // In a suspicion report, between its reporter and the upstream.
     constexpr std::chrono::milliseconds controlTickInterval { 100 };
     constexpr std::chrono::milliseconds detectionInterval { 250 };
     constexpr std::chrono::milliseconds proposalTimeout { 3'000 };
@@ -110,7 +111,10 @@
 {
     auto level = notice.level == suspicion_level::suspectedLocally ? suspicion_level::suspectedRemotely
                                                                    : notice.level;
-    const auto& reporter = notice.reporter.empty() ? m_options.incarnation : notice.reporter;
+    auto reporter = notice.reporter.empty() ? m_options.incarnation : notice.reporter;
+    if (!notice.upstream.empty()) {
+        reporter += upstreamSeparator + notice.upstream;
+    }
     return { notice.fingerprint, static_cast<int>(level), notice.service, reporter };
 }
 
@@ -151,10 +155,13 @@
         return peer::acknowledgement {};
     }
     if (const auto* notice = std::get_if<peer::suspicion_report>(&received)) {
+        auto separator = std::min(notice->reporter.find(upstreamSeparator), notice->reporter.size());
+        auto reporter = notice->reporter.substr(0, separator);
+        auto upstream = notice->reporter.substr(std::min(separator + 1, notice->reporter.size()));
         bool isValid = notice->level >= 0 && notice->level <= static_cast<int>(suspicion_level::cleared)
-            && notice->reporter != m_options.incarnation;
+            && reporter != m_options.incarnation;
         suspicion_notice receivedNotice { notice->fingerprint, static_cast<suspicion_level>(notice->level),
-            notice->service, notice->reporter };
+            notice->service, reporter, upstream };
         if (isValid && m_dependencies.quarantine.applyNotice(receivedNotice)) {
             m_controlThread.post([this, forwarded = *notice] { m_membership.broadcast(forwarded); });
         }
--- a/marlsill/entry/node.cc
+++ b/marlsill/entry/node.cc
@@ -113,6 +113,7 @@
     if (!m_fleet.isBound()) {
         throw Poco::Exception("cannot listen on peer address", settings.text("peer-address"));
     }
+    m_quarantine.setIncarnation(m_incarnation);
     m_quarantine.setAnnounceFunction(
         [this](const suspicion_notice& notice) { m_fleet.announceSuspicion(notice); });
     m_fleet.addThreads(m_fleetSupervisor);
--- a/marlsill/entry/quarantine.cc
+++ b/marlsill/entry/quarantine.cc
@@ -64,7 +64,7 @@
     auto eventId
         = level == suspicion_level::quarantined ? event::requestQuarantined : event::requestSuspected;
     logEvent(eventId, { { "fingerprint", std::to_string(fingerprint) }, { "upstream", upstream } });
-    announce({ fingerprint, level, service });
+    announce({ fingerprint, level, service, {}, upstream });
 }
 
 void quarantine_list::endProbe(request_fingerprint fingerprint, bool receivedResponse)
@@ -91,6 +91,7 @@
     std::lock_guard lock(m_mutex);
     auto found = m_entries.find(notice.fingerprint);
     bool isListed = found != m_entries.end();
+    const auto& crashedUpstream = notice.upstream.empty() ? notice.reporter : notice.upstream;
     switch (notice.level) {
     case suspicion_level::cleared:
         if (!isListed || found->second.level != suspicion_level::suspectedRemotely) {
@@ -105,11 +106,18 @@
         break;
     case suspicion_level::suspectedLocally:
     case suspicion_level::suspectedRemotely:
-        if (isListed
-            && (found->second.level == suspicion_level::quarantined
-                || found->second.reporter == notice.reporter)) {
+        if (isListed && found->second.level == suspicion_level::quarantined) {
             return false;
         }
+        if (isListed && found->second.firstUpstream == crashedUpstream) {
+            bool mustYield
+                = found->second.level == suspicion_level::suspectedLocally && notice.reporter < m_incarnation;
+            if (mustYield) {
+                found->second.level = suspicion_level::suspectedRemotely;
+                found->second.reporter = notice.reporter;
+            }
+            return mustYield;
+        }
         break;
     }
     bool isSecondCrash = notice.level == suspicion_level::quarantined || isListed;
@@ -117,8 +125,8 @@
         evictIfFull();
     }
     auto level = isSecondCrash ? suspicion_level::quarantined : suspicion_level::suspectedRemotely;
-    m_entries[notice.fingerprint]
-        = { level, notice.service, notice.reporter, {}, false, deadlineAfter(m_options.suspicionDuration) };
+    m_entries[notice.fingerprint] = { level, notice.service, notice.reporter, crashedUpstream, false,
+        deadlineAfter(m_options.suspicionDuration) };
     return true;
 }
 
@@ -128,7 +136,8 @@
     std::vector<suspicion_notice> notices;
     for (const auto& [fingerprint, listed] : m_entries) {
         if (listed.level == suspicion_level::quarantined) {
-            notices.push_back({ fingerprint, listed.level, listed.service, listed.reporter });
+            notices.push_back(
+                { fingerprint, listed.level, listed.service, listed.reporter, listed.firstUpstream });
         }
     }
     return notices;
--- a/marlsill/entry/quarantine.h
+++ b/marlsill/entry/quarantine.h
@@ -9,7 +9,8 @@
 // Requests are identified by a fingerprint of method, target and body. After the first crash the request is
 // suspected: the VM that saw the crash notifies the other VMs before it does anything else, and from then on
 // only that VM may send the request, one probe at a time. A second crash on another upstream, or during a
-// probe, quarantines the request on every VM.
+// probe, quarantines the request on every VM. VMs tell each other which upstream crashed, as several of them
+// may see the same crash.
 
 #include "marlsill/base/time.h"
 #include "marlsill/http/message_reader.h"
@@ -51,6 +52,7 @@
     suspicion_level level = suspicion_level::suspectedRemotely;
     std::string service; // Its serving set is notified first; may be empty.
     std::string reporter; // Incarnation that saw the crash; empty for this VM.
+    std::string upstream; // That crashed; empty if an earlier version reports it.
 };
 
 // Sends a notice to the other VMs. Returns once they have acknowledged it or the time to wait for that is
@@ -71,6 +73,10 @@
     // Sets the function that notifies the other VMs. Must be called before the first request.
     void setAnnounceFunction(announce_function announce) { m_announce = std::move(announce); }
 
+    // Sets this VM's incarnation. Of two VMs that saw the same crash, the one with the lower incarnation may
+    // probe. Must be called before the first request.
+    void setIncarnation(std::string incarnation) { m_incarnation = std::move(incarnation); }
+
     // Decides whether a request may be sent to an upstream now.
     quarantine_decision admit(request_fingerprint fingerprint);
 
@@ -84,8 +90,8 @@
     // Ends a probe. If the upstream sent a response, the fingerprint is cleared on every VM.
     void endProbe(request_fingerprint fingerprint, bool receivedResponse);
 
-    // Applies a notice from another VM. A crash that a second VM reports counts as the second crash. Returns
-    // whether the list changed.
+    // Applies a notice from another VM. A crash of another upstream than the known one counts as the second
+    // crash, whoever reports it. Returns whether the list changed.
     bool applyNotice(const suspicion_notice& notice);
 
     // Returns all quarantined fingerprints, to be sent to VMs that connect.
@@ -96,7 +102,7 @@
         suspicion_level level = suspicion_level::suspectedLocally;
         std::string service;
         std::string reporter; // Empty for this VM.
-        std::string firstUpstream;
+        std::string firstUpstream; // Or the reporter, if that does not name the upstream.
         bool isProbing = false; // A probe is in flight.
         deadline suspectedUntil;
     };
@@ -106,6 +112,7 @@
 
     const quarantine_options m_options;
     announce_function m_announce;
+    std::string m_incarnation;
     mutable std::mutex m_mutex; // Guards m_entries.
     std::map<request_fingerprint, entry> m_entries;
 };
--- a/marlsill/peer/messages.h
+++ b/marlsill/peer/messages.h
@@ -161,7 +161,9 @@
     std::uint64_t fingerprint = 0;
     int level = 0; // entry::suspicion as a number.
     std::string service;
-    std::string reporter; // Incarnation that observed the upstream's crash.
+    // Incarnation that observed the upstream's crash, then a slash and the upstream's name. Earlier versions
+    // send the incarnation alone.
+    std::string reporter;
 };
 
 // Acknowledges a request that has no other reply.
