--- a/testing/crash_containment_test.cc
+++ b/testing/crash_containment_test.cc
@@ -31,7 +31,9 @@
 
     constexpr const char* service = "s";
     constexpr const char* host = "h.example";
+    constexpr const char* crashMark = "/crash"; // In the paths of crashing requests.
     constexpr const char* crashPath = "/once/crash";
+    constexpr const char* repeatableCrashPath = "/repeat/crash";
     constexpr const char* crashIdPrefix = "crash-"; // Of the ids of crashing requests.
     constexpr const char* repeatedPath = "/repeat/listing";
     constexpr const char* quarantineText = "upstreams crashed under this request";
@@ -67,6 +69,7 @@
         int arrivals;
         int upstreams = 24;
         int soundCallers = 1;
+        const char* path = crashPath;
         bool isSameRequest = true; // Otherwise each arrival is a new crashing request.
     };
 
@@ -110,7 +113,8 @@
         {
             try {
                 raw_caller caller(m_entries[entry]->callerAddress(), platformFields());
-                auto id = (path.starts_with(crashPath) ? crashIdPrefix : "r") + std::to_string(++m_requests);
+                auto id = (path.find(crashMark) != std::string::npos ? crashIdPrefix : "r")
+                    + std::to_string(++m_requests);
                 caller.sendRequest(method, path, id, 2'000, method == "POST" ? "body" : "");
                 return caller.receive();
             } catch (const Poco::Exception&) {
@@ -177,7 +181,7 @@
             slot.server = std::make_unique<scripted_upstream>(slot.id, platformFields(), slot.port);
             slot.port = Poco::Net::SocketAddress(slot.server->address()).port();
             slot.server->setWorkTime(workTime);
-            slot.server->crashOn(crashPath);
+            slot.server->crashOn(crashMark);
             slot.server->setRunListener([this](const std::string& request) {
                 if (request.starts_with(crashIdPrefix)) {
                     std::lock_guard lock(m_mutex);
@@ -276,12 +280,14 @@
             milliseconds(500), 24 },
         { "each daemon is restarted before it gets the request", restart_kind::newId, milliseconds(2'000),
             disturbance::restarts, 1, milliseconds(200), 16 },
+        { "a request that may be repeated", restart_kind::newId, milliseconds(2'000), disturbance::none, 1,
+            milliseconds(300), 30, 24, 1, repeatableCrashPath },
         { "upstreams are back at once, with new ids", restart_kind::newId, {}, disturbance::none, 1,
             milliseconds(300), 30 },
         { "upstreams are back at once, with the same ids", restart_kind::sameId, {}, disturbance::none, 1,
             milliseconds(300), 30 },
         { "sound requests at work on upstreams that others crash", restart_kind::newId, milliseconds(500),
-            disturbance::none, 1, milliseconds(300), 30, 6, 6, false },
+            disturbance::none, 1, milliseconds(300), 30, 6, 6, crashPath, false },
         { "each daemon is paused before it gets the request", restart_kind::newId, milliseconds(2'000),
             disturbance::pauses, 1, milliseconds(200), 32 },
     };
@@ -295,12 +301,13 @@
         for (int arrival = 0; arrival < each.arrivals; ++arrival) {
             auto entry = static_cast<std::size_t>(arrival) % entries;
             disturb(fleet, each.during, entry);
-            auto path = each.isSameRequest ? std::string(crashPath) : crashPath + std::to_string(arrival);
+            auto path = each.path + (each.isSameRequest ? "" : std::to_string(arrival));
             std::vector<std::future<raw_answer>> copies;
             for (int copy = 0; copy < each.copies; ++copy) {
                 auto receiver = (entry + static_cast<std::size_t>(copy)) % entries;
-                copies.push_back(std::async(std::launch::async,
-                    [&fleet, receiver, path] { return fleet.call(receiver, "POST", path); }));
+                copies.push_back(std::async(std::launch::async, [&fleet, receiver, path] {
+                    return fleet.call(receiver, path.starts_with(repeatableCrashPath) ? "GET" : "POST", path);
+                }));
             }
             for (auto& copy : copies) {
                 copy.get();
--- a/testing/process_faults.sh
+++ b/testing/process_faults.sh
@@ -66,9 +66,15 @@
 start_entry e2 newport --heartbeat-ms=100
 start_entry e3 swansea --heartbeat-ms=100
 list_vms
-ctl apply inventory "$work/inventory.json" > /dev/null
-ctl apply rules examples/pryce-morgan/rules.json > /dev/null
-eventually in_force_everywhere 2 || { echo "FAILED: configuration not in force"; exit 1; }
+ctl apply inventory "$work/inventory.json" > "$work/apply.out" 2>&1
+ctl apply rules examples/pryce-morgan/rules.json >> "$work/apply.out" 2>&1
+eventually in_force_everywhere 2 || {
+    echo "FAILED: configuration not in force"
+    cat "$work/apply.out"
+    ctl status
+    tail -n 40 "$work"/e[123].log
+    exit 1
+}
 for name in e1 e2 e3; do eventually serves "$name"; done
 
 work_takes 12
