Tell VMs that join late what is in force everywhere

Cause: daemons that start together are alone at first, and each confirms the generations to itself. When they join, the root of the confirmation tree has nothing new to say, and it broadcast the result only when it rose. A daemon that was alone at generation 1 and had joined before it confirmed generation 2 keeps 1.

Ruled out: fleets that meet (three members listed), a refused configuration (both accepted).

Change: the root repeats the lowest generation of the whole tree every 2 s, and each VM passes what comes from its parent on to its children. One message in 2 s a VM. Only values that the root has computed go down, not what a VM found in force while alone.

--- a/marlsill/control/config_driver.cc
+++ b/marlsill/control/config_driver.cc
@@ -37,6 +37,16 @@
         m_confirmedGeneration = confirmed.generation;
         m_callbacks.broadcast(confirmed, from.peerAddress);
     }
+    if (from.incarnation == m_parentIncarnation) {
+        sendToChildren(confirmed);
+    }
+}
+
+void config_driver::sendToChildren(const peer::config_confirmed& confirmed)
+{
+    for (const auto& address : m_childAddresses) {
+        m_callbacks.send(address, confirmed);
+    }
 }
 
 std::int64_t config_driver::lowestGenerationInSubtree(std::span<const membership::member_record> present)
@@ -45,6 +55,12 @@
     std::erase_if(m_childGenerations, [&](const auto& item) {
         return std::find(children.begin(), children.end(), item.first) == children.end();
     });
+    m_childAddresses.clear();
+    for (const auto& record : present) {
+        if (std::find(children.begin(), children.end(), record.incarnation) != children.end()) {
+            m_childAddresses.push_back(record.peerAddress);
+        }
+    }
     auto lowest = m_generation;
     for (const auto& child : children) {
         auto found = m_childGenerations.find(child);
@@ -62,7 +78,12 @@
     }
     auto lowest = lowestGenerationInSubtree(present);
     auto parent = membership::parentOf(m_ownIncarnation, present);
+    m_parentIncarnation = parent ? parent->incarnation : std::string();
     if (!parent) {
+        if (lowest > 0 && hasPassed(m_nextReportAt, now)) {
+            sendToChildren(peer::config_confirmed { lowest });
+            m_nextReportAt = now + reportInterval;
+        }
         if (lowest > m_confirmedGeneration) {
             m_confirmedGeneration = lowest;
             m_callbacks.broadcast(peer::config_confirmed { lowest }, {});
--- a/marlsill/control/config_driver.h
+++ b/marlsill/control/config_driver.h
@@ -9,7 +9,8 @@
 //
 // A VM announces each generation that it applies, and peers that have an older one fetch it. Confirmations
 // are aggregated up the confirmation tree: each VM reports the lowest generation in its subtree to its
-// parent, and the root broadcasts the lowest one of the whole tree.
+// parent, and the root broadcasts the lowest one of the whole tree. The root also repeats it down the tree,
+// as VMs may have joined since.
 
 #include "marlsill/base/time.h"
 #include "marlsill/membership/overlay.h"
@@ -20,6 +21,7 @@
 #include <map>
 #include <span>
 #include <string>
+#include <vector>
 
 namespace marlsill::control {
 
@@ -51,7 +53,8 @@
     // tree.
     void receive(const peer::session_identity& from, const peer::config_confirmation& confirmation);
 
-    // Stores the generation that the root found in force everywhere, and forwards it if it is newer.
+    // Stores the generation that the root found in force everywhere. Forwards it to all neighbours if it is
+    // newer, and to the children in any case if it comes from the parent.
     void receive(const peer::session_identity& from, const peer::config_confirmed& confirmed);
 
     // Reports the lowest generation of the subtree to the parent, or broadcasts it on the root. `present` is
@@ -68,12 +71,15 @@
     // Returns the lowest generation confirmed by this VM and its children; 0 if a child has not confirmed
     // any.
     std::int64_t lowestGenerationInSubtree(std::span<const membership::member_record> present);
+    void sendToChildren(const peer::config_confirmed& confirmed);
 
     const std::string m_ownIncarnation;
     const config_callbacks m_callbacks;
     std::int64_t m_generation = 0;
     std::int64_t m_confirmedGeneration = 0;
     std::map<std::string, std::int64_t> m_childGenerations; // Last confirmed, by the child's incarnation.
+    std::vector<std::string> m_childAddresses;
+    std::string m_parentIncarnation; // Empty on the root.
     std::int64_t m_lastReportedGeneration = -1;
     std::string m_lastReportedParent;
     deadline m_nextReportAt;
