--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -20,9 +20,7 @@
 namespace {
 
     constexpr std::chrono::milliseconds crashCheckDelay { 100 }; // A crashed process's port closes by then.
-    constexpr std::chrono::milliseconds registrationDelay {
-        5'000
-    }; // Until a restart is registered and seen.
+    constexpr std::chrono::milliseconds registrationDelay { 5'000 }; // Until a restart is known here.
     constexpr std::size_t maxUnexplainedEnds = 1'000;
 
     std::chrono::milliseconds toMilliseconds(steady_clock::duration interval)
