--- a/marlsill/cluster/peer_mesh_test.cc
+++ b/marlsill/cluster/peer_mesh_test.cc
@@ -52,8 +52,8 @@
     // Guards against requests that crash one upstream for each VM that starts late or lost a report.
     struct row {
         const char* name;
-        int onFirst; // Records that only this VM has.
-        int onSecond;
+        std::uint64_t onFirst; // Records that only this VM has.
+        std::uint64_t onSecond;
     };
     const row rows[] = {
         { "a VM that joins learns of one", 1, 0 },
@@ -67,13 +67,13 @@
         auto port = freePort();
         auto now = steady_clock::now();
         mesh_vm first(io, firstHost, secondHost, port);
-        for (int record = 0; record < each.onFirst; ++record) {
-            first.quarantine.recordCrash(static_cast<std::uint64_t>(record + 1), "u1", now, now);
+        for (std::uint64_t request = 1; request <= each.onFirst; ++request) {
+            first.quarantine.recordCrash(request, "u1", now, now);
         }
         io.run_for(milliseconds(100));
         mesh_vm second(io, secondHost, firstHost, port);
-        for (int record = 0; record < each.onSecond; ++record) {
-            second.quarantine.recordCrash(static_cast<std::uint64_t>(record + 1), "u2", now, now);
+        for (std::uint64_t request = 1; request <= each.onSecond; ++request) {
+            second.quarantine.recordCrash(request, "u2", now, now);
         }
         auto until = deadlineAfter(learnLimit);
         auto areEqual = [&] {
