--- a/testing/crash_containment_test.cc
+++ b/testing/crash_containment_test.cc
@@ -78,7 +78,8 @@
     public:
         crash_fleet(int entries, int upstreams)
             : m_folder(std::filesystem::temp_directory_path()
-                / ("marlsill-crash-" + std::to_string(::getpid()) + "-" + std::to_string(++s_count)))
+                / ("marlsill-crash-" + std::to_string(::getpid()) + "-"
+                    + std::to_string(steady_clock::now().time_since_epoch().count())))
         {
             std::filesystem::create_directories(m_folder);
             m_store.put(platform_adapter::configurationKind, platform_adapter::configurationName,
@@ -192,7 +193,6 @@
                 platform_adapter::upstreamObject(service, slot.server->address(), "ready", slot.starts));
         }
 
-        static inline int s_count = 0;
         const std::filesystem::path m_folder;
         platform_adapter::fake_object_store m_store;
         std::vector<upstream_slot> m_upstreams;
