--- a/marlsill/placement/crash_quarantine.h
+++ b/marlsill/placement/crash_quarantine.h
@@ -7,7 +7,8 @@
 //     if (auto record = quarantine.recordCrash(fingerprint, upstream, startedAt, now))
 //         sendToPeers(*record);
 //
-// What VMs exchange is one counter per request and upstream, merged by maximum. The sum over the upstreams is
+// What VMs exchange is two counters per request and upstream, each merged by maximum: the crashes, and those
+// of them that a success of the request has shown to be a coincidence. The sum of the differences is
 // therefore the same on all VMs that have the same records, whichever VM saw which crash, and however often
 // or in which order the records arrive. The fingerprint covers the request as the upstream receives it, and
 // the caller. Not thread safe.
@@ -72,7 +73,8 @@
     // only then; 0 if there are none.
     std::uint64_t digest(steady_clock::time_point now);
 
-    // Returns up to `maxRecords` records, other ones with each call until all have had their turn.
+    // Returns the records of some requests, other ones with each call until all have had their turn. Stops
+    // after the request whose records reach `maxRecords`.
     std::vector<crash_record> nextRecords(std::size_t maxRecords, steady_clock::time_point now);
 
     // Returns whether the request must not be sent to any upstream.
