Do not read on from a caller once its connection is about to close

Cause: a session that is idle as the stop begins decides to close and posts the closing to the event loop. If the bytes of a request had become readable in the same turn, the session's reader came first, parsed the request and passed it on; then the closing ended the connection under it.

Change: such a session stops reading when it decides to close. A request that crosses the close is not read and not passed on, so that its caller may send it again.

--- a/marlsill/gateway/session_server.cc
+++ b/marlsill/gateway/session_server.cc
@@ -257,6 +257,7 @@
         return;
     }
     m_isClosing = true;
+    m_isReading = false;
     asio::co_spawn(
         m_server.m_io, [self = shared_from_this()] { return self->writePending(); }, asio::detached);
 }
--- a/testing/gateway_test.cc
+++ b/testing/gateway_test.cc
@@ -454,6 +454,24 @@
     CHECK(tested.runsOf("copy") == 0);
 }
 
+TEST_CASE("A request that arrives as a planned stop begins is served or not read at all")
+{
+    // Guards against a request that is passed on by a session which has already decided to close.
+    gateway_fixture tested(1);
+    tested.upstream(0).setWorkTime(milliseconds(50));
+    auto idle = tested.connect();
+    idle.sendRequest("POST", "/once/a", "before", 2'000, "b");
+    REQUIRE(idle.receive().status == 200);
+    // The request and the stop become ready while the event loop is busy, the stop first.
+    tested.post([](gateway::gateway&) { std::this_thread::sleep_for(milliseconds(200)); });
+    std::this_thread::sleep_for(milliseconds(50));
+    idle.sendRequest("POST", "/once/a", "during", 2'000, "b");
+    tested.post([](gateway::gateway& entry) { entry.beginStop(deadlineAfter(milliseconds(4'000)), [] {}); });
+    auto response = idle.receive();
+    std::this_thread::sleep_for(milliseconds(200)); // A request that was passed on has run by then.
+    CHECK((response.status == 200) == (tested.runsOf("during") == 1));
+}
+
 TEST_CASE("A planned stop finishes requests in flight and still serves new ones")
 {
     gateway_fixture tested(2);
