supervisor_test: wait until the steady part has started

It is the test: it stops the supervisor as soon as the failing part has failed three times, which takes a few milliseconds, and the thread of the other part may not have run by then. Nothing promises that it has.

--- a/marlsill/supervisor/supervisor_test.cc
+++ b/marlsill/supervisor/supervisor_test.cc
@@ -41,6 +41,7 @@
     });
     root.start();
     waitFor(failures, 3);
+    waitFor(starts, 1); // Its thread may start after the other part has failed three times.
     root.stop();
     CHECK(starts == 1);
 }
