--- /dev/null
+++ b/marlsill/gateway/crash_monitor.cc
@@ -0,0 +1,141 @@
+#include "marlsill/gateway/crash_monitor.h"
+
+#include "marlsill/events/events.h"
+#include "marlsill/gateway/endpoint.h"
+#include "marlsill/gateway/upstream_connection.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace marlsill::gateway {
+
+crash_monitor::crash_monitor(asio::io_context& io, const placement::load_balancer& balancer,
+    traffic_counters& counters, crash_monitor_options options)
+    : m_io(io)
+    , m_loadBalancer(balancer)
+    , m_counters(counters)
+    , m_options(options)
+{
+}
+
+void crash_monitor::examine(unexplained_end ended, std::function<bool()> hasSucceeded)
+{
+    auto address = parseEndpoint(ended.address);
+    if (!address) {
+        return;
+    }
+    auto check = [this, ended = std::move(ended), hasSucceeded = std::move(hasSucceeded),
+                     endpoint = *address]() -> asio::awaitable<void> {
+        asio::steady_timer delay(m_io, m_options.checkDelay);
+        boost::system::error_code ignored;
+        co_await delay.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        auto connection = std::make_shared<upstream_connection>(m_io, endpoint);
+        bool isListening = co_await connection->open(deadlineAfter(m_options.connectTimeout));
+        connection->abort();
+        if (hasSucceeded()) {
+            co_return; // Whatever happened to the upstream, the request did not cause it.
+        }
+        if (!isListening || hasRestarted(ended)) {
+            recordCrash(ended);
+            co_return;
+        }
+        m_pendingEnds.push_back({ ended, deadlineAfter(m_options.registrationDelay) });
+        if (m_pendingEnds.size() > m_options.maxUnexplainedEnds) {
+            m_pendingEnds.pop_front();
+        }
+    };
+    asio::co_spawn(m_io, std::move(check), asio::detached);
+}
+
+// Returns whether the registrations show that another process has replaced the upstream.
+bool crash_monitor::hasRestarted(const unexplained_end& ended) const
+{
+    auto isNewer = [&](const placement::upstream_entry* current) {
+        return current && current->startedUnixMs > ended.upstreamStartedUnixMs;
+    };
+    return ended.upstreamStartedUnixMs != 0
+        && (isNewer(m_loadBalancer.find(ended.upstream))
+            || isNewer(m_loadBalancer.findNewestAt(ended.address)));
+}
+
+void crash_monitor::recordCrashesOfRestarted()
+{
+    auto now = steady_clock::now();
+    std::erase_if(m_pendingEnds, [&](const auto& each) {
+        bool isCrash = hasRestarted(each.ended);
+        if (isCrash) {
+            recordCrash(each.ended);
+        }
+        return isCrash || hasPassed(each.forgetAt, now);
+    });
+}
+
+void crash_monitor::recordCrash(const unexplained_end& ended)
+{
+    auto now = steady_clock::now();
+    ++m_counters.upstreamCrashes;
+    auto record = m_quarantine.recordCrash(ended.fingerprint, ended.upstream, ended.startedAt, now);
+    logEvent(event::upstreamCrashed,
+        { { "request", ended.request }, { "upstream", ended.upstream },
+            { "fingerprint", std::to_string(ended.fingerprint) },
+            { "crashes", std::to_string(m_quarantine.crashesOf(ended.fingerprint, now)) } });
+    if (!record) {
+        return;
+    }
+    logQuarantine(ended.fingerprint, now);
+    report(*record);
+}
+
+void crash_monitor::recordSuccess(const std::string& request, std::uint64_t fingerprint)
+{
+    std::erase_if(m_pendingEnds, [&](const auto& each) { return each.ended.fingerprint == fingerprint; });
+    for (const auto& each : m_quarantine.recordSuccess(fingerprint, steady_clock::now())) {
+        logEvent(event::crashCleared,
+            { { "request", request }, { "fingerprint", std::to_string(fingerprint) },
+                { "upstream", each.upstream }, { "crashes", std::to_string(each.crashes) } });
+        report(each);
+    }
+}
+
+void crash_monitor::recordArrival(std::uint64_t fingerprint, steady_clock::time_point now)
+{
+    for (const auto& each : m_quarantine.recordArrival(fingerprint, now)) {
+        report(each);
+    }
+}
+
+void crash_monitor::applyPeerRecord(const placement::crash_record& record)
+{
+    auto now = steady_clock::now();
+    ++m_counters.crashReports;
+    if (!m_quarantine.merge(record, now)) {
+        return; // Known already; reports are repeated in case they are lost.
+    }
+    logEvent(event::crashReported,
+        { { "fingerprint", std::to_string(record.fingerprint) }, { "upstream", record.upstream },
+            { "crashes", std::to_string(record.crashes) }, { "cleared", std::to_string(record.cleared) },
+            { "known", std::to_string(m_quarantine.crashesOf(record.fingerprint, now)) } });
+    logQuarantine(record.fingerprint, now);
+}
+
+// Logs that a request is quarantined, if it is.
+void crash_monitor::logQuarantine(std::uint64_t fingerprint, steady_clock::time_point now)
+{
+    if (m_quarantine.isQuarantined(fingerprint, now)) {
+        logEvent(event::requestQuarantined,
+            { { "fingerprint", std::to_string(fingerprint) },
+                { "crashes", std::to_string(m_quarantine.crashesOf(fingerprint, now)) } });
+    }
+}
+
+void crash_monitor::report(const placement::crash_record& record)
+{
+    if (m_report) {
+        m_report(record);
+    }
+}
+
+}
--- /dev/null
+++ b/marlsill/gateway/crash_monitor.h
@@ -0,0 +1,107 @@
+#pragma once
+
+// Finds out whether upstreams crashed under requests, and which requests must not be sent any more.
+//
+//     crash_monitor monitor(io, balancer, counters);
+//     monitor.setReporter([&](const auto& record) { mesh.publish(record); });
+//     if (monitor.isQuarantined(fingerprint, now))
+//         return refuse();
+//     ...
+//     monitor.examine(ended, [request] { return request->hasSucceeded(); });
+//
+// Not thread safe; used from a single event loop.
+
+#include "marlsill/gateway/traffic_counters.h"
+#include "marlsill/placement/crash_quarantine.h"
+#include "marlsill/placement/load_balancer.h"
+
+#include <boost/asio/io_context.hpp>
+#include <deque>
+#include <functional>
+#include <string>
+
+namespace marlsill::gateway {
+
+namespace asio = boost::asio;
+
+// An attempt that ended without a response.
+struct unexplained_end {
+    std::string request; // Its id.
+    std::uint64_t fingerprint = 0;
+    std::string upstream;
+    std::string address;
+    std::int64_t upstreamStartedUnixMs = 0; // As registered when the attempt began; 0 if unknown.
+    steady_clock::time_point startedAt;
+};
+
+// Settings of a crash monitor.
+struct crash_monitor_options {
+    std::chrono::milliseconds connectTimeout { 400 }; // Far above a round trip between failure domains.
+    std::chrono::milliseconds checkDelay { 100 }; // A crashed process's port closes by then.
+    std::chrono::milliseconds registrationDelay { 5'000 }; // Until a restart is known here.
+    std::size_t maxUnexplainedEnds = 1'000;
+};
+
+class crash_monitor {
+public:
+    // `balancer` and `counters` must outlive the monitor.
+    crash_monitor(asio::io_context& io, const placement::load_balancer& balancer, traffic_counters& counters,
+        crash_monitor_options options = {});
+
+    // Sets what sends this VM's records to its peers.
+    void setReporter(std::function<void(const placement::crash_record&)> report)
+    {
+        m_report = std::move(report);
+    }
+
+    // Finds out, a little later, whether the upstream of the attempt has crashed. Records nothing if
+    // `hasSucceeded` then tells that the request has succeeded at another upstream.
+    void examine(unexplained_end ended, std::function<bool()> hasSucceeded);
+
+    // Records the crashes of upstreams that accepted connections again before they were checked. Call when
+    // the registrations have changed.
+    void recordCrashesOfRestarted();
+
+    // Clears a request of the crashes that it is suspected of.
+    void recordSuccess(const std::string& request, std::uint64_t fingerprint);
+
+    // Records that a quarantined request has arrived again.
+    void recordArrival(std::uint64_t fingerprint, steady_clock::time_point now);
+
+    // Merges a peer's record.
+    void applyPeerRecord(const placement::crash_record& record);
+
+    bool isQuarantined(std::uint64_t fingerprint, steady_clock::time_point now) const
+    {
+        return m_quarantine.isQuarantined(fingerprint, now);
+    }
+
+    int crashesOf(std::uint64_t fingerprint, steady_clock::time_point now) const
+    {
+        return m_quarantine.crashesOf(fingerprint, now);
+    }
+
+    placement::crash_quarantine& quarantine() { return m_quarantine; }
+
+private:
+    // An attempt that ended although its upstream's address accepts connections.
+    struct pending_end {
+        unexplained_end ended;
+        deadline forgetAt;
+    };
+
+    bool hasRestarted(const unexplained_end& ended) const;
+    void recordCrash(const unexplained_end& ended);
+    void logQuarantine(std::uint64_t fingerprint, steady_clock::time_point now);
+    void report(const placement::crash_record& record);
+
+    asio::io_context& m_io;
+    const placement::load_balancer& m_loadBalancer;
+    traffic_counters& m_counters;
+    const crash_monitor_options m_options;
+    std::function<void(const placement::crash_record&)> m_report;
+    placement::crash_quarantine m_quarantine;
+    std::deque<pending_end> m_pendingEnds; // Oldest first.
+};
+
+}
--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -19,10 +19,6 @@
 
 namespace {
 
-    constexpr std::chrono::milliseconds crashCheckDelay { 100 }; // A crashed process's port closes by then.
-    constexpr std::chrono::milliseconds registrationDelay { 5'000 }; // Until a restart is known here.
-    constexpr std::size_t maxUnexplainedEnds = 1'000;
-
     std::chrono::milliseconds toMilliseconds(steady_clock::duration interval)
     {
         return std::chrono::duration_cast<std::chrono::milliseconds>(interval);
@@ -95,6 +91,7 @@
     , m_options(std::move(options))
     , m_wire(std::move(wire))
     , m_loadBalancer({ .failureDomain = m_options.failureDomain })
+    , m_crashMonitor(io, m_loadBalancer, m_counters, { .connectTimeout = m_options.connectTimeout })
 {
 }
 
@@ -110,7 +107,7 @@
 void forwarder::setUpstreams(std::span<const placement::upstream_entry> upstreams)
 {
     m_loadBalancer.replaceUpstreams(upstreams, steady_clock::now());
-    recordCrashesOfRestarted();
+    m_crashMonitor.recordCrashesOfRestarted();
     for (auto& [service, queue] : m_queues) {
         wakeNextQueued(service);
     }
@@ -148,37 +145,13 @@
     m_loadBalancer.applyPeerLoad(peer, load, steady_clock::now());
 }
 
-void forwarder::applyPeerCrash(const placement::crash_record& record)
-{
-    auto now = steady_clock::now();
-    ++m_counters.crashReports;
-    if (!m_crashQuarantine.merge(record, now)) {
-        return; // Known already; reports are repeated in case they are lost.
-    }
-    logEvent(event::crashReported,
-        { { "fingerprint", std::to_string(record.fingerprint) }, { "upstream", record.upstream },
-            { "crashes", std::to_string(record.crashes) }, { "cleared", std::to_string(record.cleared) },
-            { "known", std::to_string(m_crashQuarantine.crashesOf(record.fingerprint, now)) } });
-    logQuarantine(record.fingerprint, now);
-}
-
-// Logs that a request is quarantined, if it is.
-void forwarder::logQuarantine(std::uint64_t fingerprint, steady_clock::time_point now)
-{
-    if (m_crashQuarantine.isQuarantined(fingerprint, now)) {
-        logEvent(event::requestQuarantined,
-            { { "fingerprint", std::to_string(fingerprint) },
-                { "crashes", std::to_string(m_crashQuarantine.crashesOf(fingerprint, now)) } });
-    }
-}
-
 void forwarder::sweep()
 {
     auto now = steady_clock::now();
     for (const auto& each : m_loadBalancer.excludeStalled(now)) {
         logEvent(event::upstreamEvidence, { { "upstream", each.upstream }, { "source", "stall" } });
-        if (m_peerCallbacks.evidence) {
-            m_peerCallbacks.evidence(each);
+        if (m_reportEvidence) {
+            m_reportEvidence(each);
         }
     }
     m_pool.sweep([this](const std::string& upstream) { return isAcceptingRequests(upstream); }, now);
@@ -272,7 +245,7 @@
 {
     auto now = steady_clock::now();
     bool canHedge = !current.state.isAtMostOnce && current.state.possibleRuns < current.state.maxUpstreams
-        && current.attempts.size() == 1 && !m_crashQuarantine.isQuarantined(current.fingerprint, now);
+        && current.attempts.size() == 1 && !m_crashMonitor.isQuarantined(current.fingerprint, now);
     if (!canHedge) {
         return deadline::max();
     }
@@ -376,9 +349,12 @@
     }
     recordAttemptResult(*current, *thisAttempt, steady_clock::now());
     if (thisAttempt->outcome.outcome == attempt_outcome::noAnswer) {
-        checkForCrash(current, thisAttempt);
+        m_crashMonitor.examine(
+            { current->id, current->fingerprint, thisAttempt->upstream, thisAttempt->address,
+                thisAttempt->upstreamStartedUnixMs, thisAttempt->startedAt },
+            [current] { return current->hasSucceeded(); });
     } else if (isSuccess(thisAttempt->outcome)) {
-        recordSuccess(*current);
+        m_crashMonitor.recordSuccess(current->id, current->fingerprint);
     }
     thisAttempt->isFinished = true;
     current->wakeTimer.cancel();
@@ -407,8 +383,8 @@
             { "trial", thisAttempt.isProbe ? "1" : "0" }, { "elapsed_ms", std::to_string(toMs(elapsed)) } });
     auto evidence = m_loadBalancer.finishAttempt(
         thisAttempt.upstream, verdict, elapsed, thisAttempt.startedAt, current.state.isAtMostOnce, now);
-    if (evidence && m_peerCallbacks.evidence) {
-        m_peerCallbacks.evidence(*evidence);
+    if (evidence && m_reportEvidence) {
+        m_reportEvidence(*evidence);
     }
     if (placement::isKeepAliveRace(thisAttempt.outcome)) {
         m_idleLimits.recordKeepAliveRace(current.service, now);
@@ -422,96 +398,6 @@
     wakeNextQueued(current.service);
 }
 
-// Finds out, a little later, whether the upstream of an attempt that ended without a response has crashed.
-void forwarder::checkForCrash(
-    const std::shared_ptr<active_request>& current, const std::shared_ptr<attempt>& thisAttempt)
-{
-    auto address = parseEndpoint(thisAttempt->address);
-    if (!address) {
-        return;
-    }
-    auto check = [this, current, thisAttempt, endpoint = *address]() -> asio::awaitable<void> {
-        asio::steady_timer delay(m_io, crashCheckDelay);
-        boost::system::error_code ignored;
-        co_await delay.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        auto connection = std::make_shared<upstream_connection>(m_io, endpoint);
-        bool isListening = co_await connection->open(steady_clock::now() + m_options.connectTimeout);
-        connection->abort();
-        if (current->hasSucceeded()) {
-            co_return; // Whatever happened to the upstream, the request did not cause it.
-        }
-        unexplained_end ended { current->id, current->fingerprint, thisAttempt->upstream,
-            thisAttempt->address, thisAttempt->upstreamStartedUnixMs, thisAttempt->startedAt,
-            deadlineAfter(registrationDelay) };
-        if (!isListening || hasRestarted(ended)) {
-            recordCrash(ended);
-            co_return;
-        }
-        m_unexplainedEnds.push_back(std::move(ended));
-        if (m_unexplainedEnds.size() > maxUnexplainedEnds) {
-            m_unexplainedEnds.pop_front();
-        }
-    };
-    asio::co_spawn(m_io, std::move(check), asio::detached);
-}
-
-// Returns whether the registrations show that another process has replaced the upstream.
-bool forwarder::hasRestarted(const unexplained_end& ended) const
-{
-    auto isNewer = [&](const placement::upstream_entry* current) {
-        return current && current->startedUnixMs > ended.upstreamStartedUnixMs;
-    };
-    return ended.upstreamStartedUnixMs != 0
-        && (isNewer(m_loadBalancer.find(ended.upstream))
-            || isNewer(m_loadBalancer.findNewestAt(ended.address)));
-}
-
-// Records the crashes of upstreams that accepted connections again before they were checked.
-void forwarder::recordCrashesOfRestarted()
-{
-    auto now = steady_clock::now();
-    std::erase_if(m_unexplainedEnds, [&](const auto& each) {
-        bool isCrash = hasRestarted(each);
-        if (isCrash) {
-            recordCrash(each);
-        }
-        return isCrash || hasPassed(each.forgetAt, now);
-    });
-}
-
-void forwarder::recordCrash(const unexplained_end& ended)
-{
-    auto now = steady_clock::now();
-    ++m_counters.upstreamCrashes;
-    auto record = m_crashQuarantine.recordCrash(ended.fingerprint, ended.upstream, ended.startedAt, now);
-    logEvent(event::upstreamCrashed,
-        { { "request", ended.request }, { "upstream", ended.upstream },
-            { "fingerprint", std::to_string(ended.fingerprint) },
-            { "crashes", std::to_string(m_crashQuarantine.crashesOf(ended.fingerprint, now)) } });
-    if (!record) {
-        return;
-    }
-    logQuarantine(ended.fingerprint, now);
-    if (m_peerCallbacks.crash) {
-        m_peerCallbacks.crash(*record);
-    }
-}
-
-// Clears a request of the crashes that it is suspected of.
-void forwarder::recordSuccess(const active_request& current)
-{
-    std::erase_if(
-        m_unexplainedEnds, [&](const auto& each) { return each.fingerprint == current.fingerprint; });
-    for (const auto& each : m_crashQuarantine.recordSuccess(current.fingerprint, steady_clock::now())) {
-        logEvent(event::crashCleared,
-            { { "request", current.id }, { "fingerprint", std::to_string(current.fingerprint) },
-                { "upstream", each.upstream }, { "crashes", std::to_string(each.crashes) } });
-        if (m_peerCallbacks.crash) {
-            m_peerCallbacks.crash(each);
-        }
-    }
-}
-
 void forwarder::wakeNextQueued(const std::string& service)
 {
     auto found = m_queues.find(service);
@@ -563,8 +449,8 @@
     thisAttempt->isProbe = chosen.isProbe;
     thisAttempt->startedAt = now;
     m_loadBalancer.startAttempt(thisAttempt->upstream, chosen.isProbe, now);
-    if (chosen.isProbe && m_peerCallbacks.evidence) {
-        m_peerCallbacks.evidence({ thisAttempt->upstream, placement::evidence_kind::probe });
+    if (chosen.isProbe && m_reportEvidence) {
+        m_reportEvidence({ thisAttempt->upstream, placement::evidence_kind::probe });
     }
     ++m_counters.attempts;
     ++current->state.possibleRuns;
@@ -577,7 +463,7 @@
             { "entry", std::to_string(chosen.upstream->version) },
             { "left_ms", std::to_string(millisecondsUntil(current->effectiveDeadline, now)) },
             { "config", std::to_string(current->config->version) },
-            { "crashes", std::to_string(m_crashQuarantine.crashesOf(current->fingerprint, now)) } });
+            { "crashes", std::to_string(m_crashMonitor.crashesOf(current->fingerprint, now)) } });
     asio::co_spawn(m_io, runAttempt(current, thisAttempt), asio::detached);
     return true;
 }
@@ -626,11 +512,7 @@
 final_response forwarder::rejectQuarantined(active_request& current, steady_clock::time_point now)
 {
     ++m_counters.quarantined;
-    for (const auto& each : m_crashQuarantine.recordArrival(current.fingerprint, now)) {
-        if (m_peerCallbacks.crash) {
-            m_peerCallbacks.crash(each);
-        }
-    }
+    m_crashMonitor.recordArrival(current.fingerprint, now);
     return finishWithLocalReply(current, current.mayHaveRun() ? next_step::giveUp : next_step::refuse,
         "upstreams crashed under this request");
 }
@@ -664,7 +546,7 @@
     auto step = decision.step;
     if (step == next_step::tryAnother) {
         bool countsAsRetry = thisAttempt.outcome.outcome != attempt_outcome::notSent;
-        bool mayTry = !m_crashQuarantine.isQuarantined(current.fingerprint, now)
+        bool mayTry = !m_crashMonitor.isQuarantined(current.fingerprint, now)
             && tryTakeRetry(current, countsAsRetry, now);
         if (mayTry && current.state.isAnotherInFlight) {
             step = next_step::wait;
@@ -730,7 +612,7 @@
         if (hasPassed(current->effectiveDeadline, now)) {
             co_return finishTimedOut(*current);
         }
-        if (needsAttempt && m_crashQuarantine.isQuarantined(current->fingerprint, now)) {
+        if (needsAttempt && m_crashMonitor.isQuarantined(current->fingerprint, now)) {
             co_return rejectQuarantined(*current, now);
         }
         auto hedgeAt = hedgeTime(*current);
--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -12,17 +12,16 @@
 
 #include "marlsill/gateway/configuration.h"
 #include "marlsill/gateway/connection_pool.h"
+#include "marlsill/gateway/crash_monitor.h"
 #include "marlsill/gateway/traffic_counters.h"
 #include "marlsill/gateway/wire_fields.h"
 #include "marlsill/placement/admission_queue.h"
 #include "marlsill/placement/attempt_policy.h"
-#include "marlsill/placement/crash_quarantine.h"
 #include "marlsill/placement/idle_limits.h"
 #include "marlsill/placement/load_balancer.h"
 #include "marlsill/placement/retry_after_gate.h"
 #include "marlsill/placement/windowed_retry_budget.h"
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -119,11 +118,8 @@
     double retrySlackFraction = 1; // This VM's share of `fleetRetrySlack`, 0 to 1.
 };
 
-// Called to tell peers what this VM has observed. Either may be empty.
-struct peer_callbacks {
-    std::function<void(const placement::upstream_evidence&)> evidence;
-    std::function<void(const placement::crash_record&)> crash;
-};
+// Called to tell peers what this VM has observed. May be empty.
+using evidence_reporter = std::function<void(const placement::upstream_evidence&)>;
 
 // See the file comment.
 class forwarder {
@@ -139,8 +135,8 @@
     // Replaces the registered upstreams.
     void setUpstreams(std::span<const placement::upstream_entry> upstreams);
 
-    // Sets the callbacks that send this VM's observations to peers.
-    void setPeerCallbacks(peer_callbacks callbacks) { m_peerCallbacks = std::move(callbacks); }
+    // Sets what sends this VM's observations to its peers.
+    void setEvidenceReporter(evidence_reporter report) { m_reportEvidence = std::move(report); }
 
     // Sets the function that returns this VM's share of a service's traffic.
     void setServiceShareProvider(std::function<service_share(const std::string&)> provider)
@@ -148,16 +144,15 @@
         m_serviceShareOf = std::move(provider);
     }
 
-    // Apply a peer's health evidence, load, or record of a request that crashed an upstream.
+    // Apply a peer's health evidence or load.
     void applyPeerEvidence(const placement::upstream_evidence& evidence);
     void applyPeerLoad(std::string_view peer, const placement::upstream_load& load);
-    void applyPeerCrash(const placement::crash_record& record);
 
     // Detects stalled upstreams and closes expired idle connections. Call a few times a second.
     void sweep();
 
     placement::load_balancer& loadBalancer() { return m_loadBalancer; }
-    placement::crash_quarantine& crashQuarantine() { return m_crashQuarantine; }
+    crash_monitor& crashMonitor() { return m_crashMonitor; }
     const std::shared_ptr<const configuration>& currentConfiguration() const { return m_configuration; }
     const wire_fields& wire() const { return m_wire; }
     traffic_counters& counters() { return m_counters; }
@@ -173,17 +168,6 @@
 private:
     using attempt = active_request::attempt;
 
-    // An attempt that ended without a response, although its upstream's address accepts connections.
-    struct unexplained_end {
-        std::string request; // Its id.
-        std::uint64_t fingerprint = 0;
-        std::string upstream;
-        std::string address;
-        std::int64_t upstreamStartedUnixMs = 0;
-        steady_clock::time_point startedAt;
-        deadline forgetAt;
-    };
-
     asio::awaitable<void> runAttempt(
         std::shared_ptr<active_request> current, std::shared_ptr<attempt> thisAttempt);
     asio::awaitable<std::optional<final_response>> processRequest(std::shared_ptr<active_request> current);
@@ -201,13 +185,6 @@
         std::string_view why, std::chrono::milliseconds delay) const;
     void abortAttempts(active_request& current);
     void recordAttemptResult(active_request& current, attempt& thisAttempt, steady_clock::time_point now);
-    void checkForCrash(
-        const std::shared_ptr<active_request>& current, const std::shared_ptr<attempt>& thisAttempt);
-    bool hasRestarted(const unexplained_end& ended) const;
-    void recordCrashesOfRestarted();
-    void recordCrash(const unexplained_end& ended);
-    void recordSuccess(const active_request& current);
-    void logQuarantine(std::uint64_t fingerprint, steady_clock::time_point now);
     bool tryTakeRetry(active_request& current, bool countsAsRetry, steady_clock::time_point now);
     bool tryTakeHedge(active_request& current, steady_clock::time_point now);
     static placement::answer_deadlines queueDeadlinesOf(const active_request& current);
@@ -228,13 +205,12 @@
     const forwarder_options m_options;
     const wire_fields m_wire;
     placement::load_balancer m_loadBalancer;
-    placement::crash_quarantine m_crashQuarantine;
-    std::deque<unexplained_end> m_unexplainedEnds; // Oldest first.
     placement::idle_limits m_idleLimits;
     placement::retry_after_gate m_retryAfterGate;
     connection_pool m_pool;
     traffic_counters m_counters;
-    peer_callbacks m_peerCallbacks;
+    crash_monitor m_crashMonitor;
+    evidence_reporter m_reportEvidence;
     std::shared_ptr<const configuration> m_configuration;
     std::map<std::string, placement::windowed_retry_budget, std::less<>> m_retryBudgets;
     std::map<std::string, placement::admission_queue<active_request>, std::less<>> m_queues;
