--- a/marlsill/events/events.cc
+++ b/marlsill/events/events.cc
@@ -28,6 +28,8 @@
         { event::partFailed, severity::error, "part_failed",
             "A part of the daemon ended by itself; it is restarted after a pause." },
         { event::partRestarted, severity::warning, "part_restarted", "A failed part runs again." },
+        { event::absenceNoticed, severity::warning, "absence_noticed",
+            "The daemon did not run for a while; it was stopped or its VM was suspended." },
         { event::callerRequestMalformed, severity::warning, "caller_request_malformed",
             "A caller's request was refused with 400 and its connection closed." },
         { event::workerQueueFull, severity::warning, "worker_queue_full",
--- a/marlsill/events/events.h
+++ b/marlsill/events/events.h
@@ -21,6 +21,7 @@
     logLinesDropped = 1006,
     partFailed = 1010,
     partRestarted = 1011,
+    absenceNoticed = 1012,
     callerRequestMalformed = 2001,
     workerQueueFull = 2002,
     upstreamAnswerBroken = 2010,
--- a/marlsill/gateway/crash_monitor.cc
+++ b/marlsill/gateway/crash_monitor.cc
@@ -18,9 +18,17 @@
     , m_loadBalancer(balancer)
     , m_counters(counters)
     , m_options(options)
+    , m_absenceDetector(options.shortestAbsence)
 {
 }
 
+void crash_monitor::noteRunning()
+{
+    if (auto absence = m_absenceDetector.noteRunning(boot_clock::now())) {
+        logEvent(event::absenceNoticed, { { "absent_ms", std::to_string(absence->count()) } });
+    }
+}
+
 void crash_monitor::examine(unexplained_end ended, std::function<bool()> hasSucceeded)
 {
     auto address = parseEndpoint(ended.address);
--- a/marlsill/gateway/crash_monitor.h
+++ b/marlsill/gateway/crash_monitor.h
@@ -11,6 +11,7 @@
 //
 // Not thread safe; used from a single event loop.
 
+#include "marlsill/base/absence_detector.h"
 #include "marlsill/gateway/traffic_counters.h"
 #include "marlsill/placement/crash_quarantine.h"
 #include "marlsill/placement/load_balancer.h"
@@ -40,6 +41,7 @@
     std::chrono::milliseconds checkDelay { 100 }; // A crashed process's port closes by then.
     std::chrono::milliseconds registrationDelay { 5'000 }; // Until a restart is known here.
     std::size_t maxUnexplainedEnds = 1'000;
+    std::chrono::milliseconds shortestAbsence { 1'000 }; // Four of the forwarder's sweeps.
 };
 
 class crash_monitor {
@@ -71,6 +73,9 @@
     // Merges a peer's record.
     void applyPeerRecord(const placement::crash_record& record);
 
+    // Records that this VM runs. Call a few times a second, and before a request is sent.
+    void noteRunning();
+
     bool isQuarantined(std::uint64_t fingerprint, steady_clock::time_point now) const
     {
         return m_quarantine.isQuarantined(fingerprint, now);
@@ -102,6 +107,7 @@
     std::function<void(const placement::crash_record&)> m_report;
     placement::crash_quarantine m_quarantine;
     std::deque<pending_end> m_pendingEnds; // Oldest first.
+    absence_detector m_absenceDetector;
 };
 
 }
--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -147,6 +147,7 @@
 
 void forwarder::sweep()
 {
+    m_crashMonitor.noteRunning();
     auto now = steady_clock::now();
     for (const auto& each : m_loadBalancer.excludeStalled(now)) {
         logEvent(event::upstreamEvidence, { { "upstream", each.upstream }, { "source", "stall" } });
@@ -221,6 +222,7 @@
     logEvent(event::requestAnswered,
         { { "request", current.id }, { "status", std::to_string(response.message.head.getStatus()) },
             { "why", std::string(why) }, { "service", current.service },
+            { "fingerprint", std::to_string(current.fingerprint) },
             { "attempts", std::to_string(current.attempts.size()) },
             { "elapsed_ms", std::to_string(toMs(steady_clock::now() - current.arrivedAt)) },
             { "config", std::to_string(current.config->version) } });
@@ -350,8 +352,14 @@
     recordAttemptResult(*current, *thisAttempt, steady_clock::now());
     if (thisAttempt->outcome.outcome == attempt_outcome::noAnswer) {
         m_crashMonitor.examine(
-            { current->id, current->fingerprint, thisAttempt->upstream, thisAttempt->address,
-                thisAttempt->upstreamStartedUnixMs, thisAttempt->startedAt },
+            {
+                current->id,
+                current->fingerprint,
+                thisAttempt->upstream,
+                thisAttempt->address,
+                thisAttempt->upstreamStartedUnixMs,
+                thisAttempt->startedAt,
+            },
             [current] { return current->hasSucceeded(); });
     } else if (isSuccess(thisAttempt->outcome)) {
         m_crashMonitor.recordSuccess(current->id, current->fingerprint);
@@ -612,6 +620,7 @@
         if (hasPassed(current->effectiveDeadline, now)) {
             co_return finishTimedOut(*current);
         }
+        m_crashMonitor.noteRunning();
         if (needsAttempt && m_crashMonitor.isQuarantined(current->fingerprint, now)) {
             co_return rejectQuarantined(*current, now);
         }
