--- a/marlsill/base/absence_detector.h
+++ b/marlsill/base/absence_detector.h
@@ -43,14 +43,16 @@
     std::optional<std::chrono::milliseconds> noteRunning(boot_clock::time_point now)
     {
         auto gap = std::chrono::duration_cast<std::chrono::milliseconds>(
-            m_lastRunning ? now - *m_lastRunning : boot_clock::duration::zero());
+            m_hasRun ? now - m_lastRunning : boot_clock::duration::zero());
         m_lastRunning = now;
+        m_hasRun = true;
         return gap >= m_shortestAbsence ? std::optional(gap) : std::nullopt;
     }
 
 private:
     const std::chrono::milliseconds m_shortestAbsence;
-    std::optional<boot_clock::time_point> m_lastRunning;
+    boot_clock::time_point m_lastRunning;
+    bool m_hasRun = false;
 };
 
 }
--- a/marlsill/cluster/peer_mesh.cc
+++ b/marlsill/cluster/peer_mesh.cc
@@ -1,5 +1,6 @@
 #include "marlsill/cluster/peer_mesh.h"
 
+#include "marlsill/base/random.h"
 #include "marlsill/events/events.h"
 
 #include <algorithm>
@@ -14,6 +15,8 @@
 
     constexpr std::size_t membersPerDatagram = 16; // About 1 KB, below the usual MTU.
     constexpr std::size_t crashesPerDatagram = 16; // Likewise.
+    constexpr std::size_t maxCrashAnswer = 1'024; // Records of one answer, about 64 KB.
+    constexpr std::size_t maxCrashRequests = 40; // Hosts asked at once; some may be away themselves.
 
     asio::awaitable<void> sleepFor(asio::io_context& io, std::chrono::milliseconds length)
     {
@@ -109,6 +112,54 @@
     }
 }
 
+bool peer_mesh::requestCrashes()
+{
+    auto hosts = m_members.reachableHosts();
+    std::shuffle(hosts.begin(), hosts.end(), threadRandom());
+    hosts.resize(std::min(hosts.size(), maxCrashRequests));
+    peer_message message;
+    message.crashRequest = ++m_lastCrashRequest;
+    for (const auto& host : hosts) {
+        send(host, message);
+    }
+    return !hosts.empty();
+}
+
+void peer_mesh::sendAllCrashes(const std::string& host, std::uint64_t request)
+{
+    auto records = m_handler.allCrashRecords(maxCrashAnswer);
+    if (!records) {
+        return;
+    }
+    auto parts = std::max<std::size_t>(1, (records->size() + crashesPerDatagram - 1) / crashesPerDatagram);
+    for (std::size_t part = 0; part < parts; ++part) {
+        auto first = part * crashesPerDatagram;
+        auto last = std::min(records->size(), first + crashesPerDatagram);
+        peer_message message;
+        message.crashes.assign(records->begin() + static_cast<std::ptrdiff_t>(first),
+            records->begin() + static_cast<std::ptrdiff_t>(last));
+        message.crashAnswer = request;
+        message.crashPart = static_cast<int>(part) + 1;
+        message.crashParts = static_cast<int>(parts);
+        send(host, std::move(message));
+    }
+}
+
+// Records a part of an answer to requestCrashes().
+void peer_mesh::noteCrashPart(const peer_message& message)
+{
+    if (message.crashAnswer <= m_answeredCrashRequests) {
+        return;
+    }
+    auto& parts = m_crashParts[{ message.sender, message.crashAnswer }];
+    parts.insert(message.crashPart);
+    if (static_cast<int>(parts.size()) >= message.crashParts) {
+        m_crashParts.clear();
+        m_answeredCrashRequests = m_lastCrashRequest;
+        m_handler.crashesComplete(message.sender);
+    }
+}
+
 asio::awaitable<void> peer_mesh::receiveLoop()
 {
     while (true) {
@@ -156,6 +207,12 @@
     for (const auto& each : message.crashes) {
         m_handler.crash(each);
     }
+    if (message.crashAnswer) {
+        noteCrashPart(message);
+    }
+    if (message.crashRequest) {
+        sendAllCrashes(message.sender, message.crashRequest);
+    }
     if (message.ping) {
         peer_message answer;
         answer.pong = message.ping;
--- a/marlsill/cluster/peer_mesh.h
+++ b/marlsill/cluster/peer_mesh.h
@@ -18,7 +18,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
+#include <set>
 
 namespace marlsill::cluster {
 
@@ -51,6 +53,11 @@
     std::function<std::uint64_t()> crashDigest;
     // Returns up to a number of crash records, other ones with each call until all have had their turn.
     std::function<std::vector<placement::crash_record>(std::size_t maxRecords)> nextCrashRecords;
+    // Returns all crash records up to a number; std::nullopt if this VM is not up to date itself.
+    std::function<std::optional<std::vector<placement::crash_record>>(std::size_t maxRecords)>
+        allCrashRecords;
+    // Called when a peer has sent all of its crash records, as requestCrashes() asked for.
+    std::function<void(const std::string& peer)> crashesComplete;
     // Returns the loads that changed since the last call.
     std::function<std::vector<placement::upstream_load>()> changedLoads;
     // Called with every message, which may hold data of the store.
@@ -85,6 +92,9 @@
     // Sends the record of a request that crashed an upstream to all reachable VMs, with the next batch.
     void publish(const placement::crash_record& crash);
 
+    // Asks other VMs, up to a number of them, for all of their crash records. Returns whether there are any.
+    bool requestCrashes();
+
     // Sends a message to one VM at once. Errors are ignored, as datagrams may be lost anyway.
     void send(const std::string& host, peer_message message);
 
@@ -103,6 +113,8 @@
     void announceSelf();
     void sendMembers(const std::string& host);
     void sendCrashes(const std::string& host);
+    void sendAllCrashes(const std::string& host, std::uint64_t request);
+    void noteCrashPart(const peer_message& message);
     void scheduleBatch();
     void sendBatch();
 
@@ -114,6 +126,10 @@
     asio::steady_timer m_batchTimer;
     std::array<std::uint8_t, 65536> m_buffer {};
     std::map<std::string, peer_message> m_outbox; // By host; sent with the next batch.
+    // Parts received of answers to requestCrashes(), by host and request.
+    std::map<std::pair<std::string, std::uint64_t>, std::set<int>> m_crashParts;
+    std::uint64_t m_lastCrashRequest = 0;
+    std::uint64_t m_answeredCrashRequests = 0; // Requests up to this one need no answer any more.
     std::map<std::string, deadline, std::less<>> m_subscribers; // By host; when the subscription ends.
     deadline m_nextSeedContact {};
     std::size_t m_nextSeed = 0;
--- a/marlsill/cluster/peer_mesh_test.cc
+++ b/marlsill/cluster/peer_mesh_test.cc
@@ -32,6 +32,13 @@
                     .crashDigest = [this] { return quarantine.digest(steady_clock::now()); },
                     .nextCrashRecords
                     = [this](auto max) { return quarantine.nextRecords(max, steady_clock::now()); },
+                    .allCrashRecords
+                    = [this](auto max) -> std::optional<std::vector<placement::crash_record>> {
+                        return isUpToDate
+                            ? std::optional(quarantine.mostImportantRecords(max, steady_clock::now()))
+                            : std::nullopt;
+                    },
+                    .crashesComplete = [this](const auto&) { ++completeAnswers; },
                     .changedLoads = [] { return std::vector<placement::upstream_load>(); },
                     .storeUpdate = [](const auto&) {},
                     .servicePeers = [](const auto&) { return std::vector<std::string>(); } })
@@ -39,7 +46,11 @@
             REQUIRE(m_mesh.start().empty());
         }
 
+        bool requestCrashes() { return m_mesh.requestCrashes(); }
+
         placement::crash_quarantine quarantine;
+        bool isUpToDate = true;
+        int completeAnswers = 0;
 
     private:
         peer_mesh m_mesh;
@@ -89,4 +100,41 @@
     }
 }
 
+TEST_CASE("A VM that was away gets all crash records of a peer that is up to date, and is told so")
+{
+    struct row {
+        const char* name;
+        std::uint64_t records; // Of the peer.
+        bool isPeerUpToDate;
+    };
+    const row rows[] = {
+        { "none", 0, true },
+        { "one datagram", 3, true },
+        { "several datagrams", 40, true },
+        { "a peer that is catching up itself", 3, false },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        asio::io_context io;
+        auto port = freePort();
+        mesh_vm asking(io, firstHost, secondHost, port);
+        mesh_vm peer(io, secondHost, firstHost, port);
+        io.run_for(milliseconds(100));
+        auto now = steady_clock::now();
+        for (std::uint64_t request = 1; request <= each.records; ++request) {
+            peer.quarantine.recordCrash(request, "u1", now, now);
+        }
+        peer.isUpToDate = each.isPeerUpToDate;
+        REQUIRE(asking.requestCrashes());
+        auto until = deadlineAfter(milliseconds(100)); // Below the interval of pings, which tell records too.
+        while (asking.completeAnswers == 0 && !hasPassed(until, steady_clock::now())) {
+            io.run_for(milliseconds(1));
+        }
+        CHECK(asking.completeAnswers == (each.isPeerUpToDate ? 1 : 0));
+        if (each.isPeerUpToDate) {
+            CHECK(asking.quarantine.digest(now) == peer.quarantine.digest(now));
+        }
+    }
+}
+
 }
--- a/marlsill/cluster/peer_message.cc
+++ b/marlsill/cluster/peer_message.cc
@@ -29,6 +29,8 @@
     constexpr const char* loadsField = "u";
     constexpr const char* crashesField = "c";
     constexpr const char* crashDigestField = "i";
+    constexpr const char* crashRequestField = "f";
+    constexpr const char* crashAnswerField = "j"; // Request, number of the part, number of parts.
     constexpr const char* summaryField = "k";
     constexpr const char* beaconField = "b";
     constexpr const char* wantsConfigurationField = "x";
@@ -170,6 +172,12 @@
         value[crashDigestField] = message.crashDigest;
     }
     putList(value, crashesField, message.crashes, encodeCrash);
+    if (message.crashRequest) {
+        value[crashRequestField] = message.crashRequest;
+    }
+    if (message.crashAnswer) {
+        value[crashAnswerField] = json::array({ message.crashAnswer, message.crashPart, message.crashParts });
+    }
     if (message.summary) {
         const auto& entry = *message.summary;
         value[summaryField] = json::array(
@@ -235,6 +243,12 @@
         message.crashDigest = value.value(crashDigestField, std::uint64_t { 0 });
         forEachItem(
             value, crashesField, [&](const json& item) { message.crashes.push_back(decodeCrash(item)); });
+        message.crashRequest = value.value(crashRequestField, std::uint64_t { 0 });
+        if (auto found = value.find(crashAnswerField); found != value.end()) {
+            message.crashAnswer = found->at(0).get<std::uint64_t>();
+            message.crashPart = found->at(1).get<int>();
+            message.crashParts = found->at(2).get<int>();
+        }
         if (auto found = value.find(summaryField); found != value.end()) {
             message.summary
                 = store_summary { found->at(0).get<std::uint64_t>(), found->at(1).get<std::uint64_t>(),
--- a/marlsill/cluster/peer_message.h
+++ b/marlsill/cluster/peer_message.h
@@ -39,6 +39,10 @@
     std::vector<placement::upstream_load> loads;
     std::uint64_t crashDigest = 0; // Of the sender's crash records, in pings and pongs.
     std::vector<placement::crash_record> crashes;
+    std::uint64_t crashRequest = 0; // Non-zero: requests all of the receiver's crash records.
+    std::uint64_t crashAnswer = 0; // Non-zero: `crashes` is a part of the answer to this `crashRequest`.
+    int crashPart = 0; // Of the answer, which may take several datagrams; from 1 on.
+    int crashParts = 0;
     std::optional<store_summary> summary;
     bool isBeacon = false; // Whether `summary` is a watcher's periodic announcement.
     bool wantsConfiguration = false; // Requests the configuration.
--- a/marlsill/events/events.cc
+++ b/marlsill/events/events.cc
@@ -111,6 +111,8 @@
             "A peer reported that a request has crashed upstreams; `known` is the count with it." },
         { event::crashCleared, severity::info, "crash_cleared",
             "A request suspected of crashing an upstream succeeded; the crash counts against it no longer." },
+        { event::crashRecordsCurrent, severity::info, "crash_records_current",
+            "This VM was away and acts on its crash records again; `source` is who has sent all of its own." },
         { event::recordGap, severity::error, "record_gap",
             "Facts were dropped before they could be stored; the gap is part of the record." },
     };
--- a/marlsill/events/events.h
+++ b/marlsill/events/events.h
@@ -66,6 +66,7 @@
     idleLimitLearned = 5106,
     crashReported = 5107,
     crashCleared = 5108,
+    crashRecordsCurrent = 5109,
     recordGap = 6001,
 };
 
--- a/marlsill/gateway/crash_monitor.cc
+++ b/marlsill/gateway/crash_monitor.cc
@@ -26,9 +26,54 @@
 {
     if (auto absence = m_absenceDetector.noteRunning(boot_clock::now())) {
         logEvent(event::absenceNoticed, { { "absent_ms", std::to_string(absence->count()) } });
+        beginCatchUp();
     }
 }
 
+void crash_monitor::beginCatchUp()
+{
+    if (!m_requestRecords) {
+        return;
+    }
+    m_catchUp.begin(steady_clock::now());
+    if (!std::exchange(m_isCaughtUp, false)) {
+        return; // The peers are being asked.
+    }
+    auto askPeers = [this]() -> asio::awaitable<void> {
+        asio::steady_timer timer(m_io);
+        while (m_catchUp.isPending(steady_clock::now())) {
+            if (!m_requestRecords()) {
+                completeCatchUp("no_peers");
+                break;
+            }
+            timer.expires_at(m_catchUp.nextRequest(steady_clock::now()));
+            boost::system::error_code ignored;
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        }
+        completeCatchUp("timeout");
+    };
+    asio::co_spawn(m_io, std::move(askPeers), asio::detached);
+}
+
+void crash_monitor::completeCatchUp(std::string_view source)
+{
+    if (std::exchange(m_isCaughtUp, true)) {
+        return; // Several peers answer, and some after the timeout.
+    }
+    m_catchUp.complete();
+    logEvent(event::crashRecordsCurrent, { { "source", std::string(source) } });
+}
+
+std::optional<std::vector<placement::crash_record>> crash_monitor::recordsForPeer(std::size_t maxRecords)
+{
+    noteRunning();
+    auto now = steady_clock::now();
+    if (m_catchUp.isPending(now)) {
+        return std::nullopt;
+    }
+    return m_quarantine.mostImportantRecords(maxRecords, now);
+}
+
 void crash_monitor::examine(unexplained_end ended, std::function<bool()> hasSucceeded)
 {
     auto address = parseEndpoint(ended.address);
--- a/marlsill/gateway/crash_monitor.h
+++ b/marlsill/gateway/crash_monitor.h
@@ -15,11 +15,15 @@
 #include "marlsill/gateway/traffic_counters.h"
 #include "marlsill/placement/crash_quarantine.h"
 #include "marlsill/placement/load_balancer.h"
+#include "marlsill/placement/record_catch_up.h"
 
 #include <boost/asio/io_context.hpp>
 #include <deque>
 #include <functional>
+#include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace marlsill::gateway {
 
@@ -50,6 +54,12 @@
     crash_monitor(asio::io_context& io, const placement::load_balancer& balancer, traffic_counters& counters,
         crash_monitor_options options = {});
 
+    // Sets what asks the peers for all of their records. It returns whether there are any peers.
+    void setRecordRequester(std::function<bool()> requestRecords)
+    {
+        m_requestRecords = std::move(requestRecords);
+    }
+
     // Sets what sends this VM's records to its peers.
     void setReporter(std::function<void(const placement::crash_record&)> report)
     {
@@ -73,9 +83,20 @@
     // Merges a peer's record.
     void applyPeerRecord(const placement::crash_record& record);
 
-    // Records that this VM runs. Call a few times a second, and before a request is sent.
+    // Records that this VM runs. Call a few times a second, and before a request is sent. After an absence it
+    // asks the peers for their records.
     void noteRunning();
 
+    // Returns whether requests must wait, because the peers may know of crashes that this VM does not.
+    bool isCatchingUp(steady_clock::time_point now) const { return m_catchUp.isPending(now); }
+
+    // Records that a peer has sent all of its records.
+    void completeCatchUp(std::string_view source);
+
+    // Returns the records for a peer that asks for all, the most important ones if there are more than
+    // `maxRecords`; std::nullopt while this VM is catching up itself.
+    std::optional<std::vector<placement::crash_record>> recordsForPeer(std::size_t maxRecords);
+
     bool isQuarantined(std::uint64_t fingerprint, steady_clock::time_point now) const
     {
         return m_quarantine.isQuarantined(fingerprint, now);
@@ -95,6 +116,7 @@
         deadline forgetAt;
     };
 
+    void beginCatchUp();
     bool hasRestarted(const unexplained_end& ended) const;
     void recordCrash(const unexplained_end& ended);
     void logQuarantine(std::uint64_t fingerprint, steady_clock::time_point now);
@@ -108,6 +130,9 @@
     placement::crash_quarantine m_quarantine;
     std::deque<pending_end> m_pendingEnds; // Oldest first.
     absence_detector m_absenceDetector;
+    placement::record_catch_up m_catchUp;
+    bool m_isCaughtUp = true;
+    std::function<bool()> m_requestRecords;
 };
 
 }
--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -627,7 +627,8 @@
         auto hedgeAt = hedgeTime(*current);
         bool isHedge = !needsAttempt && hasPassed(hedgeAt, now);
         auto status = choice_status::chosen;
-        if (needsAttempt || (isHedge && tryTakeHedge(*current, now))) {
+        bool isCatchingUp = m_crashMonitor.isCatchingUp(now);
+        if (!isCatchingUp && (needsAttempt || (isHedge && tryTakeHedge(*current, now)))) {
             if (startAttempt(current, now, status)) {
                 m_counters.hedges += isHedge ? 1 : 0;
                 needsAttempt = false;
@@ -647,8 +648,9 @@
                 enqueue(current);
             }
         }
+        auto pollInterval = isCatchingUp ? m_options.catchUpPollInterval : m_options.queuePollInterval;
         auto wakeAt = needsAttempt
-            ? std::min(current->effectiveDeadline, now + m_options.queuePollInterval)
+            ? std::min(current->effectiveDeadline, now + pollInterval)
             : std::min(current->effectiveDeadline, isHedge ? now + m_options.minHedgeDelay : hedgeAt);
         current->wakeTimer.expires_at(wakeAt);
         boost::system::error_code ignored;
--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -39,6 +39,7 @@
     std::chrono::milliseconds connectTimeout { 400 }; // Far above a round trip between failure domains.
     std::chrono::milliseconds responseTransitTime { 10 }; // Deducted from the timeout sent to upstreams.
     std::chrono::milliseconds maxWaitForHealthy { 150 }; // Then a suspect upstream may be used.
+    std::chrono::milliseconds catchUpPollInterval { 5 }; // While peers are asked for their crash records.
     std::chrono::milliseconds queuePollInterval { 100 }; // Peers' loads expire without a wake-up.
     std::chrono::milliseconds maxIdleAtMostOnce { 1'500 }; // Upstreams may drop older ones unnoticed.
     std::chrono::milliseconds maxIdleRepeatable { 8'000 };
--- a/marlsill/placement/crash_quarantine.cc
+++ b/marlsill/placement/crash_quarantine.cc
@@ -141,6 +141,28 @@
     return records;
 }
 
+std::vector<crash_record> crash_quarantine::mostImportantRecords(
+    std::size_t maxRecords, steady_clock::time_point now)
+{
+    forgetExpired(now);
+    std::vector<std::pair<std::uint64_t, const entry*>> ordered;
+    for (const auto& [fingerprint, each] : m_entries) {
+        ordered.emplace_back(fingerprint, &each);
+    }
+    std::sort(ordered.begin(), ordered.end(), [this](const auto& left, const auto& right) {
+        return importanceOf(*left.second) > importanceOf(*right.second);
+    });
+    std::vector<crash_record> records;
+    for (const auto& [fingerprint, each] : ordered) {
+        auto ofRequest = each->records(fingerprint);
+        if (records.size() + ofRequest.size() > maxRecords) {
+            break;
+        }
+        records.insert(records.end(), ofRequest.begin(), ofRequest.end());
+    }
+    return records;
+}
+
 void crash_quarantine::forgetExpired(steady_clock::time_point now)
 {
     auto forgotten
@@ -161,15 +183,19 @@
     return m_entries[fingerprint];
 }
 
-// Evicts the entry that expires first among those that are not quarantined, or among all if all are.
+// Orders entries: quarantined ones are the most important, then those that expire last.
+std::pair<bool, deadline> crash_quarantine::importanceOf(const entry& each) const
+{
+    return { each.crashes() >= m_options.maxCrashes, each.expiresAt };
+}
+
 void crash_quarantine::evictLeastImportant()
 {
-    auto rank = [this](const auto& each) {
-        return std::pair(each.second.crashes() >= m_options.maxCrashes, each.second.expiresAt);
-    };
     m_digest.reset();
-    m_entries.erase(std::min_element(m_entries.begin(), m_entries.end(),
-        [&](const auto& left, const auto& right) { return rank(left) < rank(right); }));
+    m_entries.erase(
+        std::min_element(m_entries.begin(), m_entries.end(), [this](const auto& left, const auto& right) {
+            return importanceOf(left.second) < importanceOf(right.second);
+        }));
 }
 
 }
--- a/marlsill/placement/crash_quarantine.h
+++ b/marlsill/placement/crash_quarantine.h
@@ -77,6 +77,9 @@
     // after the request whose records reach `maxRecords`.
     std::vector<crash_record> nextRecords(std::size_t maxRecords, steady_clock::time_point now);
 
+    // Returns up to `maxRecords` records, those of quarantined requests first.
+    std::vector<crash_record> mostImportantRecords(std::size_t maxRecords, steady_clock::time_point now);
+
     // Returns whether the request must not be sent to any upstream.
     bool isQuarantined(std::uint64_t fingerprint, steady_clock::time_point now) const;
 
@@ -98,6 +101,7 @@
 
     void forgetExpired(steady_clock::time_point now);
     entry& findOrCreate(std::uint64_t fingerprint, steady_clock::time_point now);
+    std::pair<bool, deadline> importanceOf(const entry& each) const;
     void evictLeastImportant();
 
     const crash_quarantine_options m_options;
