--- a/marlsill/events/events.cc
+++ b/marlsill/events/events.cc
@@ -112,7 +112,11 @@
         { event::crashCleared, severity::info, "crash_cleared",
             "A request suspected of crashing an upstream succeeded; the crash counts against it no longer." },
         { event::crashRecordsCurrent, severity::info, "crash_records_current",
-            "This VM was away and acts on its crash records again; `source` is who has sent all of its own." },
+            "This VM was away, or is new, and acts on its crash records again; `source` is who has sent all of its own." },
+        { event::crashObjectIgnored, severity::warning, "crash_object_ignored",
+            "An object of crash records in the store cannot be read." },
+        { event::crashObjectNotWritten, severity::warning, "crash_object_not_written",
+            "The crash records of a request could not be written to the store; this is repeated." },
         { event::recordGap, severity::error, "record_gap",
             "Facts were dropped before they could be stored; the gap is part of the record." },
     };
--- a/marlsill/events/events.h
+++ b/marlsill/events/events.h
@@ -67,6 +67,8 @@
     crashReported = 5107,
     crashCleared = 5108,
     crashRecordsCurrent = 5109,
+    crashObjectIgnored = 5110,
+    crashObjectNotWritten = 5111,
     recordGap = 6001,
 };
 
--- a/marlsill/gateway/crash_monitor.cc
+++ b/marlsill/gateway/crash_monitor.cc
@@ -30,14 +30,22 @@
     }
 }
 
+void crash_monitor::catchUpAfterStart()
+{
+    if (!m_isUpToDate) {
+        beginCatchUp();
+    }
+}
+
 void crash_monitor::beginCatchUp()
 {
     if (!m_requestRecords) {
         return;
     }
+    m_isUpToDate = false;
     m_catchUp.begin(steady_clock::now());
-    if (!std::exchange(m_isCaughtUp, false)) {
-        return; // The peers are being asked.
+    if (std::exchange(m_isAskingPeers, true)) {
+        return;
     }
     auto askPeers = [this]() -> asio::awaitable<void> {
         asio::steady_timer timer(m_io);
@@ -50,6 +58,7 @@
             boost::system::error_code ignored;
             co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         }
+        m_isAskingPeers = false;
         completeCatchUp("timeout");
     };
     asio::co_spawn(m_io, std::move(askPeers), asio::detached);
@@ -57,7 +66,7 @@
 
 void crash_monitor::completeCatchUp(std::string_view source)
 {
-    if (std::exchange(m_isCaughtUp, true)) {
+    if (std::exchange(m_isUpToDate, true)) {
         return; // Several peers answer, and some after the timeout.
     }
     m_catchUp.complete();
@@ -68,7 +77,7 @@
 {
     noteRunning();
     auto now = steady_clock::now();
-    if (m_catchUp.isPending(now)) {
+    if (!m_isUpToDate) {
         return std::nullopt;
     }
     return m_quarantine.mostImportantRecords(maxRecords, now);
@@ -140,27 +149,36 @@
     }
     logQuarantine(ended.fingerprint, now);
     report(*record);
+    archive(ended.fingerprint);
 }
 
 void crash_monitor::recordSuccess(const std::string& request, std::uint64_t fingerprint)
 {
     std::erase_if(m_pendingEnds, [&](const auto& each) { return each.ended.fingerprint == fingerprint; });
-    for (const auto& each : m_quarantine.recordSuccess(fingerprint, steady_clock::now())) {
+    auto cleared = m_quarantine.recordSuccess(fingerprint, steady_clock::now());
+    for (const auto& each : cleared) {
         logEvent(event::crashCleared,
             { { "request", request }, { "fingerprint", std::to_string(fingerprint) },
                 { "upstream", each.upstream }, { "crashes", std::to_string(each.crashes) } });
         report(each);
     }
+    if (!cleared.empty()) {
+        archive(fingerprint);
+    }
 }
 
 void crash_monitor::recordArrival(std::uint64_t fingerprint, steady_clock::time_point now)
 {
-    for (const auto& each : m_quarantine.recordArrival(fingerprint, now)) {
+    auto renewed = m_quarantine.recordArrival(fingerprint, now);
+    for (const auto& each : renewed) {
         report(each);
     }
+    if (!renewed.empty()) {
+        archive(fingerprint);
+    }
 }
 
-void crash_monitor::applyPeerRecord(const placement::crash_record& record)
+void crash_monitor::applyRecord(const placement::crash_record& record)
 {
     auto now = steady_clock::now();
     ++m_counters.crashReports;
@@ -172,6 +190,7 @@
             { "crashes", std::to_string(record.crashes) }, { "cleared", std::to_string(record.cleared) },
             { "known", std::to_string(m_quarantine.crashesOf(record.fingerprint, now)) } });
     logQuarantine(record.fingerprint, now);
+    archive(record.fingerprint);
 }
 
 // Logs that a request is quarantined, if it is.
@@ -184,6 +203,13 @@
     }
 }
 
+void crash_monitor::archive(std::uint64_t fingerprint)
+{
+    if (m_archive) {
+        m_archive(m_quarantine.recordsOf(fingerprint));
+    }
+}
+
 void crash_monitor::report(const placement::crash_record& record)
 {
     if (m_report) {
--- a/marlsill/gateway/crash_monitor.h
+++ b/marlsill/gateway/crash_monitor.h
@@ -60,6 +60,12 @@
         m_requestRecords = std::move(requestRecords);
     }
 
+    // Sets what stores the records of one request, all of them, outside of the fleet.
+    void setArchiver(std::function<void(std::vector<placement::crash_record>)> archive)
+    {
+        m_archive = std::move(archive);
+    }
+
     // Sets what sends this VM's records to its peers.
     void setReporter(std::function<void(const placement::crash_record&)> report)
     {
@@ -80,17 +86,23 @@
     // Records that a quarantined request has arrived again.
     void recordArrival(std::uint64_t fingerprint, steady_clock::time_point now);
 
-    // Merges a peer's record.
-    void applyPeerRecord(const placement::crash_record& record);
+    // Merges a record of a peer or of the archive.
+    void applyRecord(const placement::crash_record& record);
 
     // Records that this VM runs. Call a few times a second, and before a request is sent. After an absence it
     // asks the peers for their records.
     void noteRunning();
 
+    // Marks a VM that has just started: it does not know what its peers and the archive know.
+    void noteStart() { m_isUpToDate = false; }
+
+    // Makes requests wait for the peers' records if this VM is not up to date. Call once it can route.
+    void catchUpAfterStart();
+
     // Returns whether requests must wait, because the peers may know of crashes that this VM does not.
     bool isCatchingUp(steady_clock::time_point now) const { return m_catchUp.isPending(now); }
 
-    // Records that a peer has sent all of its records.
+    // Records that a peer or the archive has sent all of its records.
     void completeCatchUp(std::string_view source);
 
     // Returns the records for a peer that asks for all, the most important ones if there are more than
@@ -121,6 +133,7 @@
     void recordCrash(const unexplained_end& ended);
     void logQuarantine(std::uint64_t fingerprint, steady_clock::time_point now);
     void report(const placement::crash_record& record);
+    void archive(std::uint64_t fingerprint);
 
     asio::io_context& m_io;
     const placement::load_balancer& m_loadBalancer;
@@ -131,8 +144,10 @@
     std::deque<pending_end> m_pendingEnds; // Oldest first.
     absence_detector m_absenceDetector;
     placement::record_catch_up m_catchUp;
-    bool m_isCaughtUp = true;
+    bool m_isUpToDate = true; // No absence, or a catch-up has ended since.
+    bool m_isAskingPeers = false;
     std::function<bool()> m_requestRecords;
+    std::function<void(std::vector<placement::crash_record>)> m_archive;
 };
 
 }
--- a/marlsill/placement/crash_quarantine.cc
+++ b/marlsill/placement/crash_quarantine.cc
@@ -107,6 +107,12 @@
     return crashesOf(fingerprint, now) >= m_options.maxCrashes;
 }
 
+std::vector<crash_record> crash_quarantine::recordsOf(std::uint64_t fingerprint) const
+{
+    auto found = m_entries.find(fingerprint);
+    return found == m_entries.end() ? std::vector<crash_record>() : found->second.records(fingerprint);
+}
+
 std::uint64_t crash_quarantine::digest(steady_clock::time_point now)
 {
     forgetExpired(now);
--- a/marlsill/placement/crash_quarantine.h
+++ b/marlsill/placement/crash_quarantine.h
@@ -69,6 +69,9 @@
     // Returns how many crashes the request may have caused, as far as known.
     int crashesOf(std::uint64_t fingerprint, steady_clock::time_point now) const;
 
+    // Returns all records of one request.
+    std::vector<crash_record> recordsOf(std::uint64_t fingerprint) const;
+
     // Returns a digest of all records, equal on two VMs that have the same ones and, with high probability,
     // only then; 0 if there are none.
     std::uint64_t digest(steady_clock::time_point now);
--- a/testing/gateway_test.cc
+++ b/testing/gateway_test.cc
@@ -445,7 +445,7 @@
     std::this_thread::sleep_for(milliseconds(100));
     tested.post([](gateway::gateway& target) {
         for (const auto* upstream : { "u8", "u9" }) {
-            target.requestForwarder().crashMonitor().applyPeerRecord(
+            target.requestForwarder().crashMonitor().applyRecord(
                 { gateway_fixture::fingerprintOf("POST", "/once/crash"), upstream, 1, 0,
                     deadlineAfter(std::chrono::seconds(10)) });
         }
