--- a/marlsill/gateway/crash_monitor.cc
+++ b/marlsill/gateway/crash_monitor.cc
@@ -12,6 +12,19 @@
 
 namespace marlsill::gateway {
 
+namespace {
+
+    // `request` is the id of the request whose success cleared the crash.
+    void logCleared(const std::string& request, const placement::crash_record& record)
+    {
+        logEvent(event::crashCleared,
+            { { "request", request }, { "fingerprint", std::to_string(record.fingerprint) },
+                { "upstream", record.upstream }, { "crashes", std::to_string(record.crashes) },
+                { "cleared", std::to_string(record.cleared) } });
+    }
+
+}
+
 crash_monitor::crash_monitor(asio::io_context& io, const placement::load_balancer& balancer,
     traffic_counters& counters, crash_monitor_options options)
     : m_io(io)
@@ -147,8 +160,9 @@
     if (!record) {
         return;
     }
-    logQuarantine(ended.fingerprint, now);
     report(*record);
+    clearByEarlierSuccess(ended.fingerprint, ended.upstream);
+    logQuarantine(ended.fingerprint, now);
     archive(ended.fingerprint);
 }
 
@@ -157,9 +171,7 @@
     std::erase_if(m_pendingEnds, [&](const auto& each) { return each.ended.fingerprint == fingerprint; });
     auto cleared = m_quarantine.recordSuccess(fingerprint, steady_clock::now());
     for (const auto& each : cleared) {
-        logEvent(event::crashCleared,
-            { { "request", request }, { "fingerprint", std::to_string(fingerprint) },
-                { "upstream", each.upstream }, { "crashes", std::to_string(each.crashes) } });
+        logCleared(request, each);
         report(each);
     }
     if (!cleared.empty()) {
@@ -167,6 +179,15 @@
     }
 }
 
+// Clears a request of a crash that has just become known if this VM has seen it succeed before.
+void crash_monitor::clearByEarlierSuccess(std::uint64_t fingerprint, const std::string& upstream)
+{
+    if (auto cleared = m_quarantine.clearByEarlierSuccess(fingerprint, upstream, steady_clock::now())) {
+        logCleared("earlier", *cleared);
+        report(*cleared);
+    }
+}
+
 void crash_monitor::recordArrival(std::uint64_t fingerprint, steady_clock::time_point now)
 {
     auto renewed = m_quarantine.recordArrival(fingerprint, now);
@@ -189,6 +210,7 @@
         { { "fingerprint", std::to_string(record.fingerprint) }, { "upstream", record.upstream },
             { "crashes", std::to_string(record.crashes) }, { "cleared", std::to_string(record.cleared) },
             { "known", std::to_string(m_quarantine.crashesOf(record.fingerprint, now)) } });
+    clearByEarlierSuccess(record.fingerprint, record.upstream);
     logQuarantine(record.fingerprint, now);
     archive(record.fingerprint);
 }
--- a/marlsill/gateway/crash_monitor.h
+++ b/marlsill/gateway/crash_monitor.h
@@ -134,6 +134,7 @@
     void logQuarantine(std::uint64_t fingerprint, steady_clock::time_point now);
     void report(const placement::crash_record& record);
     void archive(std::uint64_t fingerprint);
+    void clearByEarlierSuccess(std::uint64_t fingerprint, const std::string& upstream);
 
     asio::io_context& m_io;
     const placement::load_balancer& m_loadBalancer;
--- a/marlsill/placement/crash_quarantine.cc
+++ b/marlsill/placement/crash_quarantine.cc
@@ -42,6 +42,7 @@
     std::uint64_t fingerprint, steady_clock::time_point now)
 {
     std::vector<crash_record> changed;
+    m_successes.add(fingerprint, now);
     auto found = m_entries.find(fingerprint);
     if (found == m_entries.end() || hasPassed(found->second.expiresAt, now)) {
         return changed;
@@ -57,6 +58,22 @@
     return changed;
 }
 
+std::optional<crash_record> crash_quarantine::clearByEarlierSuccess(
+    std::uint64_t fingerprint, const std::string& upstream, steady_clock::time_point now)
+{
+    auto found = m_entries.find(fingerprint);
+    if (found == m_entries.end() || !found->second.upstreams.contains(upstream)) {
+        return std::nullopt;
+    }
+    auto& crashes = found->second.upstreams[upstream];
+    if (crashes.cleared >= crashes.count || !m_successes.take(fingerprint, now)) {
+        return std::nullopt;
+    }
+    m_digest.reset();
+    ++crashes.cleared;
+    return crash_record { fingerprint, upstream, crashes.count, crashes.cleared, found->second.expiresAt };
+}
+
 std::vector<crash_record> crash_quarantine::recordArrival(
     std::uint64_t fingerprint, steady_clock::time_point now)
 {
@@ -92,7 +109,10 @@
         known.count = record.crashes;
         known.recordedAt = now;
     }
-    known.cleared = std::max(known.cleared, cleared);
+    if (cleared > known.cleared) {
+        known.cleared = cleared;
+        m_successes.take(record.fingerprint, now); // It excuses no further crash.
+    }
     return true;
 }
 
--- a/marlsill/placement/crash_quarantine.h
+++ b/marlsill/placement/crash_quarantine.h
@@ -10,10 +10,11 @@
 // What VMs exchange is two counters per request and upstream, each merged by maximum: the crashes, and those
 // of them that a success of the request has shown to be a coincidence. The sum of the differences is
 // therefore the same on all VMs that have the same records, whichever VM saw which crash, and however often
-// or in which order the records arrive. The fingerprint covers the request as the upstream receives it, and
-// the caller. Not thread safe.
+// or in which order the records arrive. A request that succeeds is cleared of its crashes so far; one that
+// succeeded shortly before is cleared of one, as popular requests are at work wherever an upstream crashes.
+// The fingerprint covers the request as the upstream receives it, and the caller. Not thread safe.
 
-#include "marlsill/base/time.h"
+#include "marlsill/placement/recent_successes.h"
 
 #include <chrono>
 #include <cstdint>
@@ -59,6 +60,13 @@
     // Returns the changed records to send to the peers.
     std::vector<crash_record> recordSuccess(std::uint64_t fingerprint, steady_clock::time_point now);
 
+    // Clears a request of one crash of `upstream` if it has succeeded here since its last crash and not long
+    // ago: then it was likely at work there by chance. The success is forgotten, so that a request that has
+    // begun to crash upstreams is excused once. Returns the record to send to the peers. Call when a crash
+    // was recorded or merged.
+    std::optional<crash_record> clearByEarlierSuccess(
+        std::uint64_t fingerprint, const std::string& upstream, steady_clock::time_point now);
+
     // Keeps a quarantined request that has arrived again for a further retention. Returns the records to send
     // to the peers, so that they keep it too; none if they were told within the last quarter of a retention.
     std::vector<crash_record> recordArrival(std::uint64_t fingerprint, steady_clock::time_point now);
@@ -109,6 +117,7 @@
 
     const crash_quarantine_options m_options;
     std::map<std::uint64_t, entry> m_entries;
+    recent_successes m_successes; // Of requests that no VM has used to clear a crash since.
     std::optional<std::uint64_t> m_digest; // Of `m_entries`; unset after a change.
     std::uint64_t m_lastReturned = 0; // Fingerprint up to which nextRecords() has come.
 };
--- a/marlsill/placement/crash_quarantine_test.cc
+++ b/marlsill/placement/crash_quarantine_test.cc
@@ -259,4 +259,61 @@
     CHECK(known == 10);
 }
 
+TEST_CASE("A request that succeeded shortly before is excused one crash")
+{
+    // Guards against popular sound requests that are refused for good after upstreams crashed under another.
+    struct row {
+        const char* name;
+        milliseconds sinceSuccess;
+        std::vector<const char*> crashes;
+        int counted;
+    };
+    const row rows[] = {
+        { "one crash", milliseconds(100), { "a" }, 0 },
+        { "both upstreams of a small service", milliseconds(100), { "a", "b" }, 1 },
+        { "a request that has begun to crash upstreams", milliseconds(100), { "a", "b", "c" }, 2 },
+        { "the success was long ago", milliseconds(60'000), { "a", "b" }, 2 },
+    };
+    for (const auto& each : rows) {
+        for (bool hasSucceededOnPeer : { false, true }) {
+            CAPTURE(std::string(each.name));
+            CAPTURE(hasSucceededOnPeer);
+            crash_quarantine own;
+            crash_quarantine peer;
+            (hasSucceededOnPeer ? peer : own).recordSuccess(fingerprint, start - each.sinceSuccess);
+            for (const auto* upstream : each.crashes) {
+                auto record = own.recordCrash(fingerprint, upstream, start, start);
+                auto clearedHere = own.clearByEarlierSuccess(fingerprint, upstream, start);
+                peer.merge(clearedHere.value_or(*record), start);
+                if (auto clearedThere = peer.clearByEarlierSuccess(fingerprint, upstream, start)) {
+                    own.merge(*clearedThere, start);
+                }
+            }
+            CHECK(own.crashesOf(fingerprint, start) == each.counted);
+            CHECK(peer.crashesOf(fingerprint, start) == each.counted);
+        }
+    }
+}
+
+TEST_CASE("A success excuses a crash on one VM only, although many have seen the request succeed")
+{
+    constexpr std::size_t vms = 8;
+    std::vector<crash_quarantine> fleet(vms);
+    for (auto& each : fleet) {
+        each.recordSuccess(fingerprint, start);
+    }
+    int vm = 0;
+    for (const auto* upstream : { "a", "b", "c" }) {
+        auto& seer = fleet[static_cast<std::size_t>(vm++)];
+        auto record = *seer.recordCrash(fingerprint, upstream, start, start + milliseconds(vm));
+        record = seer.clearByEarlierSuccess(fingerprint, upstream, start + milliseconds(vm)).value_or(record);
+        for (auto& each : fleet) {
+            each.merge(record, start + milliseconds(vm));
+        }
+    }
+    for (auto& each : fleet) {
+        CHECK(each.crashesOf(fingerprint, start + milliseconds(vm)) == 2);
+    }
+}
+
 }
