--- a/marlsill/gateway/crash_monitor.cc
+++ b/marlsill/gateway/crash_monitor.cc
@@ -31,6 +31,7 @@
     , m_loadBalancer(balancer)
     , m_counters(counters)
     , m_options(options)
+    , m_quarantine(options.quarantine)
     , m_absenceDetector(options.shortestAbsence)
 {
 }
--- a/marlsill/gateway/crash_monitor.h
+++ b/marlsill/gateway/crash_monitor.h
@@ -45,6 +45,7 @@
     std::chrono::milliseconds checkDelay { 100 }; // A crashed process's port closes by then.
     std::chrono::milliseconds registrationDelay { 5'000 }; // Until a restart is known here.
     std::size_t maxUnexplainedEnds = 1'000;
+    placement::crash_quarantine_options quarantine;
     std::chrono::milliseconds shortestAbsence { 1'000 }; // Four of the forwarder's sweeps.
 };
 
@@ -114,6 +115,19 @@
         return m_quarantine.isQuarantined(fingerprint, now);
     }
 
+    // Sets what chooses the one VM of the fleet that may probe a request of a service.
+    void setProberElection(
+        std::function<bool(std::uint64_t fingerprint, const std::string& service)> isProber)
+    {
+        m_isProber = std::move(isProber);
+    }
+
+    // Returns whether this VM may send a quarantined request once; see crash_quarantine::tryStartProbe().
+    bool tryStartProbe(std::uint64_t fingerprint, const std::string& service, steady_clock::time_point now)
+    {
+        return m_isProber(fingerprint, service) && m_quarantine.tryStartProbe(fingerprint, now);
+    }
+
     int crashesOf(std::uint64_t fingerprint, steady_clock::time_point now) const
     {
         return m_quarantine.crashesOf(fingerprint, now);
@@ -148,6 +162,8 @@
     bool m_isUpToDate = true; // No absence, or a catch-up has ended since.
     bool m_isAskingPeers = false;
     std::function<bool()> m_requestRecords;
+    std::function<bool(std::uint64_t, const std::string&)> m_isProber
+        = [](auto, const auto&) { return true; };
     std::function<void(std::vector<placement::crash_record>)> m_archive;
 };
 
--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -91,7 +91,8 @@
     , m_options(std::move(options))
     , m_wire(std::move(wire))
     , m_loadBalancer({ .failureDomain = m_options.failureDomain })
-    , m_crashMonitor(io, m_loadBalancer, m_counters, { .connectTimeout = m_options.connectTimeout })
+    , m_crashMonitor(io, m_loadBalancer, m_counters,
+          { .connectTimeout = m_options.connectTimeout, .quarantine = m_options.quarantine })
 {
 }
 
@@ -446,6 +447,9 @@
             .canBeRetried = current->state.possibleRuns + 1 < current->state.maxUpstreams
                 && retryBudgetOf(current->service).canAcquire(now) },
         now);
+    if (chosen.status == choice_status::chosen && current->isCrashProbe && chosen.inFlight > 0) {
+        chosen.status = choice_status::allBusy; // Others would be lost if it crashes the upstream.
+    }
     status = chosen.status;
     if (chosen.status != choice_status::chosen) {
         return false;
@@ -467,6 +471,7 @@
     logEvent(event::attemptStarted,
         { { "request", current->id }, { "route", current->matchedRoute->name },
             { "upstream", thisAttempt->upstream }, { "trial", chosen.isProbe ? "1" : "0" },
+            { "crash_probe", current->isCrashProbe ? "1" : "0" },
             { "in_flight", std::to_string(chosen.inFlight) },
             { "entry", std::to_string(chosen.upstream->version) },
             { "left_ms", std::to_string(millisecondsUntil(current->effectiveDeadline, now)) },
@@ -621,8 +626,13 @@
             co_return finishTimedOut(*current);
         }
         m_crashMonitor.noteRunning();
-        if (needsAttempt && m_crashMonitor.isQuarantined(current->fingerprint, now)) {
-            co_return rejectQuarantined(*current, now);
+        if (needsAttempt && !current->isCrashProbe
+            && m_crashMonitor.isQuarantined(current->fingerprint, now)) {
+            current->isCrashProbe = current->attempts.empty()
+                && m_crashMonitor.tryStartProbe(current->fingerprint, current->service, now);
+            if (!current->isCrashProbe) {
+                co_return rejectQuarantined(*current, now);
+            }
         }
         auto hedgeAt = hedgeTime(*current);
         bool isHedge = !needsAttempt && hasPassed(hedgeAt, now);
--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -45,6 +45,7 @@
     std::chrono::milliseconds maxIdleRepeatable { 8'000 };
     double hedgeLatencyFactor = 2.0; // Multiple of the usual latency after which a request is hedged.
     std::chrono::milliseconds minHedgeDelay { 300 }; // Also between tries of a hedge that cannot start.
+    placement::crash_quarantine_options quarantine;
     double retryBudgetReserve = 0.5; // Share of the budget kept for retries, which gain more than hedges.
     double retryRatio = 0.2; // Retries and hedges per request, fleet-wide.
     double fleetRetrySlack = 10; // Retries and hedges per window beyond the ratio, fleet-wide.
@@ -105,6 +106,7 @@
     placement::retry_state state;
     std::uint64_t fingerprint = 0; // Of the caller and the request's content.
     bool isQueued = false; // Waits in the service's admission queue.
+    bool isCrashProbe = false; // Quarantined, but sent once to find out whether it crashes upstreams.
 };
 
 // The response that the caller receives.
--- a/marlsill/placement/crash_quarantine.cc
+++ b/marlsill/placement/crash_quarantine.cc
@@ -7,6 +7,12 @@
 
 namespace marlsill::placement {
 
+namespace {
+
+    constexpr std::chrono::hours maxProbeDelay { 24 }; // Keeps the growing delay from overflowing.
+
+}
+
 int crash_quarantine::entry::crashes() const
 {
     return std::accumulate(upstreams.begin(), upstreams.end(), 0,
@@ -33,6 +39,7 @@
     m_digest.reset();
     ++known.count;
     known.recordedAt = now;
+    found.lastCrashOrProbe = now;
     found.expiresAt = now + m_options.retention;
     found.reportedExpiry = found.expiresAt;
     return crash_record { fingerprint, upstream, known.count, known.cleared, found.expiresAt };
@@ -90,6 +97,24 @@
     return each.records(fingerprint);
 }
 
+bool crash_quarantine::tryStartProbe(std::uint64_t fingerprint, steady_clock::time_point now)
+{
+    auto found = m_entries.find(fingerprint);
+    if (found == m_entries.end() || !isQuarantined(fingerprint, now)) {
+        return false;
+    }
+    auto delay = m_options.probeDelay;
+    for (int crash = m_options.maxCrashes; crash < found->second.crashes() && delay < maxProbeDelay;
+         ++crash) {
+        delay *= m_options.probeDelayGrowth;
+    }
+    if (now < found->second.lastCrashOrProbe + delay) {
+        return false;
+    }
+    found->second.lastCrashOrProbe = now;
+    return true;
+}
+
 bool crash_quarantine::merge(const crash_record& record, steady_clock::time_point now)
 {
     auto expiresAt = std::min(record.expiresAt, now + m_options.retention);
@@ -108,6 +133,7 @@
     if (record.crashes > known.count) {
         known.count = record.crashes;
         known.recordedAt = now;
+        found.lastCrashOrProbe = now;
     }
     if (cleared > known.cleared) {
         known.cleared = cleared;
--- a/marlsill/placement/crash_quarantine.h
+++ b/marlsill/placement/crash_quarantine.h
@@ -31,6 +31,10 @@
     // Since the last crash, or the last arrival while quarantined; longer than callers wait between retries.
     std::chrono::milliseconds retention { 600'000 };
     std::size_t maxEntries = 10'000;
+    // From the crash that began the quarantine until the request may be sent once more, to find out whether
+    // it was at work there by chance. Longer than most callers of a crashing request repeat it.
+    std::chrono::milliseconds probeDelay { 15'000 };
+    int probeDelayGrowth = 4; // Factor for each further crash; four probes in the first hour.
 };
 
 // How often a request has crashed one upstream, as VMs report it to each other.
@@ -71,6 +75,10 @@
     // to the peers, so that they keep it too; none if they were told within the last quarter of a retention.
     std::vector<crash_record> recordArrival(std::uint64_t fingerprint, steady_clock::time_point now);
 
+    // Returns whether a quarantined request may be sent once although it is quarantined. If so, the next time
+    // is another delay away, unless a success clears the request. Only one VM may call this for a request.
+    bool tryStartProbe(std::uint64_t fingerprint, steady_clock::time_point now);
+
     // Merges a peer's record. Returns whether it changed anything.
     bool merge(const crash_record& record, steady_clock::time_point now);
 
@@ -104,6 +112,8 @@
     struct entry {
         std::map<std::string, upstream_crashes> upstreams;
         deadline expiresAt {};
+        steady_clock::time_point
+            lastCrashOrProbe {}; // The last crash that this VM has learnt of, or its probe.
         deadline reportedExpiry {}; // The latest `expiresAt` that this VM and its peers have told each other.
 
         int crashes() const;
--- a/marlsill/placement/crash_quarantine_test.cc
+++ b/marlsill/placement/crash_quarantine_test.cc
@@ -316,4 +316,43 @@
     }
 }
 
+TEST_CASE("A quarantined request is probed rarely, and the more rarely the more it has crashed")
+{
+    struct row {
+        const char* name;
+        bool crashesUpstreams; // Otherwise the first probe succeeds.
+        int probesInAnHour;
+        bool isQuarantinedAfter;
+    };
+    const row rows[] = {
+        { "a sound request that was at work on two upstreams by chance", false, 1, false },
+        { "a request that crashes every upstream", true, 4, true },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        crash_quarantine quarantine;
+        quarantine.recordCrash(fingerprint, "a", start, start);
+        quarantine.recordCrash(fingerprint, "b", start, start);
+        CHECK_FALSE(quarantine.tryStartProbe(fingerprint + 1, start));
+        int probes = 0;
+        steady_clock::time_point firstProbe {};
+        for (auto now = start; now < start + std::chrono::hours(1); now += std::chrono::seconds(1)) {
+            quarantine.recordArrival(fingerprint, now);
+            if (!quarantine.tryStartProbe(fingerprint, now)) {
+                continue;
+            }
+            firstProbe = ++probes == 1 ? now : firstProbe;
+            if (each.crashesUpstreams) {
+                quarantine.recordCrash(fingerprint, "c" + std::to_string(probes), now, now);
+            } else {
+                quarantine.recordSuccess(fingerprint, now);
+            }
+        }
+        CHECK(probes == each.probesInAnHour);
+        CHECK(firstProbe == start + std::chrono::seconds(15));
+        CHECK(
+            quarantine.isQuarantined(fingerprint, start + std::chrono::hours(1)) == each.isQuarantinedAfter);
+    }
+}
+
 }
--- a/testing/gateway_test.cc
+++ b/testing/gateway_test.cc
@@ -25,7 +25,8 @@
     // Runs a gateway on its own thread in front of scripted upstreams of one service.
     class gateway_fixture {
     public:
-        explicit gateway_fixture(int upstreams, milliseconds routeTimeout = milliseconds(1'000))
+        explicit gateway_fixture(int upstreams, milliseconds routeTimeout = milliseconds(1'000),
+            const gateway::forwarder_options& forwarding = {})
         {
             for (int index = 0; index < upstreams; ++index) {
                 m_upstreams.push_back(
@@ -52,6 +53,7 @@
             gateway::gateway_options options;
             options.callerEndpoint = { asio::ip::make_address_v4("127.0.0.1"), freePort() };
             options.minDrainTime = milliseconds(300);
+            options.forwarding = forwarding;
             m_address = "127.0.0.1:" + std::to_string(options.callerEndpoint.port());
             m_gateway = std::make_unique<gateway::gateway>(m_io, options, gateway::wire_fields());
             REQUIRE(m_gateway->start().empty());
@@ -455,6 +457,30 @@
     CHECK(tested.runsOf("copy") == 0);
 }
 
+TEST_CASE("A quarantine of a request that crashes nothing ends although the request keeps coming")
+{
+    // Guards against sound requests that are refused for good, as a refused request cannot succeed.
+    gateway::forwarder_options forwarding;
+    forwarding.quarantine.probeDelay = milliseconds(300);
+    gateway_fixture tested(2, milliseconds(1'000), forwarding);
+    tested.post([](gateway::gateway& target) {
+        for (const auto* upstream : { "u8", "u9" }) {
+            target.requestForwarder().crashMonitor().applyRecord(
+                { gateway_fixture::fingerprintOf("GET", "/repeat/listing"), upstream, 1, 0,
+                    deadlineAfter(std::chrono::seconds(10)) });
+        }
+    });
+    CHECK(tested.sendAndReceive("GET", "/repeat/listing", "early").status == 503);
+    auto until = deadlineAfter(milliseconds(2'000));
+    int status = 0;
+    for (int request = 0; status != 200 && !hasPassed(until, steady_clock::now()); ++request) {
+        status = tested.sendAndReceive("GET", "/repeat/listing", "r" + std::to_string(request)).status;
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    CHECK(status == 200);
+    CHECK(tested.sendAndReceive("GET", "/repeat/listing", "after").status == 200);
+}
+
 TEST_CASE("A request that arrives as a planned stop begins is served or not read at all")
 {
     // Guards against a request that is passed on by a session which has already decided to close.
