--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -387,6 +387,7 @@
         { { "request", current.id }, { "upstream", thisAttempt.upstream },
             { "end", std::string(toText(thisAttempt.outcome.outcome)) },
             { "status", std::to_string(thisAttempt.outcome.status) },
+            { "limit", thisAttempt.response.head.get(m_wire.rateLimit, "none") },
             { "reused", thisAttempt.outcome.wasReused ? "1" : "0" },
             { "idle_ms", std::to_string(thisAttempt.outcome.idleBefore.count()) },
             { "trial", thisAttempt.isProbe ? "1" : "0" }, { "elapsed_ms", std::to_string(toMs(elapsed)) } });
--- a/marlsill/gateway/wire_fields.h
+++ b/marlsill/gateway/wire_fields.h
@@ -11,6 +11,8 @@
     std::string timeoutMs = "X-Request-Timeout-Ms"; // How much longer the sender waits, in milliseconds.
     std::string seal = "X-Answer-Seal"; // Proves the integrity of the upstream's response; forwarded as is.
     std::string expectedUpstream = "X-Expected-Upstream"; // Any other upstream rejects the request.
+    std::string rateLimit
+        = "X-Rate-Limit"; // Requests per second that the upstream takes from all VMs together.
     std::string notRun = "X-Refused"; // Present if the upstream rejected the request without executing it.
 };
 
--- a/testing/scripted_upstream.cc
+++ b/testing/scripted_upstream.cc
@@ -118,6 +118,19 @@
     m_socket.close();
 }
 
+std::vector<std::chrono::steady_clock::time_point> scripted_upstream::arrivalTimes() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_arrivalTimes;
+}
+
+// Returns the header line that names the limit, if there is one.
+std::string scripted_upstream::limitField() const
+{
+    auto limit = m_rateLimit.load();
+    return limit > 0 ? m_fields.rateLimit + ": " + std::to_string(limit) + "\r\n" : std::string();
+}
+
 upstream_step scripted_upstream::nextStep()
 {
     std::lock_guard lock(m_mutex);
@@ -161,7 +174,7 @@
     std::size_t bodySize = length.empty() ? 0 : std::stoul(length);
     auto request = fieldOf(head, m_fields.requestId);
     const std::string start = "HTTP/1.1 200 OK\r\n" + m_fields.requestId + ": " + request + "\r\n"
-        + m_fields.seal + ": seal-" + request + "\r\n";
+        + m_fields.seal + ": seal-" + request + "\r\n" + limitField();
     const std::string whole = start + "Content-Length: 14\r\n\r\n" + body;
     if (step == upstream_step::early) {
         sendText(socket,
@@ -178,6 +191,7 @@
     {
         std::lock_guard lock(m_mutex);
         m_lastHead = head;
+        m_arrivalTimes.push_back(std::chrono::steady_clock::now());
         isCrash = !m_crashText.empty() && head.find(m_crashText) != std::string::npos;
         bool isRun = step != upstream_step::refuse && step != upstream_step::misdirect
             && step != upstream_step::early;
--- a/testing/scripted_upstream.h
+++ b/testing/scripted_upstream.h
@@ -56,6 +56,12 @@
     // Sets how long each request that is answered takes.
     void setWorkTime(std::chrono::milliseconds length) { m_workTime = length; }
 
+    // Sets the limit in requests per second that all answers name; 0: they name none.
+    void setRateLimit(double requestsPerSecond) { m_rateLimit = requestsPerSecond; }
+
+    // Returns when requests arrived, in order.
+    std::vector<std::chrono::steady_clock::time_point> arrivalTimes() const;
+
     // Makes every request whose header block contains `text` crash the upstream once it has begun to run.
     void crashOn(const std::string& text);
 
@@ -84,6 +90,7 @@
     void serve(Poco::Net::StreamSocket socket);
     bool serveOne(Poco::Net::StreamSocket& socket, std::string& buffer);
     upstream_step nextStep();
+    std::string limitField() const;
 
     const std::string m_id;
     const gateway::wire_fields m_fields;
@@ -94,7 +101,9 @@
     std::atomic<int> m_connections = 0;
     std::atomic<bool> m_sawCancel = false;
     std::atomic<std::chrono::milliseconds> m_workTime = std::chrono::milliseconds(0);
+    std::atomic<double> m_rateLimit = 0;
     mutable std::mutex m_mutex; // Guards what follows.
+    std::vector<std::chrono::steady_clock::time_point> m_arrivalTimes;
     std::function<void(const std::string&)> m_listener;
     std::deque<upstream_step> m_steps;
     std::map<std::string, int> m_runs;
