--- a/marlsill/cluster/peer_mesh.cc
+++ b/marlsill/cluster/peer_mesh.cc
@@ -145,6 +145,18 @@
     }
 }
 
+void peer_mesh::answerPermitRequests(const peer_message& message)
+{
+    if (message.permitRequests.empty()) {
+        return;
+    }
+    peer_message answer;
+    for (const auto& each : message.permitRequests) {
+        answer.permits.push_back({ each.upstream, m_handler.permitRequest(each) });
+    }
+    send(message.sender, std::move(answer));
+}
+
 // Records a part of an answer to requestCrashes().
 void peer_mesh::noteCrashPart(const peer_message& message)
 {
@@ -207,6 +219,13 @@
     for (const auto& each : message.crashes) {
         m_handler.crash(each);
     }
+    for (const auto& each : message.limits) {
+        m_handler.limit(each);
+    }
+    answerPermitRequests(message);
+    for (const auto& each : message.permits) {
+        m_handler.permit(each);
+    }
     if (message.crashAnswer) {
         noteCrashPart(message);
     }
@@ -318,9 +337,10 @@
     sendBatch();
 }
 
-void peer_mesh::publish(const placement::upstream_evidence& evidence)
+// Returns the VMs that serve the same service as the upstream, and subscribers.
+std::vector<std::string> peer_mesh::interestedHosts(const std::string& upstream) const
 {
-    auto hosts = m_handler.servicePeers(evidence.upstream);
+    auto hosts = m_handler.servicePeers(upstream);
     auto now = steady_clock::now();
     for (const auto& [host, until] : m_subscribers) {
         bool isIncluded = std::find(hosts.begin(), hosts.end(), host) != hosts.end();
@@ -328,12 +348,25 @@
             hosts.push_back(host);
         }
     }
-    for (const auto& host : hosts) {
+    return hosts;
+}
+
+void peer_mesh::publish(const placement::upstream_evidence& evidence)
+{
+    for (const auto& host : interestedHosts(evidence.upstream)) {
         m_outbox[host].evidence.push_back(evidence);
     }
     scheduleBatch();
 }
 
+void peer_mesh::publish(const placement::rate_limit_notice& limit)
+{
+    for (const auto& host : interestedHosts(limit.upstream)) {
+        m_outbox[host].limits.push_back(limit);
+    }
+    scheduleBatch();
+}
+
 void peer_mesh::publish(const placement::crash_record& crash)
 {
     for (const auto& host : m_members.reachableHosts()) {
--- a/marlsill/cluster/peer_mesh.h
+++ b/marlsill/cluster/peer_mesh.h
@@ -58,6 +58,12 @@
         allCrashRecords;
     // Called when a peer has sent all of its crash records, as requestCrashes() asked for.
     std::function<void(const std::string& peer)> crashesComplete;
+    // Called with what a peer knows of an upstream's limit.
+    std::function<void(const placement::rate_limit_notice&)> limit;
+    // Issues a permit, or refuses one, to a peer that asks for it.
+    std::function<placement::permit_answer(const permit_request&)> permitRequest;
+    // Called with the answer to a request for a permit.
+    std::function<void(const issued_permit&)> permit;
     // Returns the loads that changed since the last call.
     std::function<std::vector<placement::upstream_load>()> changedLoads;
     // Called with every message, which may hold data of the store.
@@ -92,6 +98,9 @@
     // Sends the record of a request that crashed an upstream to all reachable VMs, with the next batch.
     void publish(const placement::crash_record& crash);
 
+    // Sends the limit of an upstream, with the next batch, to the VMs that evidence about it goes to.
+    void publish(const placement::rate_limit_notice& limit);
+
     // Asks other VMs, up to a number of them, for all of their crash records. Returns whether there are any.
     bool requestCrashes();
 
@@ -114,6 +123,8 @@
     void sendMembers(const std::string& host);
     void sendCrashes(const std::string& host);
     void sendAllCrashes(const std::string& host, std::uint64_t request);
+    std::vector<std::string> interestedHosts(const std::string& upstream) const;
+    void answerPermitRequests(const peer_message& message);
     void noteCrashPart(const peer_message& message);
     void scheduleBatch();
     void sendBatch();
--- a/marlsill/cluster/peer_mesh_test.cc
+++ b/marlsill/cluster/peer_mesh_test.cc
@@ -39,6 +39,9 @@
                             : std::nullopt;
                     },
                     .crashesComplete = [this](const auto&) { ++completeAnswers; },
+                    .limit = [](const auto&) {},
+                    .permitRequest = [](const auto&) { return placement::permit_answer(); },
+                    .permit = [](const auto&) {},
                     .changedLoads = [] { return std::vector<placement::upstream_load>(); },
                     .storeUpdate = [](const auto&) {},
                     .servicePeers = [](const auto&) { return std::vector<std::string>(); } })
--- a/marlsill/cluster/peer_message.cc
+++ b/marlsill/cluster/peer_message.cc
@@ -31,6 +31,9 @@
     constexpr const char* crashDigestField = "i";
     constexpr const char* crashRequestField = "f";
     constexpr const char* crashAnswerField = "j"; // Request, number of the part, number of parts.
+    constexpr const char* limitsField = "o";
+    constexpr const char* permitRequestsField = "t";
+    constexpr const char* permitsField = "z";
     constexpr const char* summaryField = "k";
     constexpr const char* beaconField = "b";
     constexpr const char* wantsConfigurationField = "x";
@@ -116,6 +119,23 @@
             deadlineAfter(std::chrono::milliseconds(left)) };
     }
 
+    // A limit that has ended is sent as null.
+    json encodeLimit(const placement::rate_limit_notice& notice)
+    {
+        auto age
+            = std::chrono::duration_cast<std::chrono::milliseconds>(steady_clock::now() - notice.observedAt);
+        return json::array({ notice.upstream,
+            notice.requestsPerSecond ? json(*notice.requestsPerSecond) : json(), age.count() });
+    }
+
+    placement::rate_limit_notice decodeLimit(const json& item)
+    {
+        auto age = std::chrono::milliseconds(std::max<std::int64_t>(0, item.at(2).get<std::int64_t>()));
+        return { item.at(0).get<std::string>(),
+            item.at(1).is_null() ? std::nullopt : std::optional(item.at(1).get<double>()),
+            steady_clock::now() - age };
+    }
+
     template <typename Items, typename Encode>
     void putList(json& value, const char* name, const Items& items, Encode encodeItem)
     {
@@ -178,6 +198,13 @@
     if (message.crashAnswer) {
         value[crashAnswerField] = json::array({ message.crashAnswer, message.crashPart, message.crashParts });
     }
+    putList(value, limitsField, message.limits, encodeLimit);
+    putList(value, permitRequestsField, message.permitRequests, [](const permit_request& entry) {
+        return json::array({ entry.upstream, entry.maxDelay.count() });
+    });
+    putList(value, permitsField, message.permits, [](const issued_permit& entry) {
+        return json::array({ entry.upstream, entry.answer.isGranted, entry.answer.delay.count() });
+    });
     if (message.summary) {
         const auto& entry = *message.summary;
         value[summaryField] = json::array(
@@ -249,6 +276,16 @@
             message.crashPart = found->at(1).get<int>();
             message.crashParts = found->at(2).get<int>();
         }
+        forEachItem(
+            value, limitsField, [&](const json& item) { message.limits.push_back(decodeLimit(item)); });
+        forEachItem(value, permitRequestsField, [&](const json& item) {
+            message.permitRequests.push_back(
+                { item.at(0).get<std::string>(), std::chrono::milliseconds(item.at(1).get<std::int64_t>()) });
+        });
+        forEachItem(value, permitsField, [&](const json& item) {
+            message.permits.push_back({ item.at(0).get<std::string>(),
+                { item.at(1).get<bool>(), std::chrono::milliseconds(item.at(2).get<std::int64_t>()) } });
+        });
         if (auto found = value.find(summaryField); found != value.end()) {
             message.summary
                 = store_summary { found->at(0).get<std::uint64_t>(), found->at(1).get<std::uint64_t>(),
--- a/marlsill/cluster/peer_message.h
+++ b/marlsill/cluster/peer_message.h
@@ -10,6 +10,7 @@
 #include "marlsill/cluster/member_list.h"
 #include "marlsill/placement/crash_quarantine.h"
 #include "marlsill/placement/load_balancer.h"
+#include "marlsill/placement/rate_limits.h"
 
 #include <optional>
 #include <span>
@@ -26,6 +27,18 @@
     std::uint64_t contactAgeMs = 0; // Since the store last responded to that VM or to a known watcher.
 };
 
+// A request for a permit that begins within `maxDelay`.
+struct permit_request {
+    std::string upstream;
+    std::chrono::milliseconds maxDelay {};
+};
+
+// The answer to a request for a permit to send one request to a limited upstream.
+struct issued_permit {
+    std::string upstream;
+    placement::permit_answer answer;
+};
+
 // One datagram. Empty fields are not encoded.
 struct peer_message {
     std::string sender; // Host of the sending VM.
@@ -43,6 +56,9 @@
     std::uint64_t crashAnswer = 0; // Non-zero: `crashes` is a part of the answer to this `crashRequest`.
     int crashPart = 0; // Of the answer, which may take several datagrams; from 1 on.
     int crashParts = 0;
+    std::vector<placement::rate_limit_notice> limits; // Of upstreams that name, or have named, one.
+    std::vector<permit_request> permitRequests;
+    std::vector<issued_permit> permits; // Answers to `permitRequests`.
     std::optional<store_summary> summary;
     bool isBeacon = false; // Whether `summary` is a watcher's periodic announcement.
     bool wantsConfiguration = false; // Requests the configuration.
--- a/marlsill/events/events.cc
+++ b/marlsill/events/events.cc
@@ -117,6 +117,10 @@
             "An object of crash records in the store cannot be read." },
         { event::crashObjectNotWritten, severity::warning, "crash_object_not_written",
             "The crash records of a request could not be written to the store; this is repeated." },
+        { event::upstreamLimitChanged, severity::info, "upstream_limit_changed",
+            "A response named another limit of requests per second than the one known, or none any more." },
+        { event::permitAnswered, severity::info, "permit_answered",
+            "A permit to send one request to a limited upstream was granted, from `delay_ms` on, or refused." },
         { event::recordGap, severity::error, "record_gap",
             "Facts were dropped before they could be stored; the gap is part of the record." },
     };
--- a/marlsill/events/events.h
+++ b/marlsill/events/events.h
@@ -69,6 +69,8 @@
     crashRecordsCurrent = 5109,
     crashObjectIgnored = 5110,
     crashObjectNotWritten = 5111,
+    upstreamLimitChanged = 5112,
+    permitAnswered = 5113,
     recordGap = 6001,
 };
 
--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -10,6 +10,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <charconv>
+#include <cmath>
 
 namespace marlsill::gateway {
 
@@ -19,6 +21,9 @@
 
 namespace {
 
+    constexpr const char* permitsUsedUp = "the upstreams' limits are used up";
+    constexpr int latencyHeadroomFactor = 2; // Multiple of the usual latency that a request may need.
+
     std::chrono::milliseconds toMilliseconds(steady_clock::duration interval)
     {
         return std::chrono::duration_cast<std::chrono::milliseconds>(interval);
@@ -31,6 +36,15 @@
         return attempt.outcome == attempt_outcome::answered && attempt.status >= 200 && attempt.status < 300;
     }
 
+    // Returns a limit in requests per second; std::nullopt if the text is not a decimal number of at least 0.
+    std::optional<double> parseRateLimit(const std::string& text)
+    {
+        double value = 0;
+        auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+        bool isValid = error == std::errc() && end == text.data() + text.size() && std::isfinite(value);
+        return isValid && value >= 0 ? std::optional(value) : std::nullopt;
+    }
+
     std::string_view toText(attempt_outcome end)
     {
         constexpr std::string_view names[] = { "answered", "refused", "wrong_upstream", "not_sent",
@@ -108,6 +122,7 @@
 void forwarder::setUpstreams(std::span<const placement::upstream_entry> upstreams)
 {
     m_loadBalancer.replaceUpstreams(upstreams, steady_clock::now());
+    m_rateLimits.retain([this](const auto& upstream) { return m_loadBalancer.find(upstream) != nullptr; });
     m_crashMonitor.recordCrashesOfRestarted();
     for (auto& [service, queue] : m_queues) {
         wakeNextQueued(service);
@@ -141,6 +156,79 @@
     }
 }
 
+// Returns how long a request may wait for a permit and still be answered within its objective, also if it
+// takes longer than usual.
+std::chrono::milliseconds forwarder::maxPermitDelay(
+    const active_request& current, steady_clock::time_point now) const
+{
+    auto deadlines = queueDeadlinesOf(current);
+    auto needed = std::chrono::milliseconds(
+        latencyHeadroomFactor * m_loadBalancer.statsOf(current.service, now).latencyMs);
+    auto left = millisecondsUntil(std::min(deadlines.objective, deadlines.limit) - needed, now);
+    return std::min(std::chrono::milliseconds(left), m_options.maxPermitDelay);
+}
+
+void forwarder::requestPermit(
+    const std::string& upstream, std::chrono::milliseconds maxDelay, steady_clock::time_point now)
+{
+    m_rateLimits.noteRequested(upstream, now);
+    const auto* known = m_loadBalancer.find(upstream);
+    if (known && m_rateLimitCallbacks.requestPermit) {
+        m_rateLimitCallbacks.requestPermit(*known, maxDelay);
+    } else if (known) {
+        applyPermit(upstream, issuePermit(upstream, maxDelay));
+    }
+}
+
+placement::permit_answer forwarder::issuePermit(
+    const std::string& upstream, std::chrono::milliseconds maxDelay)
+{
+    auto limit = m_rateLimits.limitOf(upstream);
+    return limit ? m_permitIssuer.request(upstream, *limit, maxDelay, steady_clock::now())
+                 : placement::permit_answer { true };
+}
+
+void forwarder::applyPermit(const std::string& upstream, const placement::permit_answer& answer)
+{
+    auto now = steady_clock::now();
+    logEvent(event::permitAnswered,
+        { { "upstream", upstream }, { "granted", answer.isGranted ? "1" : "0" },
+            { "delay_ms", std::to_string(answer.delay.count()) } });
+    if (answer.isGranted) {
+        ++m_counters.permitsGranted;
+        m_rateLimits.grant(upstream, now + answer.delay);
+    } else {
+        ++m_counters.permitsRefused;
+        m_rateLimits.refuse(upstream, now + answer.delay);
+    }
+    if (const auto* known = m_loadBalancer.find(upstream)) {
+        wakeNextQueued(known->service);
+    }
+}
+
+// Takes over the limit that the response to an attempt names, or that it names none.
+void forwarder::recordRateLimit(const attempt& thisAttempt, steady_clock::time_point now)
+{
+    const auto& head = thisAttempt.response.head;
+    std::optional<double> limit;
+    if (head.has(m_wire.rateLimit)) {
+        limit = parseRateLimit(head.get(m_wire.rateLimit));
+        if (!limit) {
+            return; // Malformed; what is known stays in force.
+        }
+    }
+    auto changed = m_rateLimits.recordResponse(thisAttempt.upstream, limit, thisAttempt.startedAt, now);
+    if (!changed) {
+        return;
+    }
+    logEvent(event::upstreamLimitChanged,
+        { { "upstream", thisAttempt.upstream },
+            { "limit", limit ? std::to_string(*limit) : std::string("none") } });
+    if (m_rateLimitCallbacks.report) {
+        m_rateLimitCallbacks.report(*changed);
+    }
+}
+
 void forwarder::applyPeerLoad(std::string_view peer, const placement::upstream_load& load)
 {
     m_loadBalancer.applyPeerLoad(peer, load, steady_clock::now());
@@ -187,7 +275,7 @@
 
 placement::queue_load forwarder::queueLoadOf(const std::string& service, steady_clock::time_point now) const
 {
-    auto condition = m_loadBalancer.statsOf(service, now);
+    auto condition = m_loadBalancer.statsOf(service, now, &m_rateLimits);
     auto queue = m_queues.find(service);
     auto usualLatency = std::chrono::milliseconds(condition.latencyMs);
     if (queue == m_queues.end()) {
@@ -380,6 +468,10 @@
     if (thisAttempt.outcome.outcome == attempt_outcome::answered) {
         m_counters.upstreamLatency.add(elapsed);
     }
+    if (thisAttempt.outcome.outcome == attempt_outcome::answered
+        || thisAttempt.outcome.outcome == attempt_outcome::refused) {
+        recordRateLimit(thisAttempt, now);
+    }
     bool isFailure = placement::isFailure(verdict);
     m_counters.upstreamFailures += isFailure ? 1 : 0;
     m_counters.upstreamRefusals += verdict == placement::health_signal::refused ? 1 : 0;
@@ -419,6 +511,13 @@
     }
 }
 
+// Returns how many requests of its service are served before this one.
+std::size_t forwarder::requestsAhead(const active_request& current)
+{
+    auto found = m_queues.find(current.service);
+    return found == m_queues.end() ? 0 : found->second.waitersAhead(current);
+}
+
 void forwarder::enqueue(const std::shared_ptr<active_request>& current)
 {
     if (!std::exchange(current->isQueued, true)) {
@@ -438,23 +537,28 @@
 }
 
 bool forwarder::startAttempt(
-    const std::shared_ptr<active_request>& current, steady_clock::time_point now, choice_status& status)
+    const std::shared_ptr<active_request>& current, steady_clock::time_point now, placement::choice& chosen)
 {
-    auto chosen = m_loadBalancer.choose(
+    chosen = m_loadBalancer.choose(
         { .service = current->service,
             .tried = current->triedUpstreams,
             .isAtMostOnce = current->state.isAtMostOnce,
             .mayUseExcluded = now - current->arrivedAt > m_options.maxWaitForHealthy,
             .canBeRetried = current->state.possibleRuns + 1 < current->state.maxUpstreams
-                && retryBudgetOf(current->service).canAcquire(now) },
+                && retryBudgetOf(current->service).canAcquire(now),
+            .limits = &m_rateLimits,
+            .requestsAhead = requestsAhead(*current) },
         now);
     if (chosen.status == choice_status::chosen && current->isCrashProbe && chosen.inFlight > 0) {
         chosen.status = choice_status::allBusy; // Others would be lost if it crashes the upstream.
     }
-    status = chosen.status;
+    if (!chosen.permitWanted.empty()) {
+        requestPermit(chosen.permitWanted, maxPermitDelay(*current, now), now);
+    }
     if (chosen.status != choice_status::chosen) {
         return false;
     }
+    m_rateLimits.consume(chosen.upstream->id, now);
     auto thisAttempt = std::make_shared<attempt>();
     thisAttempt->upstream = chosen.upstream->id;
     thisAttempt->address = chosen.upstream->address;
@@ -512,17 +616,42 @@
     return response;
 }
 
-final_response forwarder::shedRequest(
-    active_request& current, std::string_view why, steady_clock::time_point now)
+final_response forwarder::shedRequest(active_request& current, std::string_view why,
+    std::chrono::milliseconds expectedWait, steady_clock::time_point now)
 {
     ++m_counters.refused;
-    auto delay = jitteredRetryAfter(placement::expectedWait(queueLoadOf(current.service, now)));
+    auto delay = jitteredRetryAfter(expectedWait);
     m_retryAfterGate.recordRetryAfter(current.caller, now + delay, now);
     final_response response { makeServiceUnavailableAfter(why, delay) };
     recordCompletion(current, response, why);
     return response;
 }
 
+// Decides about a request for which no upstream has room now: it waits, or is shed.
+std::optional<final_response> forwarder::shedOrEnqueue(const std::shared_ptr<active_request>& current,
+    const placement::choice& chosen, steady_clock::time_point now)
+{
+    auto load = queueLoadOf(current->service, now);
+    auto wait = placement::expectedWait(load);
+    bool hasNoPermit = false;
+    if (chosen.nextPermitAt) {
+        wait = std::chrono::milliseconds(millisecondsUntil(*chosen.nextPermitAt, now));
+        hasNoPermit = static_cast<std::size_t>(chosen.expectedPermits) <= requestsAhead(*current);
+    }
+    bool isHopeless = hasNoPermit
+        || placement::shouldShed(wait, load.usual, load.isStanding, queueDeadlinesOf(*current), now);
+    if (hasNoPermit && current->mayHaveRun()) {
+        return finishWithLocalReply(*current, next_step::giveUp, permitsUsedUp);
+    }
+    bool isEarly = !current->isQueued && m_retryAfterGate.isTooEarly(current->caller, now);
+    if (!current->mayHaveRun() && (isHopeless || isEarly)) {
+        auto why = chosen.nextPermitAt ? permitsUsedUp : "the queue is too long";
+        return shedRequest(*current, isHopeless ? why : "came back too early", wait, now);
+    }
+    enqueue(current);
+    return std::nullopt;
+}
+
 final_response forwarder::rejectQuarantined(active_request& current, steady_clock::time_point now)
 {
     ++m_counters.quarantined;
@@ -637,31 +766,30 @@
         }
         auto hedgeAt = hedgeTime(*current);
         bool isHedge = !needsAttempt && hasPassed(hedgeAt, now);
-        auto status = choice_status::chosen;
+        placement::choice chosen;
         bool isCatchingUp = m_crashMonitor.isCatchingUp(now);
         if (!isCatchingUp && (needsAttempt || (isHedge && tryTakeHedge(*current, now)))) {
-            if (startAttempt(current, now, status)) {
+            if (startAttempt(current, now, chosen)) {
                 m_counters.hedges += isHedge ? 1 : 0;
                 needsAttempt = false;
                 isHedge = false;
                 dequeue(*current);
-            } else if (needsAttempt && status == choice_status::noneUsable) {
+            } else if (needsAttempt && chosen.status == choice_status::noneUsable) {
                 auto step = current->mayHaveRun() ? next_step::giveUp : next_step::refuse;
                 co_return finishWithLocalReply(*current, step, "no upstream left to try");
             } else if (needsAttempt) {
-                bool isHopeless = placement::shouldShed(
-                    queueLoadOf(current->service, now), queueDeadlinesOf(*current), now);
-                bool isEarly = !current->isQueued && m_retryAfterGate.isTooEarly(current->caller, now);
-                if (!current->mayHaveRun() && (isHopeless || isEarly)) {
-                    co_return shedRequest(
-                        *current, isHopeless ? "the queue is too long" : "came back too early", now);
+                if (auto shed = shedOrEnqueue(current, chosen, now)) {
+                    co_return shed;
                 }
-                enqueue(current);
             }
         }
         auto pollInterval = isCatchingUp ? m_options.catchUpPollInterval : m_options.queuePollInterval;
+        auto pollAt = now + pollInterval;
+        if (chosen.nextPermitAt && *chosen.nextPermitAt > now) {
+            pollAt = std::min(pollAt, *chosen.nextPermitAt);
+        }
         auto wakeAt = needsAttempt
-            ? std::min(current->effectiveDeadline, now + pollInterval)
+            ? std::min(current->effectiveDeadline, pollAt)
             : std::min(current->effectiveDeadline, isHedge ? now + m_options.minHedgeDelay : hedgeAt);
         current->wakeTimer.expires_at(wakeAt);
         boost::system::error_code ignored;
--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -40,6 +40,9 @@
     std::chrono::milliseconds responseTransitTime { 10 }; // Deducted from the timeout sent to upstreams.
     std::chrono::milliseconds maxWaitForHealthy { 150 }; // Then a suspect upstream may be used.
     std::chrono::milliseconds catchUpPollInterval { 5 }; // While peers are asked for their crash records.
+    std::chrono::milliseconds maxPermitDelay {
+        1'000
+    }; // Permits reserved further ahead are lost if the issuer is.
     std::chrono::milliseconds queuePollInterval { 100 }; // Peers' loads expire without a wake-up.
     std::chrono::milliseconds maxIdleAtMostOnce { 1'500 }; // Upstreams may drop older ones unnoticed.
     std::chrono::milliseconds maxIdleRepeatable { 8'000 };
@@ -124,6 +127,14 @@
 // Called to tell peers what this VM has observed. May be empty.
 using evidence_reporter = std::function<void(const placement::upstream_evidence&)>;
 
+// Called for upstreams that name limits.
+struct rate_limit_callbacks {
+    std::function<void(const placement::rate_limit_notice&)> report; // Tells peers of a changed limit.
+    // Asks the VM that issues the permits for an upstream for one that begins within `maxDelay`;
+    // forwarder::applyPermit() takes the answer.
+    std::function<void(const placement::upstream_entry&, std::chrono::milliseconds maxDelay)> requestPermit;
+};
+
 // See the file comment.
 class forwarder {
 public:
@@ -141,6 +152,12 @@
     // Sets what sends this VM's observations to its peers.
     void setEvidenceReporter(evidence_reporter report) { m_reportEvidence = std::move(report); }
 
+    // Sets the callbacks for limits. Without them this VM issues its own permits.
+    void setRateLimitCallbacks(rate_limit_callbacks callbacks)
+    {
+        m_rateLimitCallbacks = std::move(callbacks);
+    }
+
     // Sets the function that returns this VM's share of a service's traffic.
     void setServiceShareProvider(std::function<service_share(const std::string&)> provider)
     {
@@ -151,10 +168,20 @@
     void applyPeerEvidence(const placement::upstream_evidence& evidence);
     void applyPeerLoad(std::string_view peer, const placement::upstream_load& load);
 
+    // Applies what a peer knows of a limit.
+    void applyPeerLimit(const placement::rate_limit_notice& notice) { m_rateLimits.merge(notice); }
+
+    // Applies the answer to a request for a permit.
+    void applyPermit(const std::string& upstream, const placement::permit_answer& answer);
+
+    // Issues a permit, or refuses one, if this VM was elected to do so.
+    placement::permit_answer issuePermit(const std::string& upstream, std::chrono::milliseconds maxDelay);
+
     // Detects stalled upstreams and closes expired idle connections. Call a few times a second.
     void sweep();
 
     placement::load_balancer& loadBalancer() { return m_loadBalancer; }
+    const placement::rate_limits& rateLimits() const { return m_rateLimits; }
     crash_monitor& crashMonitor() { return m_crashMonitor; }
     const std::shared_ptr<const configuration>& currentConfiguration() const { return m_configuration; }
     const wire_fields& wire() const { return m_wire; }
@@ -175,12 +202,20 @@
         std::shared_ptr<active_request> current, std::shared_ptr<attempt> thisAttempt);
     asio::awaitable<std::optional<final_response>> processRequest(std::shared_ptr<active_request> current);
     bool startAttempt(const std::shared_ptr<active_request>& current, steady_clock::time_point now,
-        placement::choice_status& status);
+        placement::choice& chosen);
     std::optional<final_response> evaluateAttempt(
         active_request& current, attempt& thisAttempt, bool& needsAttempt);
     final_response finishWithLocalReply(
         active_request& current, placement::next_step step, std::string_view why);
-    final_response shedRequest(active_request& current, std::string_view why, steady_clock::time_point now);
+    final_response shedRequest(active_request& current, std::string_view why,
+        std::chrono::milliseconds expectedWait, steady_clock::time_point now);
+    std::optional<final_response> shedOrEnqueue(const std::shared_ptr<active_request>& current,
+        const placement::choice& chosen, steady_clock::time_point now);
+    std::chrono::milliseconds maxPermitDelay(
+        const active_request& current, steady_clock::time_point now) const;
+    void requestPermit(
+        const std::string& upstream, std::chrono::milliseconds maxDelay, steady_clock::time_point now);
+    void recordRateLimit(const attempt& thisAttempt, steady_clock::time_point now);
     final_response rejectQuarantined(active_request& current, steady_clock::time_point now);
     final_response finishTimedOut(active_request& current);
     std::chrono::milliseconds jitteredRetryAfter(std::chrono::milliseconds expectedWait);
@@ -199,6 +234,7 @@
     bool isResponseTo(const active_request& current, const http::response_message& response) const;
     placement::windowed_retry_budget& retryBudgetOf(const std::string& service);
     void wakeNextQueued(const std::string& service);
+    std::size_t requestsAhead(const active_request& current);
     void enqueue(const std::shared_ptr<active_request>& current);
     void dequeue(active_request& current);
     void recordCompletion(
@@ -213,6 +249,9 @@
     connection_pool m_pool;
     traffic_counters m_counters;
     crash_monitor m_crashMonitor;
+    placement::rate_limits m_rateLimits;
+    placement::permit_issuer m_permitIssuer;
+    rate_limit_callbacks m_rateLimitCallbacks;
     evidence_reporter m_reportEvidence;
     std::shared_ptr<const configuration> m_configuration;
     std::map<std::string, placement::windowed_retry_budget, std::less<>> m_retryBudgets;
--- a/marlsill/gateway/traffic_counters.cc
+++ b/marlsill/gateway/traffic_counters.cc
@@ -51,6 +51,8 @@
     appendCounter("upstream_crashes_total", upstreamCrashes);
     appendCounter("crash_reports_total", crashReports);
     appendCounter("quarantined_total", quarantined);
+    appendCounter("permits_granted_total", permitsGranted);
+    appendCounter("permits_refused_total", permitsRefused);
     appendCounter("new_connections_total", newConnections);
     appendCounter("reused_connections_total", reusedConnections);
     appendCounter("late_answers_skipped_total", lateAnswersSkipped);
--- a/marlsill/gateway/traffic_counters.h
+++ b/marlsill/gateway/traffic_counters.h
@@ -44,6 +44,8 @@
     std::uint64_t upstreamCrashes = 0; // Upstreams that crashed under a request of this VM.
     std::uint64_t crashReports = 0; // Received from peers.
     std::uint64_t quarantined = 0; // Requests rejected because they crash upstreams.
+    std::uint64_t permitsGranted = 0; // To send one request to an upstream with a limit.
+    std::uint64_t permitsRefused = 0;
     std::uint64_t newConnections = 0;
     std::uint64_t reusedConnections = 0;
     std::uint64_t lateAnswersSkipped = 0;
--- a/marlsill/placement/admission_queue.cc
+++ b/marlsill/placement/admission_queue.cc
@@ -18,10 +18,16 @@
     return load.usual * (load.waiting + 1) / load.slots;
 }
 
+bool shouldShed(std::chrono::milliseconds wait, std::chrono::milliseconds usual, bool isStanding,
+    const answer_deadlines& deadlines, steady_clock::time_point now)
+{
+    auto due = isStanding ? std::min(deadlines.objective, deadlines.limit) : deadlines.limit;
+    return now + wait + usual > due;
+}
+
 bool shouldShed(const queue_load& load, const answer_deadlines& deadlines, steady_clock::time_point now)
 {
-    auto due = load.isStanding ? std::min(deadlines.objective, deadlines.limit) : deadlines.limit;
-    return now + expectedWait(load) + load.usual > due;
+    return shouldShed(expectedWait(load), load.usual, load.isStanding, deadlines, now);
 }
 
 std::chrono::milliseconds retryAfter(std::chrono::milliseconds expected, double fraction)
--- a/marlsill/placement/admission_queue.h
+++ b/marlsill/placement/admission_queue.h
@@ -57,6 +57,21 @@
         return found == m_entries.end() ? nullptr : found->waiter.lock();
     }
 
+    // Returns how many waiters are served before this one; all of them if it is not in the queue.
+    std::size_t waitersAhead(const Waiter& waiter)
+    {
+        removeExpired();
+        auto own = std::find_if(m_entries.begin(), m_entries.end(),
+            [&](const entry& each) { return each.waiter.lock().get() == &waiter; });
+        if (own == m_entries.end()) {
+            return m_entries.size();
+        }
+        auto isAhead = [&](const entry& each) { return rankOf(each) < rankOf(*own); };
+        auto isAheadOrEqual = [&](const entry& each) { return rankOf(each) <= rankOf(*own); };
+        return static_cast<std::size_t>(std::count_if(m_entries.begin(), own, isAheadOrEqual)
+            + std::count_if(own, m_entries.end(), isAhead));
+    }
+
     std::size_t size() const { return m_entries.size(); }
 
     // Returns whether the queue has been non-empty too long for a passing burst.
@@ -106,6 +121,11 @@
 // Returns the estimated time until an upstream has a free slot for one more request.
 std::chrono::milliseconds expectedWait(const queue_load& load);
 
+// Returns whether a request that waits `wait` and then takes `usual` would be answered after its limit, or
+// after its objective in a standing queue.
+bool shouldShed(std::chrono::milliseconds wait, std::chrono::milliseconds usual, bool isStanding,
+    const answer_deadlines& deadlines, steady_clock::time_point now);
+
 // Returns whether a queued request should be shed, because its response would come after its limit, or after
 // its objective in a standing queue, where a late response would make the requests behind it late as well.
 bool shouldShed(const queue_load& load, const answer_deadlines& deadlines, steady_clock::time_point now);
--- a/marlsill/placement/admission_queue_test.cc
+++ b/marlsill/placement/admission_queue_test.cc
@@ -121,4 +121,22 @@
     CHECK(retryAfter(milliseconds(60'000), 0.0) == milliseconds(5'000));
 }
 
+TEST_CASE("A waiter knows how many are served before it")
+{
+    admission_queue<int> queue;
+    auto first = std::make_shared<int>(1);
+    auto sameCaller = std::make_shared<int>(2);
+    auto urgent = std::make_shared<int>(3);
+    auto outside = std::make_shared<int>(4);
+    queue.enqueue(first, { .priority = 1, .limit = start, .caller = "a" }, start);
+    queue.enqueue(sameCaller, { .priority = 1, .limit = start, .caller = "a" }, start);
+    queue.enqueue(urgent, { .priority = 0, .limit = start, .caller = "b" }, start);
+    CHECK(queue.waitersAhead(*urgent) == 0);
+    CHECK(queue.waitersAhead(*first) == 1);
+    CHECK(queue.waitersAhead(*sameCaller) == 2);
+    CHECK(queue.waitersAhead(*outside) == 3);
+    queue.remove(*urgent);
+    CHECK(queue.waitersAhead(*first) == 0);
+}
+
 }
--- a/marlsill/placement/load_balancer.cc
+++ b/marlsill/placement/load_balancer.cc
@@ -182,7 +182,7 @@
 
 // Returns the upstream that has been unused longest if more than the allowed number is unused, else nullptr.
 load_balancer::upstream_state* load_balancer::longestUnused(
-    service_state& service, std::span<const std::string> tried, steady_clock::time_point now) const
+    service_state& service, const choice_request& request, steady_clock::time_point now) const
 {
     upstream_state* oldest = nullptr;
     int unused = 0;
@@ -193,8 +193,10 @@
             continue;
         }
         ++unused;
-        bool isUntried = std::find(tried.begin(), tried.end(), each->entry.id) == tried.end();
-        if (isUntried && (!oldest || each->lastUsedAt < oldest->lastUsedAt)) {
+        bool isUntried
+            = std::find(request.tried.begin(), request.tried.end(), each->entry.id) == request.tried.end();
+        bool isPermitted = !request.limits || request.limits->hasPermit(each->entry.id, now);
+        if (isUntried && isPermitted && (!oldest || each->lastUsedAt < oldest->lastUsedAt)) {
             oldest = each;
         }
     }
@@ -230,6 +232,16 @@
     }
 }
 
+// Returns how many permits for upstreams of the service this VM holds.
+std::size_t load_balancer::heldPermits(
+    const service_state& service, const rate_limits& limits, steady_clock::time_point now)
+{
+    return static_cast<std::size_t>(
+        std::count_if(service.upstreams.begin(), service.upstreams.end(), [&](const upstream_state* each) {
+            return limits.limitOf(each->entry.id) && limits.hasPermit(each->entry.id, now);
+        }));
+}
+
 choice load_balancer::choose(const choice_request& request, steady_clock::time_point now)
 {
     auto found = m_services.find(request.service);
@@ -238,7 +250,7 @@
     }
     auto& service = *found->second;
     bool isRetry = !request.tried.empty();
-    auto* overdue = isRetry ? nullptr : longestUnused(service, request.tried, now);
+    auto* overdue = isRetry ? nullptr : longestUnused(service, request, now);
     if (overdue) {
         return { choice_status::chosen, &overdue->entry, true, inFlightAt(*overdue, now) };
     }
@@ -252,7 +264,17 @@
         int tier = 0; // Lower is preferred.
         double load = 0;
     };
+    constexpr double heldPermitBonus = 0.01; // Decides between equal loads, as a permit is lost if not used.
+    auto isBetter = [](const candidate& left, const std::optional<candidate>& right) {
+        return !right || left.tier < right->tier || (left.tier == right->tier && left.load < right->load);
+    };
     std::optional<candidate> best;
+    std::optional<candidate> bestWithoutPermit; // The best limited one for which a permit may be asked.
+    std::optional<deadline> nextPermitAt;
+    bool mustLeavePermits = request.requestsAhead > 0 && request.limits
+        && heldPermits(service, *request.limits, now) <= request.requestsAhead;
+    int expectedPermits = 0;
+    bool hasUnlimited = false;
     upstream_state* dueProbe = nullptr;
     // The excluded upstream with free slots whose exclusion ends first.
     upstream_state* excludedFallback = nullptr;
@@ -265,6 +287,12 @@
         }
         hasUsable = true;
         int inFlight = inFlightAt(*each, now);
+        bool isLimited = request.limits && request.limits->limitOf(each->entry.id);
+        bool holdsPermit = isLimited && request.limits->hasPermit(each->entry.id, now);
+        bool needsPermit = isLimited && (!holdsPermit || mustLeavePermits);
+        if (each->isExcluded && needsPermit) {
+            continue;
+        }
         if (each->isExcluded) {
             bool isEarliest = !dueProbe || each->excludedUntil < dueProbe->excludedUntil;
             if (isProbeDue(*each, now) && isEarliest && !skipsProbes) {
@@ -276,7 +304,7 @@
             }
             continue;
         }
-        hasHealthy = true;
+        hasHealthy = hasHealthy || !needsPermit;
         double slots = std::max(1, each->entry.slots);
         bool isWarm = hasPassed(each->entry.warmUpUntil, now);
         bool isSlow = each->samples >= minSamples && service.latencyMs > 0
@@ -299,22 +327,41 @@
         if (isSlow) {
             tier = std::max(tier, 3);
         }
-        candidate current { each, tier, inFlight / slots };
-        if (!best || current.tier < best->tier || (current.tier == best->tier && current.load < best->load)) {
+        candidate current { each, tier, inFlight / slots - (isLimited ? heldPermitBonus : 0) };
+        hasUnlimited = hasUnlimited || !isLimited;
+        if (!needsPermit && isBetter(current, best)) {
             best = current;
         }
+        if (!needsPermit) {
+            continue;
+        }
+        auto chance = request.limits->nextChance(each->entry.id, now);
+        nextPermitAt = nextPermitAt ? std::min(*nextPermitAt, chance) : chance;
+        expectedPermits += holdsPermit || request.limits->isExpectingPermit(each->entry.id, now) ? 1 : 0;
+        if (request.limits->shouldRequest(each->entry.id, now) && isBetter(current, bestWithoutPermit)) {
+            bestWithoutPermit = current;
+        }
+    }
+    std::string permitWanted;
+    if (bestWithoutPermit && isBetter(*bestWithoutPermit, best)) {
+        permitWanted = bestWithoutPermit->upstream->entry.id;
+        ++expectedPermits;
     }
     if (dueProbe) {
         return { choice_status::chosen, &dueProbe->entry, true, inFlightAt(*dueProbe, now) };
     }
     if (best) {
-        return { choice_status::chosen, &best->upstream->entry, false, inFlightAt(*best->upstream, now) };
+        return { choice_status::chosen, &best->upstream->entry, false, inFlightAt(*best->upstream, now),
+            std::move(permitWanted) };
     }
     bool isExcludedAllowed = !hasHealthy || request.mayUseExcluded;
     if (excludedFallback && isExcludedAllowed) {
         return { choice_status::chosen, &excludedFallback->entry, true, inFlightAt(*excludedFallback, now) };
     }
-    return { hasUsable ? choice_status::allBusy : choice_status::noneUsable };
+    return { .status = hasUsable ? choice_status::allBusy : choice_status::noneUsable,
+        .permitWanted = std::move(permitWanted),
+        .nextPermitAt = hasUnlimited ? std::nullopt : nextPermitAt,
+        .expectedPermits = expectedPermits };
 }
 
 void load_balancer::startAttempt(std::string_view upstream, bool isProbe, steady_clock::time_point now)
@@ -561,7 +608,8 @@
     return slots;
 }
 
-service_stats load_balancer::statsOf(std::string_view service, steady_clock::time_point now) const
+service_stats load_balancer::statsOf(
+    std::string_view service, steady_clock::time_point now, const rate_limits* limits) const
 {
     service_stats condition;
     auto found = m_services.find(service);
@@ -572,9 +620,10 @@
     for (const auto* each : found->second->upstreams) {
         ++condition.upstreams;
         condition.inFlight += inFlightAt(*each, now);
+        auto limit = limits ? limits->limitOf(each->entry.id) : std::nullopt;
         if (each->isExcluded) {
             ++condition.excluded;
-        } else {
+        } else if (!limit) {
             condition.slots += each->entry.slots;
         }
     }
--- a/marlsill/placement/load_balancer.h
+++ b/marlsill/placement/load_balancer.h
@@ -14,6 +14,7 @@
 // upstreams that are excluded and receive no requests at all is limited, so that exclusions, justified or
 // not, cannot concentrate the load on too few upstreams. Performs no I/O. Not thread safe.
 
+#include "marlsill/placement/rate_limits.h"
 #include "marlsill/placement/upstream_entry.h"
 
 #include <algorithm>
@@ -115,6 +116,8 @@
     bool isAtMostOnce = false;
     bool mayUseExcluded = false; // Prefer an excluded upstream to further waiting.
     bool canBeRetried = true; // After a failure, another attempt and the retry budget are available.
+    const rate_limits* limits = nullptr; // An upstream with a limit is chosen only with a permit.
+    std::size_t requestsAhead = 0; // Queued requests with an earlier claim on the permits that are held.
 };
 
 // The result of a selection.
@@ -130,13 +133,20 @@
     const upstream_entry* upstream = nullptr; // Valid until the next replaceUpstreams().
     bool isProbe = false;
     int inFlight = 0; // Requests at the upstream from all VMs, as far as known.
+    // A limited upstream that would be preferred to the selected one, or to waiting, if a permit for it was
+    // held; empty if there is none, or if one was asked for already.
+    std::string permitWanted;
+    // Set if no upstream was chosen because all that are not excluded have limits: when a permit begins that
+    // is reserved, or when one may be asked for again.
+    std::optional<deadline> nextPermitAt;
+    int expectedPermits = 0; // Permits that this VM holds, has reserved or asked for, with `permitWanted`.
 };
 
 // Aggregated state of a service's upstreams.
 struct service_stats {
     int upstreams = 0; // Registered and not leaving.
     int excluded = 0; // Those of `upstreams` that are excluded.
-    int slots = 0; // Sum over the upstreams that are not excluded.
+    int slots = 0; // Sum over the upstreams that are not excluded and have no limit.
     int inFlight = 0; // From all VMs, as far as known.
     int latencyMs = 0; // Moving average; 0 if unknown.
 };
@@ -191,18 +201,21 @@
     int slotsOf(std::string_view service) const;
 
     // Returns the aggregated state of a service's upstreams; all zeros for an unknown service.
-    service_stats statsOf(std::string_view service, steady_clock::time_point now) const;
+    service_stats statsOf(
+        std::string_view service, steady_clock::time_point now, const rate_limits* limits = nullptr) const;
 
 private:
     struct upstream_state;
     struct service_state;
 
+    static std::size_t heldPermits(
+        const service_state& service, const rate_limits& limits, steady_clock::time_point now);
     bool isExcluded(const upstream_state& each, steady_clock::time_point now) const;
     bool isProbeDue(const upstream_state& each, steady_clock::time_point now) const;
     std::chrono::milliseconds probeDelay(const upstream_state& each) const;
     int inFlightAt(const upstream_state& each, steady_clock::time_point now) const;
     upstream_state* longestUnused(
-        service_state& service, std::span<const std::string> tried, steady_clock::time_point now) const;
+        service_state& service, const choice_request& request, steady_clock::time_point now) const;
     void exclude(upstream_state& each, std::chrono::milliseconds exclusion, steady_clock::time_point now);
     bool recordErrorAfterProcessing(upstream_state& each, bool isAtMostOnce, steady_clock::time_point now);
     void recordPeerLoss(const upstream_state& each, bool isAtMostOnce, steady_clock::time_point now);
