--- a/testing/soak/soak_run.cc
+++ b/testing/soak/soak_run.cc
@@ -16,6 +16,12 @@
 
 namespace {
 
+    constexpr std::chrono::milliseconds limitLength { 10'000 };
+    // The users' rule on limits.
+    constexpr std::chrono::milliseconds limitSettleTime { 3'000 };
+    constexpr std::chrono::milliseconds limitWindow { 4'000 };
+    constexpr double limitExcessFactor = 1.5;
+    constexpr int limitExcessRequests = 5;
     constexpr const char* service = "s";
     constexpr const char* host = "h.example";
     constexpr milliseconds workTime { 20 };
@@ -35,6 +41,7 @@
 soak_run::soak_run(soak_options options)
     : m_options(std::move(options))
     , m_random(m_options.seed)
+    , m_limitRandom(m_options.seed + 1)
 {
 }
 
@@ -188,6 +195,54 @@
     }
 }
 
+// Makes an upstream name a limit of requests per second for a while.
+void soak_run::nameLimit()
+{
+    auto& place = *m_upstreams[m_limitRandom() % m_upstreams.size()];
+    if (place.limit > 0 || place.isDraining) {
+        return;
+    }
+    place.limit = static_cast<double>(1 + m_limitRandom() % 4);
+    place.upstream->setRateLimit(place.limit);
+    place.limitUntil = deadlineAfter(limitLength);
+    place.limitCheckedFrom = deadlineAfter(limitSettleTime);
+}
+
+// Ends the limits whose time is over, and checks that they were kept.
+void soak_run::endLimits()
+{
+    for (auto& each : m_upstreams) {
+        if (each->limit == 0 || !hasPassed(each->limitUntil, steady_clock::now())) {
+            continue;
+        }
+        auto arrivals = each->upstream->arrivalTimes();
+        std::erase_if(arrivals, [&](auto at) { return at < each->limitCheckedFrom; });
+        auto allowed = static_cast<std::ptrdiff_t>(
+            limitExcessFactor * each->limit * std::chrono::duration<double>(limitWindow).count()
+            + limitExcessRequests);
+        bool isBroken = std::any_of(arrivals.begin(), arrivals.end(), [&](auto at) {
+            auto inWindow = std::count_if(arrivals.begin(), arrivals.end(),
+                [&](auto other) { return other >= at && other < at + limitWindow; });
+            return inWindow > allowed;
+        });
+        if (isBroken) {
+            m_checker.noteBroken("limit: " + each->upstream->id() + " got more than "
+                + std::to_string(allowed) + " requests in 4 s");
+        }
+        m_limitsChecked += arrivals.empty() ? 0 : 1;
+        each->limit = 0;
+        each->upstream->setRateLimit(0);
+    }
+}
+
+// Leaves out the time until a trouble of VMs has been over for a while.
+void soak_run::delayLimitChecks(steady_clock::time_point troubleUntil)
+{
+    for (auto& each : m_upstreams) {
+        each->limitCheckedFrom = std::max(each->limitCheckedFrom, troubleUntil + limitSettleTime);
+    }
+}
+
 void soak_run::killEntry(entry_place& entry)
 {
     spoilDrains();
@@ -195,6 +250,7 @@
     m_checker.noteDisturbed(entry.process->life());
     entry.process->kill();
     entry.process->start();
+    delayLimitChecks(steady_clock::now());
 }
 
 void soak_run::stopEntry(entry_place& entry)
@@ -212,6 +268,7 @@
     }
     std::lock_guard lock(entry.mutex);
     entry.process->start();
+    delayLimitChecks(steady_clock::now());
 }
 
 void soak_run::pauseEntry(entry_place& entry)
@@ -220,6 +277,7 @@
     m_checker.noteDisturbed(entry.process->life());
     entry.process->signal(SIGSTOP);
     entry.pausedUntil = deadlineAfter(drawLength(200, 2'000));
+    delayLimitChecks(entry.pausedUntil);
 }
 
 void soak_run::cutStoreLink(entry_place& entry)
@@ -263,6 +321,8 @@
         = { link_trouble::delayed, link_trouble::silent, link_trouble::cutOneWay, link_trouble::reset };
     place.link->setTrouble(troubles[draw(4)]);
     place.troubleUntil = deadlineAfter(drawLength(200, 2'000));
+    // Requests may be held up and arrive together.
+    place.limitCheckedFrom = std::max(place.limitCheckedFrom, place.troubleUntil + limitSettleTime);
 }
 
 void soak_run::drainUpstream(upstream_place& place)
@@ -283,6 +343,7 @@
 
 void soak_run::endTroubles(bool isAll)
 {
+    endLimits();
     auto now = steady_clock::now();
     for (auto& each : m_entries) {
         if (isAll || hasPassed(each->pausedUntil, now)) {
@@ -304,6 +365,8 @@
             m_drainsChecked += each->isDrainChecked && isWatched ? 1 : 0;
             m_checker.forgetLeaving(each->upstream->id());
             each->isDraining = false;
+            each->limitCheckedFrom
+                = deadlineAfter(limitSettleTime); // The VMs learn the limit of the new life.
             ++each->life;
             m_store.remove(platform_adapter::upstreamKind, each->upstream->id());
             publishUpstream(*each, "ready");
@@ -346,6 +409,7 @@
 {
     auto until = deadlineAfter(m_options.length);
     while (!hasPassed(until, steady_clock::now())) {
+        nameLimit();
         for (int left = draw(6); left >= 0; --left) {
             playFault();
             std::this_thread::sleep_for(drawLength(10, 400));
@@ -391,7 +455,7 @@
         }
     }
     return { m_checker.broken(), m_checker.sent(), m_checker.answered(200), m_checker.answered(503), m_faults,
-        m_drainsChecked };
+        m_drainsChecked, m_limitsChecked };
 }
 
 }
--- a/testing/soak/soak_run.h
+++ b/testing/soak/soak_run.h
@@ -40,6 +40,7 @@
     int refused = 0;
     int faults = 0;
     int drainsChecked = 0;
+    int limitsChecked = 0;
 };
 
 class soak_run {
@@ -58,6 +59,9 @@
         bool isDraining = false;
         int life = 1;
         bool isDrainChecked = false;
+        double limit = 0; // That it names, in requests per second; 0: none.
+        deadline limitUntil {};
+        steady_clock::time_point limitCheckedFrom {}; // VMs that were away before are excused.
     };
 
     struct entry_place {
@@ -85,6 +89,9 @@
     void troubleUpstream(upstream_place& place);
     void troubleUpstreamLink(upstream_place& place);
     void drainUpstream(upstream_place& place);
+    void nameLimit();
+    void endLimits();
+    void delayLimitChecks(steady_clock::time_point troubleUntil);
     void endTroubles(bool isAll);
     void spoilDrains();
     bool isKnowledgeTroubled() const;
@@ -93,6 +100,7 @@
 
     const soak_options m_options;
     std::mt19937_64 m_random; // Of the faults' thread.
+    std::mt19937_64 m_limitRandom; // Of limits; apart, so that the other faults of a seed stay the same.
     promise_checker m_checker;
     platform_adapter::fake_object_store m_store;
     steady_clock::time_point m_storeTroubleUntil {};
@@ -103,6 +111,7 @@
     int m_probes = 0; // Requests that ask whether an entry serves.
     int m_faults = 0;
     int m_drainsChecked = 0;
+    int m_limitsChecked = 0;
 };
 
 }
