--- a/testing/crash_fleet.cc
+++ b/testing/crash_fleet.cc
@@ -43,12 +43,9 @@
         m_upstreams.push_back({ .number = index });
         startUpstream(m_upstreams.back(), true);
     }
-    for (auto& planned : planFleet(entries)) {
-        planned.program = MARLSILL_ENTRY_PROGRAM;
-        planned.folder = m_folder.string();
-        planned.store = m_store.address();
-        m_entries.push_back(std::make_unique<entry_process>(planned));
-        REQUIRE(m_entries.back()->start());
+    m_entries = startFleet(entries, MARLSILL_ENTRY_PROGRAM, m_folder.string(), m_store.address());
+    for (const auto& each : m_entries) {
+        REQUIRE(each->isRunning());
     }
 }
 
--- a/testing/rate_limit_fleet.cc
+++ b/testing/rate_limit_fleet.cc
@@ -43,12 +43,9 @@
         m_store.put(platform_adapter::upstreamKind, id,
             platform_adapter::upstreamObject(service, m_upstreams.back()->address(), "ready"));
     }
-    for (auto& planned : planFleet(entries)) {
-        planned.program = MARLSILL_ENTRY_PROGRAM;
-        planned.folder = m_folder.string();
-        planned.store = m_store.address();
-        m_entries.push_back(std::make_unique<entry_process>(planned));
-        REQUIRE(m_entries.back()->start());
+    m_entries = startFleet(entries, MARLSILL_ENTRY_PROGRAM, m_folder.string(), m_store.address());
+    for (const auto& each : m_entries) {
+        REQUIRE(each->isRunning());
     }
     auto until = deadlineAfter(startLimit);
     for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
--- a/testing/soak/entry_process.cc
+++ b/testing/soak/entry_process.cc
@@ -66,6 +66,20 @@
     return fleet;
 }
 
+std::vector<std::unique_ptr<entry_process>> startFleet(
+    int entries, const std::string& program, const std::string& folder, const std::string& store)
+{
+    std::vector<std::unique_ptr<entry_process>> fleet;
+    for (auto& planned : planFleet(entries)) {
+        planned.program = program;
+        planned.folder = folder;
+        planned.store = store;
+        fleet.push_back(std::make_unique<entry_process>(planned));
+        fleet.back()->start();
+    }
+    return fleet;
+}
+
 entry_process::entry_process(entry_options options)
     : m_options(std::move(options))
 {
--- a/testing/soak/entry_process.h
+++ b/testing/soak/entry_process.h
@@ -8,6 +8,7 @@
 //
 // The process is ended, by its id, when the object goes.
 
+#include <memory>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -34,6 +35,13 @@
 // in turn, and the first two daemons as seeds. The program, the folder and the store are left empty.
 std::vector<entry_options> planFleet(int entries);
 
+class entry_process;
+
+// Starts daemons that form a fleet on one store, with their files in one folder. Those that could not be
+// started are not running.
+std::vector<std::unique_ptr<entry_process>> startFleet(
+    int entries, const std::string& program, const std::string& folder, const std::string& store);
+
 class entry_process {
 public:
     explicit entry_process(entry_options options);
