--- a/marlsill/base/absence_detector.h
+++ b/marlsill/base/absence_detector.h
@@ -21,7 +21,6 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<boot_clock>;
-    static constexpr bool is_steady = true;
 
     static time_point now()
     {
--- a/marlsill/placement/load_balancer.cc
+++ b/marlsill/placement/load_balancer.cc
@@ -242,6 +242,29 @@
         }));
 }
 
+// Returns the tier of an upstream that is not excluded; lower ones are preferred.
+int load_balancer::tierOf(const upstream_state& each, const service_state& service, int inFlight,
+    steady_clock::time_point now) const
+{
+    double slots = std::max(1, each.entry.slots);
+    bool isWarm = hasPassed(each.entry.warmUpUntil, now);
+    bool isSlow = each.samples >= minSamples && service.latencyMs > 0
+        && each.latencyMs > slowFactor * service.latencyMs;
+    double preferredInFlight
+        = std::max(1.0, std::round(slots * (isWarm ? preferredUtilization : warmUpUtilization)));
+    if (each.rampUpLeft > 0) {
+        preferredInFlight = 1;
+    }
+    bool isLocal = each.entry.failureDomain == m_options.failureDomain;
+    int tier = 0;
+    if (inFlight + 1 <= preferredInFlight) {
+        tier = isLocal ? 0 : 1;
+    } else {
+        tier = inFlight + 1 <= slots ? 2 : 4;
+    }
+    return isSlow ? std::max(tier, 3) : tier;
+}
+
 choice load_balancer::choose(const choice_request& request, steady_clock::time_point now)
 {
     auto found = m_services.find(request.service);
@@ -305,30 +328,13 @@
             continue;
         }
         hasHealthy = hasHealthy || !needsPermit;
+        hasUnlimited = hasUnlimited || !isLimited;
         double slots = std::max(1, each->entry.slots);
-        bool isWarm = hasPassed(each->entry.warmUpUntil, now);
-        bool isSlow = each->samples >= minSamples && service.latencyMs > 0
-            && each->latencyMs > slowFactor * service.latencyMs;
-        double preferredInFlight
-            = std::max(1.0, std::round(slots * (isWarm ? preferredUtilization : warmUpUtilization)));
-        if (each->rampUpLeft > 0) {
-            preferredInFlight = 1;
-        }
-        bool isLocal = each->entry.failureDomain == m_options.failureDomain;
         if (inFlight >= slots + overcommit) {
             continue;
         }
-        int tier = 0;
-        if (inFlight + 1 <= preferredInFlight) {
-            tier = isLocal ? 0 : 1;
-        } else {
-            tier = inFlight + 1 <= slots ? 2 : 4;
-        }
-        if (isSlow) {
-            tier = std::max(tier, 3);
-        }
-        candidate current { each, tier, inFlight / slots - (isLimited ? heldPermitBonus : 0) };
-        hasUnlimited = hasUnlimited || !isLimited;
+        candidate current { each, tierOf(*each, service, inFlight, now),
+            inFlight / slots - (isLimited ? heldPermitBonus : 0) };
         if (!needsPermit && isBetter(current, best)) {
             best = current;
         }
@@ -348,7 +354,8 @@
         ++expectedPermits;
     }
     if (dueProbe) {
-        return { choice_status::chosen, &dueProbe->entry, true, inFlightAt(*dueProbe, now) };
+        return { choice_status::chosen, &dueProbe->entry, true, inFlightAt(*dueProbe, now),
+            std::move(permitWanted) };
     }
     if (best) {
         return { choice_status::chosen, &best->upstream->entry, false, inFlightAt(*best->upstream, now),
@@ -356,7 +363,8 @@
     }
     bool isExcludedAllowed = !hasHealthy || request.mayUseExcluded;
     if (excludedFallback && isExcludedAllowed) {
-        return { choice_status::chosen, &excludedFallback->entry, true, inFlightAt(*excludedFallback, now) };
+        return { choice_status::chosen, &excludedFallback->entry, true, inFlightAt(*excludedFallback, now),
+            std::move(permitWanted) };
     }
     return { .status = hasUsable ? choice_status::allBusy : choice_status::noneUsable,
         .permitWanted = std::move(permitWanted),
--- a/marlsill/placement/load_balancer.h
+++ b/marlsill/placement/load_balancer.h
@@ -208,6 +208,8 @@
     struct upstream_state;
     struct service_state;
 
+    int tierOf(const upstream_state& each, const service_state& service, int inFlight,
+        steady_clock::time_point now) const;
     static std::size_t heldPermits(
         const service_state& service, const rate_limits& limits, steady_clock::time_point now);
     bool isExcluded(const upstream_state& each, steady_clock::time_point now) const;
--- a/marlsill/placement/load_balancer_test.cc
+++ b/marlsill/placement/load_balancer_test.cc
@@ -359,4 +359,59 @@
     CHECK_FALSE(balancer.choose({ .service = "s", .isAtMostOnce = true }, later + milliseconds(1)).isProbe);
 }
 
+TEST_CASE(
+    "An upstream with a limit is chosen only with a permit, which is asked for when it would be preferred")
+{
+    struct row {
+        const char* name;
+        std::vector<std::string> limited;
+        std::vector<std::string> permitted;
+        std::vector<std::string> full;
+        std::string chosen; // Empty: none.
+        std::string permitWanted;
+        bool isPermitAwaited; // All upstreams that are not excluded have limits.
+    };
+    const row rows[] = {
+        { "no limits", {}, {}, { "u1" }, "u0", "", false },
+        { "another has room", { "u0" }, {}, {}, "u1", "u0", false },
+        { "another has no room", { "u0" }, {}, { "u1" }, "", "u0", false },
+        { "with a permit", { "u0" }, { "u0" }, { "u1" }, "u0", "", false },
+        { "all have limits", { "u0", "u1" }, {}, {}, "", "u0", true },
+        { "all have limits, one permit", { "u0", "u1" }, { "u1" }, {}, "u1", "u0", false },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        auto balancer = balancerOf(2);
+        rate_limits limits;
+        for (const auto& id : each.limited) {
+            limits.recordResponse(id, 2, start, start);
+        }
+        for (const auto& id : each.permitted) {
+            limits.grant(id, start);
+        }
+        for (const auto& id : each.full) {
+            for (int request = 0; request < 4; ++request) {
+                balancer.startAttempt(id, false, start);
+            }
+        }
+        auto chosen = balancer.choose({ .service = "s", .limits = &limits }, start);
+        CHECK((chosen.upstream ? chosen.upstream->id : "") == each.chosen);
+        CHECK(chosen.permitWanted == each.permitWanted);
+        CHECK(chosen.nextPermitAt.has_value() == each.isPermitAwaited);
+    }
+}
+
+TEST_CASE("Permits are left to the requests that wait longer")
+{
+    auto balancer = balancerOf(1);
+    rate_limits limits;
+    limits.recordResponse("u0", 2, start, start);
+    limits.grant("u0", start);
+    auto newcomer = balancer.choose({ .service = "s", .limits = &limits, .requestsAhead = 1 }, start);
+    CHECK(newcomer.status == choice_status::allBusy);
+    CHECK(newcomer.expectedPermits == 1);
+    auto first = balancer.choose({ .service = "s", .limits = &limits }, start);
+    CHECK(first.status == choice_status::chosen);
+}
+
 }
