--- a/marlsill/placement/load_balancer.cc
+++ b/marlsill/placement/load_balancer.cc
@@ -299,6 +299,7 @@
     int expectedPermits = 0;
     bool hasUnlimited = false;
     upstream_state* dueProbe = nullptr;
+    upstream_state* probeWithoutPermit = nullptr; // An excluded one that could be probed with a permit.
     // The excluded upstream with free slots whose exclusion ends first.
     upstream_state* excludedFallback = nullptr;
     bool hasUsable = false;
@@ -314,6 +315,9 @@
         bool holdsPermit = isLimited && request.limits->hasPermit(each->entry.id, now);
         bool needsPermit = isLimited && (!holdsPermit || mustLeavePermits);
         if (each->isExcluded && needsPermit) {
+            bool mayProbe = isProbeDue(*each, now) && !skipsProbes;
+            probeWithoutPermit
+                = mayProbe && request.limits->shouldRequest(each->entry.id, now) ? each : probeWithoutPermit;
             continue;
         }
         if (each->isExcluded) {
@@ -349,7 +353,9 @@
         }
     }
     std::string permitWanted;
-    if (bestWithoutPermit && isBetter(*bestWithoutPermit, best)) {
+    if (probeWithoutPermit) {
+        permitWanted = probeWithoutPermit->entry.id;
+    } else if (bestWithoutPermit && isBetter(*bestWithoutPermit, best)) {
         permitWanted = bestWithoutPermit->upstream->entry.id;
         ++expectedPermits;
     }
--- a/marlsill/placement/load_balancer_test.cc
+++ b/marlsill/placement/load_balancer_test.cc
@@ -401,6 +401,23 @@
     }
 }
 
+TEST_CASE("A permit is asked for to probe an excluded upstream with a limit")
+{
+    // Guards against upstreams that stay excluded because nothing is sent to them without a permit.
+    auto balancer = balancerOf(2);
+    rate_limits limits;
+    limits.recordResponse("u0", 2, start, start);
+    fail(balancer, "u0", start);
+    auto later = start + milliseconds(5'000);
+    auto chosen = balancer.choose({ .service = "s", .limits = &limits }, later);
+    CHECK(chosen.upstream->id == "u1");
+    CHECK(chosen.permitWanted == "u0");
+    limits.grant("u0", later);
+    auto probe = balancer.choose({ .service = "s", .limits = &limits }, later);
+    CHECK(probe.upstream->id == "u0");
+    CHECK(probe.isProbe);
+}
+
 TEST_CASE("Permits are left to the requests that wait longer")
 {
     auto balancer = balancerOf(1);
