--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -536,25 +536,37 @@
     }
 }
 
-bool forwarder::startAttempt(
-    const std::shared_ptr<active_request>& current, steady_clock::time_point now, placement::choice& chosen)
-{
-    chosen = m_loadBalancer.choose(
-        { .service = current->service,
-            .tried = current->triedUpstreams,
-            .isAtMostOnce = current->state.isAtMostOnce,
-            .mayUseExcluded = now - current->arrivedAt > m_options.maxWaitForHealthy,
-            .canBeRetried = current->state.possibleRuns + 1 < current->state.maxUpstreams
-                && retryBudgetOf(current->service).canAcquire(now),
+placement::choice forwarder::chooseUpstream(const active_request& current, steady_clock::time_point now)
+{
+    auto chosen = m_loadBalancer.choose(
+        { .service = current.service,
+            .tried = current.triedUpstreams,
+            .isAtMostOnce = current.state.isAtMostOnce,
+            .mayUseExcluded = now - current.arrivedAt > m_options.maxWaitForHealthy,
+            .canBeRetried = current.state.possibleRuns + 1 < current.state.maxUpstreams
+                && retryBudgetOf(current.service).canAcquire(now),
             .limits = &m_rateLimits,
-            .requestsAhead = requestsAhead(*current) },
+            .requestsAhead = requestsAhead(current) },
         now);
-    if (chosen.status == choice_status::chosen && current->isCrashProbe && chosen.inFlight > 0) {
+    if (chosen.status == choice_status::chosen && current.isCrashProbe && chosen.inFlight > 0) {
         chosen.status = choice_status::allBusy; // Others would be lost if it crashes the upstream.
     }
-    if (!chosen.permitWanted.empty()) {
-        requestPermit(chosen.permitWanted, maxPermitDelay(*current, now), now);
-    }
+    return chosen;
+}
+
+bool forwarder::startAttempt(
+    const std::shared_ptr<active_request>& current, steady_clock::time_point now, placement::choice& chosen)
+{
+    bool isPermitAnswered = false;
+    do {
+        chosen = chooseUpstream(*current, now);
+        isPermitAnswered = false;
+        if (!chosen.permitWanted.empty()) {
+            requestPermit(chosen.permitWanted, maxPermitDelay(*current, now), now);
+            now = steady_clock::now(); // A permit of this VM itself has been answered, and begins now.
+            isPermitAnswered = !m_rateLimits.isExpectingPermit(chosen.permitWanted, now);
+        }
+    } while (chosen.status != choice_status::chosen && isPermitAnswered);
     if (chosen.status != choice_status::chosen) {
         return false;
     }
--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -201,6 +201,7 @@
     asio::awaitable<void> runAttempt(
         std::shared_ptr<active_request> current, std::shared_ptr<attempt> thisAttempt);
     asio::awaitable<std::optional<final_response>> processRequest(std::shared_ptr<active_request> current);
+    placement::choice chooseUpstream(const active_request& current, steady_clock::time_point now);
     bool startAttempt(const std::shared_ptr<active_request>& current, steady_clock::time_point now,
         placement::choice& chosen);
     std::optional<final_response> evaluateAttempt(
--- a/testing/gateway_test.cc
+++ b/testing/gateway_test.cc
@@ -481,6 +481,22 @@
     CHECK(tested.sendAndReceive("GET", "/repeat/listing", "after").status == 200);
 }
 
+TEST_CASE("A request does not wait for a permit that can be had at once")
+{
+    // Guards against the VM that issues the permits noticing its own answer at the next poll of the queue.
+    constexpr milliseconds tokenInterval { 200 };
+    constexpr milliseconds quick { 60 }; // Below the poll interval.
+    gateway_fixture tested(1);
+    tested.upstream(0).setRateLimit(5);
+    for (const auto* each : { "names-limit", "first-permit" }) {
+        REQUIRE(tested.sendAndReceive("GET", "/repeat/a", each).status == 200);
+    }
+    std::this_thread::sleep_for(2 * tokenInterval);
+    auto sentAt = steady_clock::now();
+    CHECK(tested.sendAndReceive("GET", "/repeat/a", "free-permit").status == 200);
+    CHECK(steady_clock::now() - sentAt < quick);
+}
+
 TEST_CASE("A request that arrives as a planned stop begins is served or not read at all")
 {
     // Guards against a request that is passed on by a session which has already decided to close.
