--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -10,8 +10,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <charconv>
-#include <cmath>
 
 namespace marlsill::gateway {
 
@@ -36,15 +34,6 @@
         return attempt.outcome == attempt_outcome::answered && attempt.status >= 200 && attempt.status < 300;
     }
 
-    // Returns a limit in requests per second; std::nullopt if the text is not a decimal number of at least 0.
-    std::optional<double> parseRateLimit(const std::string& text)
-    {
-        double value = 0;
-        auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-        bool isValid = error == std::errc() && end == text.data() + text.size() && std::isfinite(value);
-        return isValid && value >= 0 ? std::optional(value) : std::nullopt;
-    }
-
     std::string_view toText(attempt_outcome end)
     {
         constexpr std::string_view names[] = { "answered", "refused", "wrong_upstream", "not_sent",
@@ -107,6 +96,8 @@
     , m_loadBalancer({ .failureDomain = m_options.failureDomain })
     , m_crashMonitor(io, m_loadBalancer, m_counters,
           { .connectTimeout = m_options.connectTimeout, .quarantine = m_options.quarantine })
+    , m_rateLimiter(
+          m_loadBalancer, m_counters, [this](const std::string& service) { wakeNextQueued(service); })
 {
 }
 
@@ -122,7 +113,7 @@
 void forwarder::setUpstreams(std::span<const placement::upstream_entry> upstreams)
 {
     m_loadBalancer.replaceUpstreams(upstreams, steady_clock::now());
-    m_rateLimits.retain([this](const auto& upstream) { return m_loadBalancer.find(upstream) != nullptr; });
+    m_rateLimiter.forgetUnregistered();
     m_crashMonitor.recordCrashesOfRestarted();
     for (auto& [service, queue] : m_queues) {
         wakeNextQueued(service);
@@ -168,67 +159,6 @@
     return std::min(std::chrono::milliseconds(left), m_options.maxPermitDelay);
 }
 
-void forwarder::requestPermit(
-    const std::string& upstream, std::chrono::milliseconds maxDelay, steady_clock::time_point now)
-{
-    m_rateLimits.noteRequested(upstream, now);
-    const auto* known = m_loadBalancer.find(upstream);
-    if (known && m_rateLimitCallbacks.requestPermit) {
-        m_rateLimitCallbacks.requestPermit(*known, maxDelay);
-    } else if (known) {
-        applyPermit(upstream, issuePermit(upstream, maxDelay));
-    }
-}
-
-placement::permit_answer forwarder::issuePermit(
-    const std::string& upstream, std::chrono::milliseconds maxDelay)
-{
-    auto limit = m_rateLimits.limitOf(upstream);
-    return limit ? m_permitIssuer.request(upstream, *limit, maxDelay, steady_clock::now())
-                 : placement::permit_answer { true };
-}
-
-void forwarder::applyPermit(const std::string& upstream, const placement::permit_answer& answer)
-{
-    auto now = steady_clock::now();
-    logEvent(event::permitAnswered,
-        { { "upstream", upstream }, { "granted", answer.isGranted ? "1" : "0" },
-            { "delay_ms", std::to_string(answer.delay.count()) } });
-    if (answer.isGranted) {
-        ++m_counters.permitsGranted;
-        m_rateLimits.grant(upstream, now + answer.delay);
-    } else {
-        ++m_counters.permitsRefused;
-        m_rateLimits.refuse(upstream, now + answer.delay);
-    }
-    if (const auto* known = m_loadBalancer.find(upstream)) {
-        wakeNextQueued(known->service);
-    }
-}
-
-// Takes over the limit that the response to an attempt names, or that it names none.
-void forwarder::recordRateLimit(const attempt& thisAttempt, steady_clock::time_point now)
-{
-    const auto& head = thisAttempt.response.head;
-    std::optional<double> limit;
-    if (head.has(m_wire.rateLimit)) {
-        limit = parseRateLimit(head.get(m_wire.rateLimit));
-        if (!limit) {
-            return; // Malformed; what is known stays in force.
-        }
-    }
-    auto changed = m_rateLimits.recordResponse(thisAttempt.upstream, limit, thisAttempt.startedAt, now);
-    if (!changed) {
-        return;
-    }
-    logEvent(event::upstreamLimitChanged,
-        { { "upstream", thisAttempt.upstream },
-            { "limit", limit ? std::to_string(*limit) : std::string("none") } });
-    if (m_rateLimitCallbacks.report) {
-        m_rateLimitCallbacks.report(*changed);
-    }
-}
-
 void forwarder::applyPeerLoad(std::string_view peer, const placement::upstream_load& load)
 {
     m_loadBalancer.applyPeerLoad(peer, load, steady_clock::now());
@@ -275,7 +205,7 @@
 
 placement::queue_load forwarder::queueLoadOf(const std::string& service, steady_clock::time_point now) const
 {
-    auto condition = m_loadBalancer.statsOf(service, now, &m_rateLimits);
+    auto condition = m_loadBalancer.statsOf(service, now, &m_rateLimiter.limits());
     auto queue = m_queues.find(service);
     auto usualLatency = std::chrono::milliseconds(condition.latencyMs);
     if (queue == m_queues.end()) {
@@ -470,7 +400,8 @@
     }
     if (thisAttempt.outcome.outcome == attempt_outcome::answered
         || thisAttempt.outcome.outcome == attempt_outcome::refused) {
-        recordRateLimit(thisAttempt, now);
+        m_rateLimiter.recordResponse(
+            thisAttempt.upstream, thisAttempt.response.head, m_wire.rateLimit, thisAttempt.startedAt, now);
     }
     bool isFailure = placement::isFailure(verdict);
     m_counters.upstreamFailures += isFailure ? 1 : 0;
@@ -545,7 +476,7 @@
             .mayUseExcluded = now - current.arrivedAt > m_options.maxWaitForHealthy,
             .canBeRetried = current.state.possibleRuns + 1 < current.state.maxUpstreams
                 && retryBudgetOf(current.service).canAcquire(now),
-            .limits = &m_rateLimits,
+            .limits = &m_rateLimiter.limits(),
             .requestsAhead = requestsAhead(current) },
         now);
     if (chosen.status == choice_status::chosen && current.isCrashProbe && chosen.inFlight > 0) {
@@ -562,15 +493,15 @@
         chosen = chooseUpstream(*current, now);
         isPermitAnswered = false;
         if (!chosen.permitWanted.empty()) {
-            requestPermit(chosen.permitWanted, maxPermitDelay(*current, now), now);
+            m_rateLimiter.requestPermit(chosen.permitWanted, maxPermitDelay(*current, now), now);
             now = steady_clock::now(); // A permit of this VM itself has been answered, and begins now.
-            isPermitAnswered = !m_rateLimits.isExpectingPermit(chosen.permitWanted, now);
+            isPermitAnswered = !m_rateLimiter.limits().isExpectingPermit(chosen.permitWanted, now);
         }
     } while (chosen.status != choice_status::chosen && isPermitAnswered);
     if (chosen.status != choice_status::chosen) {
         return false;
     }
-    m_rateLimits.consume(chosen.upstream->id, now);
+    m_rateLimiter.consume(chosen.upstream->id, now);
     auto thisAttempt = std::make_shared<attempt>();
     thisAttempt->upstream = chosen.upstream->id;
     thisAttempt->address = chosen.upstream->address;
--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -13,6 +13,7 @@
 #include "marlsill/gateway/configuration.h"
 #include "marlsill/gateway/connection_pool.h"
 #include "marlsill/gateway/crash_monitor.h"
+#include "marlsill/gateway/rate_limiter.h"
 #include "marlsill/gateway/traffic_counters.h"
 #include "marlsill/gateway/wire_fields.h"
 #include "marlsill/placement/admission_queue.h"
@@ -127,14 +128,6 @@
 // Called to tell peers what this VM has observed. May be empty.
 using evidence_reporter = std::function<void(const placement::upstream_evidence&)>;
 
-// Called for upstreams that name limits.
-struct rate_limit_callbacks {
-    std::function<void(const placement::rate_limit_notice&)> report; // Tells peers of a changed limit.
-    // Asks the VM that issues the permits for an upstream for one that begins within `maxDelay`;
-    // forwarder::applyPermit() takes the answer.
-    std::function<void(const placement::upstream_entry&, std::chrono::milliseconds maxDelay)> requestPermit;
-};
-
 // See the file comment.
 class forwarder {
 public:
@@ -152,12 +145,6 @@
     // Sets what sends this VM's observations to its peers.
     void setEvidenceReporter(evidence_reporter report) { m_reportEvidence = std::move(report); }
 
-    // Sets the callbacks for limits. Without them this VM issues its own permits.
-    void setRateLimitCallbacks(rate_limit_callbacks callbacks)
-    {
-        m_rateLimitCallbacks = std::move(callbacks);
-    }
-
     // Sets the function that returns this VM's share of a service's traffic.
     void setServiceShareProvider(std::function<service_share(const std::string&)> provider)
     {
@@ -168,21 +155,12 @@
     void applyPeerEvidence(const placement::upstream_evidence& evidence);
     void applyPeerLoad(std::string_view peer, const placement::upstream_load& load);
 
-    // Applies what a peer knows of a limit.
-    void applyPeerLimit(const placement::rate_limit_notice& notice) { m_rateLimits.merge(notice); }
-
-    // Applies the answer to a request for a permit.
-    void applyPermit(const std::string& upstream, const placement::permit_answer& answer);
-
-    // Issues a permit, or refuses one, if this VM was elected to do so.
-    placement::permit_answer issuePermit(const std::string& upstream, std::chrono::milliseconds maxDelay);
-
     // Detects stalled upstreams and closes expired idle connections. Call a few times a second.
     void sweep();
 
     placement::load_balancer& loadBalancer() { return m_loadBalancer; }
-    const placement::rate_limits& rateLimits() const { return m_rateLimits; }
     crash_monitor& crashMonitor() { return m_crashMonitor; }
+    rate_limiter& rateLimiter() { return m_rateLimiter; }
     const std::shared_ptr<const configuration>& currentConfiguration() const { return m_configuration; }
     const wire_fields& wire() const { return m_wire; }
     traffic_counters& counters() { return m_counters; }
@@ -214,9 +192,6 @@
         const placement::choice& chosen, steady_clock::time_point now);
     std::chrono::milliseconds maxPermitDelay(
         const active_request& current, steady_clock::time_point now) const;
-    void requestPermit(
-        const std::string& upstream, std::chrono::milliseconds maxDelay, steady_clock::time_point now);
-    void recordRateLimit(const attempt& thisAttempt, steady_clock::time_point now);
     final_response rejectQuarantined(active_request& current, steady_clock::time_point now);
     final_response finishTimedOut(active_request& current);
     std::chrono::milliseconds jitteredRetryAfter(std::chrono::milliseconds expectedWait);
@@ -250,9 +225,7 @@
     connection_pool m_pool;
     traffic_counters m_counters;
     crash_monitor m_crashMonitor;
-    placement::rate_limits m_rateLimits;
-    placement::permit_issuer m_permitIssuer;
-    rate_limit_callbacks m_rateLimitCallbacks;
+    rate_limiter m_rateLimiter;
     evidence_reporter m_reportEvidence;
     std::shared_ptr<const configuration> m_configuration;
     std::map<std::string, placement::windowed_retry_budget, std::less<>> m_retryBudgets;
--- a/marlsill/placement/rate_limits.h
+++ b/marlsill/placement/rate_limits.h
@@ -138,6 +138,12 @@
     permit_answer request(std::string_view upstream, double requestsPerSecond,
         std::chrono::milliseconds maxDelay, steady_clock::time_point now);
 
+    // Forgets upstreams for which `isRegistered` returns false.
+    template <typename Predicate> void retain(Predicate isRegistered)
+    {
+        std::erase_if(m_buckets, [&](const auto& each) { return !isRegistered(each.first); });
+    }
+
 private:
     struct token_bucket {
         double tokens = 0; // Negative while permits are reserved.
