Tell all VMs the limit of an upstream

Cause: the notice went to the VMs that share the upstream only. Callers with stale directory data also use other VMs, and each of those sent one request without a permit before it had seen a response with the limit itself. Test: 'A VM outside the serving set is told the limit of an upstream' in peer_mesh_test; before the change: CHECK( 0 == 1 ) failed.

--- a/marlsill/cluster/peer_mesh.cc
+++ b/marlsill/cluster/peer_mesh.cc
@@ -361,7 +361,7 @@
 
 void peer_mesh::publish(const placement::rate_limit_notice& limit)
 {
-    for (const auto& host : interestedHosts(limit.upstream)) {
+    for (const auto& host : m_members.reachableHosts()) {
         m_outbox[host].limits.push_back(limit);
     }
     scheduleBatch();
--- a/marlsill/cluster/peer_mesh.h
+++ b/marlsill/cluster/peer_mesh.h
@@ -98,7 +98,8 @@
     // Sends the record of a request that crashed an upstream to all reachable VMs, with the next batch.
     void publish(const placement::crash_record& crash);
 
-    // Sends the limit of an upstream, with the next batch, to the VMs that evidence about it goes to.
+    // Sends the limit of an upstream to all reachable VMs, with the next batch: callers with stale directory
+    // data also use VMs outside the serving set.
     void publish(const placement::rate_limit_notice& limit);
 
     // Asks other VMs, up to a number of them, for all of their crash records. Returns whether there are any.
--- a/marlsill/cluster/peer_mesh_test.cc
+++ b/marlsill/cluster/peer_mesh_test.cc
@@ -39,7 +39,7 @@
                             : std::nullopt;
                     },
                     .crashesComplete = [this](const auto&) { ++completeAnswers; },
-                    .limit = [](const auto&) {},
+                    .limit = [this](const auto&) { ++limitNotices; },
                     .permitRequest = [](const auto&) { return placement::permit_answer(); },
                     .permit = [](const auto&) {},
                     .changedLoads = [] { return std::vector<placement::upstream_load>(); },
@@ -50,10 +50,12 @@
         }
 
         bool requestCrashes() { return m_mesh.requestCrashes(); }
+        void publishLimit(const placement::rate_limit_notice& limit) { m_mesh.publish(limit); }
 
         placement::crash_quarantine quarantine;
         bool isUpToDate = true;
         int completeAnswers = 0;
+        int limitNotices = 0;
 
     private:
         peer_mesh m_mesh;
@@ -103,6 +105,19 @@
     }
 }
 
+TEST_CASE("A VM outside the serving set is told the limit of an upstream")
+{
+    // Guards against each VM outside the set sending one request without a permit.
+    asio::io_context io;
+    auto port = freePort();
+    mesh_vm observer(io, firstHost, secondHost, port);
+    mesh_vm outsider(io, secondHost, firstHost, port);
+    io.run_for(milliseconds(100));
+    observer.publishLimit({ "u1", 2.0, steady_clock::now() });
+    io.run_for(milliseconds(200));
+    CHECK(outsider.limitNotices == 1);
+}
+
 TEST_CASE("A VM that was away gets all crash records of a peer that is up to date, and is told so")
 {
     struct row {
