--- a/marlsill/cluster/member_list.cc
+++ b/marlsill/cluster/member_list.cc
@@ -1,10 +1,8 @@
 #include "marlsill/cluster/member_list.h"
 
 #include "marlsill/base/hash.h"
-#include "marlsill/routing/serving_set.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace marlsill::cluster {
@@ -16,6 +14,11 @@
         return std::pair(left.incarnation, left.version) > std::pair(right.incarnation, right.version);
     }
 
+    // About ten records in each at a few thousand VMs.
+    constexpr std::size_t bucketCount = 256;
+
+    std::size_t bucketOf(std::string_view host) { return fastHash(host) % bucketCount; }
+
     std::uint64_t recordHash(const member& each)
     {
         return fastHash(each.host, each.incarnation * 31 + each.version);
@@ -34,6 +37,7 @@
     if (m_self.state != state) {
         m_self.state = state;
         ++m_self.version;
+        ++m_generation;
     }
 }
 
@@ -43,6 +47,7 @@
         // Other VMs still hold a record of an earlier incarnation, whose clock was ahead.
         if (record.incarnation > m_self.incarnation) {
             m_self.incarnation = record.incarnation + 1;
+            ++m_generation;
         }
         return false;
     }
@@ -53,11 +58,13 @@
     }
     bool isNewIncarnation = isNew || record.incarnation != known.record.incarnation;
     known.record = record;
+    ++m_generation;
     if (isNewIncarnation) {
         known.lastHeard = now;
         known.isAwaitingPong = false;
         known.missedPings = 0;
         known.isUnreachable = false;
+        known.wasReported = false;
     }
     return true;
 }
@@ -72,6 +79,8 @@
     each.lastHeard = now;
     each.isAwaitingPong = false;
     each.isReportedUnreachable = false;
+    each.wasReported = false;
+    m_generation += each.isUnreachable || each.missedPings > 0 ? 1 : 0;
     each.isUnreachable = false;
     each.missedPings = 0;
 }
@@ -80,26 +89,33 @@
 {
     each.isAwaitingPong = false;
     ++each.missedPings;
+    m_generation += each.missedPings == 1 ? 1 : 0;
     if (each.missedPings >= m_options.maxMissedPings && !each.isUnreachable) {
         each.isUnreachable = true;
         each.unreachableSince = now;
-        m_newlyUnreachable.push_back(each.record.host);
+        ++m_generation;
+        m_newlyUnreachable.push_back({ each.record.host, each.wasReported });
     }
 }
 
 std::vector<std::string> member_list::selectPingTargets(steady_clock::time_point now)
 {
-    std::erase_if(m_others, [&](const auto& each) {
+    m_generation += std::erase_if(m_others, [&](const auto& each) {
         return each.second.isUnreachable && each.second.unreachableSince + m_options.removalDelay < now;
     });
     std::vector<std::string> due;
+    std::size_t unreachablePings = 0;
     for (auto& [host, each] : m_others) {
         if (each.isAwaitingPong && each.pingedAt + m_options.pingTimeout <= now) {
             recordMissedPing(each, now);
         }
         bool isSuspect = each.missedPings > 0 && !each.isUnreachable;
-        if (!each.isAwaitingPong && (isSuspect || std::exchange(each.isReportedUnreachable, false))) {
+        bool isRetried = each.isUnreachable && each.pingedAt + m_options.unreachablePingInterval <= now
+            && unreachablePings < m_options.maxUnreachablePings;
+        if (!each.isAwaitingPong
+            && (isSuspect || std::exchange(each.isReportedUnreachable, false) || isRetried)) {
             due.push_back(host);
+            unreachablePings += isRetried ? 1 : 0;
         }
     }
     auto next = m_others.upper_bound(m_lastPinged);
@@ -121,7 +137,10 @@
     return due;
 }
 
-std::vector<std::string> member_list::takeUnreachable() { return std::exchange(m_newlyUnreachable, {}); }
+std::vector<member_list::unreachable_host> member_list::takeUnreachable()
+{
+    return std::exchange(m_newlyUnreachable, {});
+}
 
 void member_list::noteReportedUnreachable(const std::string& host, steady_clock::time_point now)
 {
@@ -129,6 +148,7 @@
     bool wasHeardRecently = found != m_others.end() && found->second.lastHeard + m_options.pingTimeout > now;
     if (found != m_others.end() && !wasHeardRecently && !found->second.isUnreachable) {
         found->second.isReportedUnreachable = true;
+        found->second.wasReported = true;
     }
 }
 
@@ -154,30 +174,46 @@
     return hosts;
 }
 
-std::vector<const member*> member_list::servingSet(std::string_view hostName, int slots) const
+std::vector<const member*> member_list::eligibleMembers() const
 {
-    std::vector<const member*> candidates;
+    std::vector<const member*> eligible;
     if (m_self.state == member_state::ready) {
-        candidates.push_back(&m_self);
+        eligible.push_back(&m_self);
     }
     for (const auto& [host, each] : m_others) {
         if (each.record.state == member_state::ready && !each.isUnreachable && each.missedPings == 0) {
-            candidates.push_back(&each.record);
+            eligible.push_back(&each.record);
         }
     }
-    std::vector<routing::candidate_node> places;
-    std::set<std::string_view> domains;
-    for (const auto* each : candidates) {
-        places.push_back({ each->host, each->failureDomain, each->capacity });
-        domains.insert(each->failureDomain);
+    return eligible;
+}
+
+std::vector<std::uint32_t> member_list::bucketDigests() const
+{
+    std::vector<std::uint32_t> digests(bucketCount);
+    auto add = [&](const member& each) {
+        digests[bucketOf(each.host)] += static_cast<std::uint32_t>(recordHash(each));
+    };
+    add(m_self);
+    for (const auto& [host, each] : m_others) {
+        if (!each.isUnreachable) {
+            add(each.record);
+        }
     }
-    auto domainCount = std::max<int>(1, static_cast<int>(domains.size()));
-    auto size = (routing::servingSetSize(slots) + domainCount - 1) / domainCount * domainCount;
-    std::vector<const member*> chosen;
-    for (auto index : routing::servingSet(hostName, size, places)) {
-        chosen.push_back(candidates[index]);
+    return digests;
+}
+
+std::vector<member> member_list::recordsIn(std::span<const std::size_t> buckets) const
+{
+    std::vector<bool> isWanted(bucketCount);
+    for (auto bucket : buckets) {
+        if (bucket < bucketCount) {
+            isWanted[bucket] = true;
+        }
     }
-    return chosen;
+    auto all = records();
+    std::erase_if(all, [&](const member& each) { return !isWanted[bucketOf(each.host)]; });
+    return all;
 }
 
 std::uint64_t member_list::digest() const
--- a/marlsill/cluster/member_list.h
+++ b/marlsill/cluster/member_list.h
@@ -1,12 +1,12 @@
 #pragma once
 
-// Tracks the entry VMs of the fleet, detects unreachable ones, and selects the VMs that serve a host name.
+// Tracks the entry VMs of the fleet, detects unreachable ones, and lists those that are eligible to serve.
 //
 //     member_list members(self, options);
 //     members.noteMessageFrom(peer, now);
 //     for (const auto& host : members.selectPingTargets(now))
 //         sendPing(host);
-//     auto serving = members.servingSet("bookings.example", now);
+//     auto eligible = members.eligibleMembers(); // See serving_cells.
 //
 // Every VM pings the others in turn. A VM that doesn't answer is reported to the others, but each VM decides
 // by its own pings whether it is unreachable, so that a partition between two VMs removes neither from the
@@ -17,6 +17,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -49,6 +50,9 @@
     std::chrono::milliseconds pingTimeout { 250 }; // Far above a round trip; allows for a slow VM's pauses.
     int maxMissedPings = 2; // Consecutive; one ping may be lost.
     std::chrono::milliseconds removalDelay { 60'000 }; // Until an unreachable VM is removed.
+    // Between pings of an unreachable VM, which may only have been slow, outside its turn.
+    std::chrono::milliseconds unreachablePingInterval { 1'000 };
+    std::size_t maxUnreachablePings = 2; // At once, as many VMs may be unreachable for long.
 };
 
 class member_list {
@@ -71,8 +75,14 @@
     // unreachable and is returned once by takeUnreachable(). Removes hosts after `removalDelay`.
     std::vector<std::string> selectPingTargets(steady_clock::time_point now);
 
+    // A host that became unreachable.
+    struct unreachable_host {
+        std::string host;
+        bool wasReported = false; // By another VM, which has told all others.
+    };
+
     // Returns the hosts that became unreachable since the last call.
-    std::vector<std::string> takeUnreachable();
+    std::vector<unreachable_host> takeUnreachable();
 
     // Records that another VM cannot reach `host`, so that it is pinged at the next selection, unless it was
     // heard from within the ping timeout.
@@ -84,24 +94,33 @@
     // Returns the hosts of all other VMs that are reachable.
     std::vector<std::string> reachableHosts() const;
 
-    // Returns the VMs that serve requests for a host name whose upstreams have `slots` slots in total. The
-    // set holds the same number of VMs from each failure domain, if the domains have enough. The pointers are
-    // valid until the list changes.
-    std::vector<const member*> servingSet(std::string_view hostName, int slots) const;
-
     // Returns a digest of the records, equal on two VMs if their records are equal and, with high
     // probability, only then.
     std::uint64_t digest() const;
 
+    // Returns one digest for each bucket of the records, to find out which of them differ.
+    std::vector<std::uint32_t> bucketDigests() const;
+
+    // Returns the records that records() returns of some buckets, which are numbered from 0.
+    std::vector<member> recordsIn(std::span<const std::size_t> buckets) const;
+
     std::size_t size() const { return m_others.size() + 1; }
 
+    // Returns a number that grows with each change of the records or of which VMs are eligible to serve.
+    std::uint64_t generation() const { return m_generation; }
+
+    // Returns the VMs that are eligible to serve: ready, reachable, and without an unanswered ping. The
+    // pointers are valid until the list changes.
+    std::vector<const member*> eligibleMembers() const;
+
 private:
     struct entry {
         member record;
         steady_clock::time_point lastHeard {};
         steady_clock::time_point pingedAt {};
         bool isAwaitingPong = false;
-        bool isReportedUnreachable = false;
+        bool isReportedUnreachable = false; // And not pinged since.
+        bool wasReported = false; // Reported since it was last heard from.
         bool isUnreachable = false;
         int missedPings = 0;
         steady_clock::time_point unreachableSince {};
@@ -113,7 +132,8 @@
     const member_list_options m_options;
     std::map<std::string, entry, std::less<>> m_others;
     std::string m_lastPinged;
-    std::vector<std::string> m_newlyUnreachable;
+    std::vector<unreachable_host> m_newlyUnreachable;
+    std::uint64_t m_generation = 1;
 };
 
 }
--- a/marlsill/cluster/member_list_test.cc
+++ b/marlsill/cluster/member_list_test.cc
@@ -79,7 +79,10 @@
         now += milliseconds(250);
     }
     members.selectPingTargets(now);
-    CHECK(contains(members.takeUnreachable(), "10.0.1.0"));
+    auto unreachable = members.takeUnreachable();
+    REQUIRE(unreachable.size() == 1);
+    CHECK(unreachable.front().host == "10.0.1.0");
+    CHECK_FALSE(unreachable.front().wasReported);
     CHECK(members.takeUnreachable().empty());
     CHECK(members.reachableHosts().empty());
     members.noteMessageFrom("10.0.1.0", now);
@@ -113,26 +116,6 @@
     CHECK(pinged.size() == 8);
 }
 
-TEST_CASE("Serving sets spread over failure domains and exclude leaving VMs")
-{
-    auto members = listOf(20);
-    auto serving = members.servingSet("host", 32);
-    CHECK(serving.size() == 4);
-    auto inDomain = std::count_if(
-        serving.begin(), serving.end(), [](const member* each) { return each->failureDomain == "a"; });
-    CHECK(inDomain == 2);
-
-    auto leaving = *serving.front();
-    leaving.state = member_state::leaving;
-    ++leaving.version;
-    if (leaving.host != members.self().host) {
-        members.merge(leaving, start);
-        for (const auto* each : members.servingSet("host", 32)) {
-            CHECK(each->host != leaving.host);
-        }
-    }
-}
-
 TEST_CASE("Digests are equal for equal lists and differ for different ones")
 {
     auto left = listOf(5);
@@ -142,6 +125,71 @@
     CHECK(left.digest() != right.digest());
 }
 
+TEST_CASE("Only the VM that notices first that a host is unreachable tells all others")
+{
+    // Guards against each of hundreds of VMs telling all others of each VM that is lost.
+    auto members = listOf(1);
+    auto now = start + milliseconds(1'000);
+    members.noteReportedUnreachable("10.0.1.0", now);
+    for (int turn = 0; turn < 3; ++turn) {
+        members.selectPingTargets(now);
+        now += milliseconds(250);
+    }
+    auto unreachable = members.takeUnreachable();
+    REQUIRE(unreachable.size() == 1);
+    CHECK(unreachable.front().wasReported);
+}
+
+TEST_CASE("An unreachable host is pinged again soon, a few of many at a time")
+{
+    // Guards against a VM that was slow for a moment being left out until its next turn, which comes once in
+    // two minutes with hundreds of VMs.
+    struct row {
+        int others;
+        std::size_t mostPerTurn; // Pings of unreachable hosts, and the one whose turn it is.
+    };
+    const row rows[] = { { 1, 1 }, { 40, 3 } };
+    for (const auto& each : rows) {
+        CAPTURE(each.others);
+        auto members = listOf(each.others);
+        auto now = start;
+        for (int turn = 0; turn < 60; ++turn) {
+            members.selectPingTargets(now += milliseconds(250));
+        }
+        REQUIRE(members.reachableHosts().empty());
+        std::size_t pings = 0;
+        for (int turn = 0; turn < 8; ++turn) {
+            auto due = members.selectPingTargets(now += milliseconds(250));
+            CHECK(due.size() <= each.mostPerTurn);
+            pings += due.size();
+        }
+        CHECK(pings > 0);
+    }
+}
+
+TEST_CASE("Lists that differ in one record differ in one bucket, which has few records")
+{
+    auto left = listOf(444);
+    auto right = listOf(444);
+    CHECK(left.bucketDigests() == right.bucketDigests());
+    right.merge(record("10.0.9.9"), start);
+    auto leftDigests = left.bucketDigests();
+    auto rightDigests = right.bucketDigests();
+    std::vector<std::size_t> different;
+    for (std::size_t bucket = 0; bucket < leftDigests.size(); ++bucket) {
+        if (leftDigests[bucket] != rightDigests[bucket]) {
+            different.push_back(bucket);
+        }
+    }
+    REQUIRE(different.size() == 1);
+    auto records = right.recordsIn(different);
+    CHECK(records.size() < 10);
+    CHECK(std::any_of(
+        records.begin(), records.end(), [](const member& each) { return each.host == "10.0.9.9"; }));
+    const std::size_t invalid[] = { 1'000'000 };
+    CHECK(right.recordsIn(invalid).empty());
+}
+
 TEST_CASE("A host that stays unreachable is removed")
 {
     auto members = listOf(1);
--- a/marlsill/cluster/peer_mesh.cc
+++ b/marlsill/cluster/peer_mesh.cc
@@ -14,6 +14,8 @@
 namespace {
 
     constexpr std::size_t membersPerDatagram = 16; // About 1 KB, below the usual MTU.
+    // About 60 records at 444 VMs, 320 at 2,600; the next pings exchange the rest.
+    constexpr std::size_t bucketsPerExchange = 32;
     constexpr std::size_t crashesPerDatagram = 16; // Likewise.
     constexpr std::size_t maxCrashAnswer = 1'024; // Records of one answer, about 64 KB.
     constexpr std::size_t maxCrashRequests = 40; // Hosts asked at once; some may be away themselves.
@@ -72,28 +74,43 @@
 {
     peer_message message;
     message.members.push_back(m_members.self());
-    for (const auto& host : m_members.reachableHosts()) {
-        send(host, message);
-    }
+    sendToAll(m_members.reachableHosts(), message);
 }
 
 void peer_mesh::send(const std::string& host, peer_message message)
+{
+    message.sender = m_members.self().host;
+    sendDatagram(host, encode(message));
+}
+
+void peer_mesh::sendToAll(std::span<const std::string> hosts, const peer_message& message)
+{
+    if (hosts.empty()) {
+        return;
+    }
+    auto own = message;
+    own.sender = m_members.self().host;
+    auto bytes = encode(own);
+    for (const auto& host : hosts) {
+        sendDatagram(host, bytes);
+    }
+}
+
+void peer_mesh::sendDatagram(const std::string& host, std::span<const std::uint8_t> bytes)
 {
     boost::system::error_code error;
     asio::ip::udp::endpoint to(asio::ip::make_address_v4(host, error), m_options.port);
     if (error) {
         return;
     }
-    message.sender = m_members.self().host;
-    auto bytes = encode(message);
-    m_socket.send_to(asio::buffer(bytes), to, 0, error); // Dropped if the send buffer is full.
+    m_socket.send_to(
+        asio::buffer(bytes.data(), bytes.size()), to, 0, error); // Dropped if the send buffer is full.
     ++m_counters.sent;
     m_counters.bytesSent += bytes.size();
 }
 
-void peer_mesh::sendMembers(const std::string& host)
+void peer_mesh::sendMembers(const std::string& host, std::span<const member> records)
 {
-    auto records = m_members.records();
     for (std::size_t start = 0; start < records.size(); start += membersPerDatagram) {
         peer_message message;
         auto end = std::min(records.size(), start + membersPerDatagram);
@@ -103,6 +120,24 @@
     }
 }
 
+// Sends the records of those buckets that differ from a peer's, and requests the peer's.
+void peer_mesh::exchangeMembers(const std::string& host, std::span<const std::uint32_t> digests)
+{
+    auto own = m_members.bucketDigests();
+    std::vector<std::size_t> different;
+    for (std::size_t bucket = 0; bucket < std::min(own.size(), digests.size()); ++bucket) {
+        if (own[bucket] != digests[bucket]) {
+            different.push_back(bucket);
+        }
+    }
+    std::shuffle(different.begin(), different.end(), threadRandom());
+    different.resize(std::min(different.size(), bucketsPerExchange));
+    sendMembers(host, m_members.recordsIn(different));
+    peer_message request;
+    request.wantedBuckets = std::move(different);
+    send(host, std::move(request));
+}
+
 void peer_mesh::sendCrashes(const std::string& host)
 {
     peer_message message;
@@ -119,9 +154,7 @@
     hosts.resize(std::min(hosts.size(), maxCrashRequests));
     peer_message message;
     message.crashRequest = ++m_lastCrashRequest;
-    for (const auto& host : hosts) {
-        send(host, message);
-    }
+    sendToAll(hosts, message);
     return !hosts.empty();
 }
 
@@ -244,8 +277,19 @@
         sendCrashes(message.sender);
     }
     bool isDifferent = message.digest && message.digest != m_members.digest();
-    if (message.wantsMembers || (message.pong && isDifferent)) {
-        sendMembers(message.sender);
+    if (message.wantsMembers) {
+        sendMembers(message.sender, m_members.records());
+    }
+    if (message.pong && isDifferent) {
+        peer_message request;
+        request.memberDigests = m_members.bucketDigests();
+        send(message.sender, std::move(request));
+    }
+    if (!message.memberDigests.empty()) {
+        exchangeMembers(message.sender, message.memberDigests);
+    }
+    if (!message.wantedBuckets.empty()) {
+        sendMembers(message.sender, m_members.recordsIn(message.wantedBuckets));
     }
     for (const auto& host : message.unreachableHosts) {
         m_members.noteReportedUnreachable(host, now);
@@ -285,13 +329,17 @@
     if (unreachable.empty()) {
         return;
     }
-    for (const auto& host : unreachable) {
-        logEvent(event::memberGone, { { "host", host }, { "cause", "pings unanswered" } });
-    }
     peer_message message;
-    message.unreachableHosts = std::move(unreachable);
-    for (const auto& host : m_members.reachableHosts()) {
-        send(host, message);
+    for (auto& each : unreachable) {
+        logEvent(event::memberGone,
+            { { "host", each.host },
+                { "cause", each.wasReported ? "reported, and pings unanswered" : "pings unanswered" } });
+        if (!each.wasReported) {
+            message.unreachableHosts.push_back(std::move(each.host));
+        }
+    }
+    if (!message.unreachableHosts.empty()) {
+        sendToAll(m_members.reachableHosts(), message);
     }
 }
 
--- a/marlsill/cluster/peer_mesh.h
+++ b/marlsill/cluster/peer_mesh.h
@@ -7,8 +7,9 @@
 //     mesh.publish(evidence);
 //
 // Datagrams may be lost: later evidence about an upstream makes up for lost evidence, loads are sent again
-// while they change, and member lists and crash records are compared by digest with each ping. Not thread
-// safe; used by one event loop.
+// while they change, and member lists and crash records are compared by digest with each ping. Of member
+// lists that differ, the records of those buckets are exchanged whose digests differ. Not thread safe; used
+// by one event loop.
 
 #include "marlsill/cluster/peer_message.h"
 
@@ -21,6 +22,7 @@
 #include <optional>
 #include <random>
 #include <set>
+#include <span>
 
 namespace marlsill::cluster {
 
@@ -105,8 +107,9 @@
     // Asks other VMs, up to a number of them, for all of their crash records. Returns whether there are any.
     bool requestCrashes();
 
-    // Sends a message to one VM at once. Errors are ignored, as datagrams may be lost anyway.
+    // Send a message to one VM or to several at once. Errors are ignored, as datagrams may be lost anyway.
     void send(const std::string& host, peer_message message);
+    void sendToAll(std::span<const std::string> hosts, const peer_message& message);
 
     const member_list& members() const { return m_members; }
     const peer_mesh_counters& counters() const { return m_counters; }
@@ -115,13 +118,15 @@
     asio::awaitable<void> receiveLoop();
     asio::awaitable<void> tickLoop();
     asio::awaitable<void> loadLoop();
+    void sendDatagram(const std::string& host, std::span<const std::uint8_t> bytes);
     void handleMessage(const peer_message& message, const asio::ip::udp::endpoint& from);
     void mergeMembers(const std::vector<member>& records, steady_clock::time_point now);
     void tick();
     void sendLoads();
     void contactSeeds(steady_clock::time_point now);
     void announceSelf();
-    void sendMembers(const std::string& host);
+    void sendMembers(const std::string& host, std::span<const member> records);
+    void exchangeMembers(const std::string& host, std::span<const std::uint32_t> digests);
     void sendCrashes(const std::string& host);
     void sendAllCrashes(const std::string& host, std::uint64_t request);
     std::vector<std::string> interestedHosts(const std::string& upstream) const;
--- a/marlsill/cluster/peer_message.cc
+++ b/marlsill/cluster/peer_message.cc
@@ -1,10 +1,7 @@
 #include "marlsill/cluster/peer_message.h"
 
-#include <Poco/DeflatingStream.h>
-#include <Poco/InflatingStream.h>
 #include <algorithm>
 #include <nlohmann/json.hpp>
-#include <sstream>
 
 namespace marlsill::cluster {
 
@@ -13,8 +10,6 @@
     using nlohmann::json;
 
     constexpr int protocolVersion = 1;
-    constexpr std::size_t maxConfigurationBytes
-        = 1024 * 1024; // The store's limit; also bounds decompression.
 
     // Field names are short to save bandwidth between failure domains.
     constexpr const char* versionField = "v";
@@ -23,6 +18,8 @@
     constexpr const char* pongField = "q";
     constexpr const char* digestField = "d";
     constexpr const char* wantsMembersField = "w";
+    constexpr const char* memberDigestsField = "md"; // 4 bytes each, the lowest first.
+    constexpr const char* wantedBucketsField = "mw";
     constexpr const char* membersField = "m";
     constexpr const char* unreachableField = "l";
     constexpr const char* evidenceField = "e";
@@ -38,38 +35,23 @@
     constexpr const char* beaconField = "b";
     constexpr const char* wantsConfigurationField = "x";
     constexpr const char* wantsUpstreamsField = "y";
-    constexpr const char* configurationField = "g";
-    constexpr const char* configurationVersionField = "h";
+    constexpr const char* configurationField = "gp"; // A part; see configuration_part.
     constexpr const char* upstreamsField = "n";
     constexpr const char* removedField = "r";
     constexpr const char* baseDigestField = "a";
 
-    std::vector<std::uint8_t> deflate(const std::string& text)
+    json encodeConfiguration(const configuration_part& part)
     {
-        std::ostringstream out;
-        Poco::DeflatingOutputStream stream(out, Poco::DeflatingStreamBuf::STREAM_ZLIB);
-        stream << text;
-        stream.close();
-        auto bytes = std::move(out).str();
-        return { bytes.begin(), bytes.end() };
+        return json::array({ part.version, part.textDigest, part.baseDigest, part.part, part.parts,
+            json::binary({ part.bytes.begin(), part.bytes.end() }) });
     }
 
-    std::optional<std::string> inflate(const std::vector<std::uint8_t>& bytes)
+    configuration_part decodeConfiguration(const json& item)
     {
-        std::istringstream in(std::string(bytes.begin(), bytes.end()));
-        Poco::InflatingInputStream stream(in, Poco::InflatingStreamBuf::STREAM_ZLIB);
-        std::string text;
-        char chunk[4096];
-        try {
-            while (text.size() < maxConfigurationBytes && stream.good()) {
-                stream.read(chunk, sizeof chunk);
-                text.append(chunk, static_cast<std::size_t>(stream.gcount()));
-            }
-        } catch (const std::exception&) {
-            return std::nullopt;
-        }
-        bool isComplete = !stream.bad() && !text.empty() && text.size() < maxConfigurationBytes;
-        return isComplete ? std::optional(std::move(text)) : std::nullopt;
+        const auto& bytes = item.at(5).get_binary();
+        return { item.at(0).get<std::uint64_t>(), item.at(1).get<std::uint64_t>(),
+            item.at(2).get<std::uint64_t>(), item.at(3).get<int>(), item.at(4).get<int>(),
+            { bytes.begin(), bytes.end() } };
     }
 
     json encodeUpstream(const placement::upstream_entry& entry)
@@ -136,6 +118,28 @@
             steady_clock::now() - age };
     }
 
+    std::vector<std::uint8_t> toBytes(std::span<const std::uint32_t> digests)
+    {
+        std::vector<std::uint8_t> bytes;
+        bytes.reserve(digests.size() * sizeof(std::uint32_t));
+        for (auto each : digests) {
+            for (std::size_t shift = 0; shift < 32; shift += 8) {
+                bytes.push_back(static_cast<std::uint8_t>(each >> shift));
+            }
+        }
+        return bytes;
+    }
+
+    std::vector<std::uint32_t> toDigests(std::span<const std::uint8_t> bytes)
+    {
+        std::vector<std::uint32_t> digests(bytes.size() / sizeof(std::uint32_t));
+        for (std::size_t index = 0; index < digests.size() * sizeof(std::uint32_t); ++index) {
+            digests[index / sizeof(std::uint32_t)] |= std::uint32_t { bytes[index] }
+                << (8 * (index % sizeof(std::uint32_t)));
+        }
+        return digests;
+    }
+
     template <typename Items, typename Encode>
     void putList(json& value, const char* name, const Items& items, Encode encodeItem)
     {
@@ -176,6 +180,10 @@
     if (message.wantsMembers) {
         value[wantsMembersField] = true;
     }
+    if (!message.memberDigests.empty()) {
+        value[memberDigestsField] = json::binary(toBytes(message.memberDigests));
+    }
+    putList(value, wantedBucketsField, message.wantedBuckets, [](std::size_t entry) { return json(entry); });
     putList(value, membersField, message.members, [](const member& entry) {
         return json::array({ entry.host, entry.failureDomain, entry.callerAddress, entry.incarnation,
             entry.version, static_cast<int>(entry.state), entry.capacity });
@@ -219,9 +227,8 @@
     if (message.wantsUpstreams) {
         value[wantsUpstreamsField] = true;
     }
-    if (!message.configuration.empty()) {
-        value[configurationField] = json::binary(deflate(message.configuration));
-        value[configurationVersionField] = message.configurationVersion;
+    if (message.configuration) {
+        value[configurationField] = encodeConfiguration(*message.configuration);
     }
     putList(value, upstreamsField, message.upstreams, encodeUpstream);
     putList(value, removedField, message.removed, [](const std::string& entry) { return json(entry); });
@@ -244,6 +251,11 @@
         message.pong = value.value(pongField, std::uint64_t { 0 });
         message.digest = value.value(digestField, std::uint64_t { 0 });
         message.wantsMembers = value.value(wantsMembersField, false);
+        if (auto found = value.find(memberDigestsField); found != value.end()) {
+            message.memberDigests = toDigests(found->get_binary());
+        }
+        forEachItem(value, wantedBucketsField,
+            [&](const json& item) { message.wantedBuckets.push_back(item.get<std::size_t>()); });
         forEachItem(value, membersField, [&](const json& item) {
             int state = item.at(5).get<int>();
             if (state < 0 || state > static_cast<int>(member_state::leaving)) {
@@ -295,13 +307,8 @@
         message.wantsConfiguration = value.value(wantsConfigurationField, false);
         message.wantsUpstreams = value.value(wantsUpstreamsField, false);
         if (auto found = value.find(configurationField); found != value.end()) {
-            auto text = inflate(found->get_binary());
-            if (!text) {
-                return fail(why, reason_code::invalid, "cannot decompress the configuration");
-            }
-            message.configuration = std::move(*text);
+            message.configuration = decodeConfiguration(*found);
         }
-        message.configurationVersion = value.value(configurationVersionField, std::uint64_t { 0 });
         forEachItem(value, upstreamsField,
             [&](const json& item) { message.upstreams.push_back(decodeUpstream(item)); });
         forEachItem(value, removedField,
--- a/marlsill/cluster/peer_message.h
+++ b/marlsill/cluster/peer_message.h
@@ -7,6 +7,7 @@
 //     auto received = decodePeerMessage(bytes, why);
 
 #include "marlsill/base/reason.h"
+#include "marlsill/cluster/configuration_transfer.h"
 #include "marlsill/cluster/member_list.h"
 #include "marlsill/placement/crash_quarantine.h"
 #include "marlsill/placement/load_balancer.h"
@@ -23,7 +24,7 @@
 struct store_summary {
     std::uint64_t configurationVersion = 0;
     std::uint64_t storeVersion = 0; // Store version that the upstream list is from.
-    std::uint64_t upstreamDigest = 0; // Of the upstream list; see digestOf().
+    std::uint64_t upstreamDigest = 0; // Of the upstream list; see upstream_list.
     std::uint64_t contactAgeMs = 0; // Since the store last responded to that VM or to a known watcher.
 };
 
@@ -46,6 +47,9 @@
     std::uint64_t pong = 0;
     std::uint64_t digest = 0; // Of the sender's member list, in pings and pongs.
     bool wantsMembers = false; // Requests the receiver's member list.
+    std::vector<std::uint32_t>
+        memberDigests; // Of the sender's buckets of members; requests those that differ.
+    std::vector<std::size_t> wantedBuckets; // Requests the receiver's members in these buckets.
     std::vector<member> members;
     std::vector<std::string> unreachableHosts; // Hosts that the sender cannot reach.
     std::vector<placement::upstream_evidence> evidence;
@@ -63,8 +67,7 @@
     bool isBeacon = false; // Whether `summary` is a watcher's periodic announcement.
     bool wantsConfiguration = false; // Requests the configuration.
     bool wantsUpstreams = false; // Requests the whole upstream list.
-    std::string configuration; // JSON; compressed on the wire.
-    std::uint64_t configurationVersion = 0;
+    std::optional<configuration_part> configuration;
     // Entries of the list that `summary` describes: some of them or, if `isDelta`, those that were added or
     // changed since the list with `baseDigest`.
     std::vector<placement::upstream_entry> upstreams;
--- a/marlsill/cluster/peer_message_test.cc
+++ b/marlsill/cluster/peer_message_test.cc
@@ -16,6 +16,8 @@
         message.pong = 8;
         message.digest = 0xfedcba9876543210;
         message.wantsMembers = true;
+        message.memberDigests = { 1, 0xfedcba98 };
+        message.wantedBuckets = { 0, 255 };
         message.members = { { "10.0.0.2", "a", "10.0.0.2:80", 5, 6, member_state::leaving, 2.5 } };
         message.unreachableHosts = { "10.0.0.3" };
         message.evidence = { { "u1", placement::lastEvidenceKind } };
@@ -26,8 +28,7 @@
         message.isBeacon = true;
         message.wantsConfiguration = true;
         message.wantsUpstreams = true;
-        message.configuration = "{\"routes\":[]}";
-        message.configurationVersion = 3;
+        message.configuration = configuration_part { 3, 77, 78, 1, 2, std::string("\0\xff{", 3) };
         message.upstreams = { { .id = "u1",
             .service = "s",
             .address = "10.9.0.1:80",
@@ -52,6 +53,8 @@
     CHECK(decoded->summary->upstreamDigest == 50);
     CHECK(decoded->configuration == fullMessage().configuration);
     CHECK(decoded->digest == 0xfedcba9876543210);
+    CHECK(decoded->memberDigests == fullMessage().memberDigests);
+    CHECK(decoded->wantedBuckets == fullMessage().wantedBuckets);
 }
 
 TEST_CASE("Crash records keep their time left, within the retention")
--- /dev/null
+++ b/marlsill/cluster/serving_cells.cc
@@ -0,0 +1,128 @@
+#include "marlsill/cluster/serving_cells.h"
+
+#include <algorithm>
+#include <set>
+
+namespace marlsill::cluster {
+
+serving_cells::serving_cells(
+    const member_list& members, serving_cells_sources sources, serving_cells_options options)
+    : m_members(members)
+    , m_sources(std::move(sources))
+    , m_options(options)
+{
+}
+
+void serving_cells::refresh(steady_clock::time_point now)
+{
+    bool haveMembersChanged = m_members.generation() != m_generation && hasPassed(m_nextRefresh, now);
+    if (!m_isStale && !haveMembersChanged) {
+        return;
+    }
+    m_isStale = false;
+    m_generation = m_members.generation();
+    m_nextRefresh = now + m_options.minRefreshInterval;
+    m_candidates.clear();
+    for (const auto* each : m_members.eligibleMembers()) {
+        m_candidates.push_back(*each);
+    }
+    m_nodes.clear();
+    for (const auto& each : m_candidates) {
+        m_nodes.push_back({ each.host, each.failureDomain, each.capacity });
+    }
+    m_cells.clear();
+    m_views.clear();
+}
+
+const serving_cells::host_cells& serving_cells::cellsOf(std::string_view host)
+{
+    if (auto found = m_cells.find(host); found != m_cells.end()) {
+        return found->second;
+    }
+    std::set<std::string_view> domains;
+    for (const auto& each : m_nodes) {
+        domains.insert(each.failureDomain);
+    }
+    auto plan = routing::planCells(m_sources.slotsOf(host), std::max(1, static_cast<int>(domains.size())));
+    host_cells result;
+    std::set<std::size_t> listed;
+    for (int cell = 0; cell < plan.cells; ++cell) {
+        auto chosen = routing::servingSet(routing::cellName(host, cell), plan.vmsPerCell, m_nodes);
+        bool isOwn = false;
+        for (auto index : chosen) {
+            const auto& vm = m_candidates[index];
+            isOwn = isOwn || vm.host == m_members.self().host;
+            if (listed.insert(index).second) {
+                result.vms.push_back({ vm.host, vm.failureDomain, vm.callerAddress });
+            }
+        }
+        if (isOwn) {
+            result.ownCells.push_back(cell);
+        }
+        result.cells.push_back(std::move(chosen));
+    }
+    return m_cells.emplace(std::string(host), std::move(result)).first->second;
+}
+
+const std::vector<serving_vm>& serving_cells::servingVms(std::string_view host, steady_clock::time_point now)
+{
+    refresh(now);
+    return cellsOf(host).vms;
+}
+
+service_view serving_cells::makeView(std::string_view service)
+{
+    std::set<std::string> all;
+    std::set<std::string_view> sharing { m_members.self().host };
+    placement::upstream_partition partition;
+    for (const auto& host : m_sources.hostsOf(service)) {
+        const auto& cells = cellsOf(host);
+        for (const auto& vm : cells.vms) {
+            all.insert(vm.host);
+        }
+        // Callers with stale directory data also use VMs outside the cells; those join one of them.
+        auto own = cells.ownCells;
+        if (own.empty()) {
+            own.push_back(routing::cellOf(m_members.self().host, static_cast<int>(cells.cells.size())));
+        }
+        for (int cell : own) {
+            for (auto index : cells.cells[static_cast<std::size_t>(cell)]) {
+                sharing.insert(m_candidates[index].host);
+            }
+        }
+        partition.divisions.push_back({ static_cast<int>(cells.cells.size()), std::move(own) });
+    }
+    service_view view { .hosts = { all.begin(), all.end() },
+        .isServing = all.contains(m_members.self().host),
+        .sharingVms = static_cast<int>(sharing.size()),
+        .partition = std::make_shared<const placement::upstream_partition>(std::move(partition)) };
+    return view;
+}
+
+const service_view& serving_cells::viewOf(std::string_view service, steady_clock::time_point now)
+{
+    refresh(now);
+    auto found = m_views.find(service);
+    return found != m_views.end() ? found->second
+                                  : m_views.emplace(std::string(service), makeView(service)).first->second;
+}
+
+std::vector<std::string> serving_cells::peersSharing(
+    std::string_view service, std::string_view upstream, steady_clock::time_point now)
+{
+    refresh(now);
+    std::vector<std::string> peers;
+    for (const auto& host : m_sources.hostsOf(service)) {
+        const auto& cells = cellsOf(host).cells;
+        for (auto index :
+            cells[static_cast<std::size_t>(routing::cellOf(upstream, static_cast<int>(cells.size())))]) {
+            peers.push_back(m_candidates[index].host);
+        }
+    }
+    std::sort(peers.begin(), peers.end());
+    peers.erase(std::unique(peers.begin(), peers.end()), peers.end());
+    std::erase(peers, m_members.self().host);
+    return peers;
+}
+
+}
--- /dev/null
+++ b/marlsill/cluster/serving_cells.h
@@ -0,0 +1,100 @@
+#pragma once
+
+// Which VMs serve a host, and which of them send requests to the same upstreams.
+//
+//     serving_cells cells(members, { .hostsOf = ..., .slotsOf = ... });
+//     for (const auto& vm : cells.servingVms("depot.example", now))
+//         offer(vm.callerAddress);
+//     auto peers = cells.peersSharing("bookings", "upstream-17", now);
+//
+// A host's VMs follow from the member list and from the slots behind the host, see routing::planCells(), so
+// that all VMs come to the same result without agreement. A result is worked out when it is first asked for
+// and kept until the members, the configuration or the upstreams change. Not thread safe.
+
+#include "marlsill/cluster/member_list.h"
+#include "marlsill/placement/upstream_partition.h"
+#include "marlsill/routing/serving_set.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace marlsill::cluster {
+
+// What the cells follow from besides the member list. Both must be set.
+struct serving_cells_sources {
+    // Returns the hosts with a route to a service.
+    std::function<std::span<const std::string>(std::string_view service)> hostsOf;
+    // Returns the slots of all upstreams behind a host.
+    std::function<int(std::string_view host)> slotsOf;
+};
+
+// Settings of serving cells.
+struct serving_cells_options {
+    // Between recalculations for changed members: each takes about a millisecond with hundreds of VMs, and
+    // members change often while the fleet starts.
+    std::chrono::milliseconds minRefreshInterval { 100 };
+};
+
+// A VM that serves a host.
+struct serving_vm {
+    std::string host;
+    std::string failureDomain;
+    std::string callerAddress;
+};
+
+// What one VM needs to know to share a service's traffic with the others.
+struct service_view {
+    std::vector<std::string> hosts; // Of all VMs that serve the service, sorted.
+    bool isServing = false; // Whether this VM is one of them.
+    int sharingVms = 1; // VMs that send requests to the same upstreams as this one, itself included.
+    std::shared_ptr<const placement::upstream_partition> partition; // This VM's.
+};
+
+class serving_cells {
+public:
+    serving_cells(
+        const member_list& members, serving_cells_sources sources, serving_cells_options options = {});
+
+    // Must be called when the configuration or the upstreams have changed.
+    void invalidate() { m_isStale = true; }
+
+    // Returns the VMs that serve a host, each once. Valid until the next call.
+    const std::vector<serving_vm>& servingVms(std::string_view host, steady_clock::time_point now);
+
+    // Returns this VM's view of a service. Valid until the next call.
+    const service_view& viewOf(std::string_view service, steady_clock::time_point now);
+
+    // Returns the hosts of the other VMs that send requests to an upstream of a service, sorted.
+    std::vector<std::string> peersSharing(
+        std::string_view service, std::string_view upstream, steady_clock::time_point now);
+
+private:
+    // The cells of one host.
+    struct host_cells {
+        std::vector<std::vector<std::size_t>> cells; // Indexes into m_candidates.
+        std::vector<int> ownCells;
+        std::vector<serving_vm> vms;
+    };
+
+    void refresh(steady_clock::time_point now);
+    const host_cells& cellsOf(std::string_view host);
+    service_view makeView(std::string_view service);
+
+    const member_list& m_members;
+    const serving_cells_sources m_sources;
+    const serving_cells_options m_options;
+    bool m_isStale = true;
+    std::uint64_t m_generation = 0; // Of the members that the results follow from.
+    deadline m_nextRefresh {};
+    std::vector<member> m_candidates;
+    std::vector<routing::candidate_node> m_nodes; // Views into m_candidates.
+    std::map<std::string, host_cells, std::less<>> m_cells; // By host.
+    std::map<std::string, service_view, std::less<>> m_views; // By service.
+};
+
+}
--- /dev/null
+++ b/marlsill/cluster/serving_cells_test.cc
@@ -0,0 +1,215 @@
+#include "marlsill/cluster/serving_cells.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <set>
+
+namespace marlsill::cluster {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    const steady_clock::time_point start { std::chrono::hours(1) };
+    const std::vector<std::string> hosts { "depot.example" };
+
+    member record(int number, int domains)
+    {
+        auto host = "10.0." + std::to_string(number / 250) + "." + std::to_string(number % 250 + 1);
+        return { .host = host,
+            .failureDomain = "domain-" + std::to_string(number % domains),
+            .callerAddress = host + ":80",
+            .incarnation = 1,
+            .version = 1,
+            .state = member_state::ready };
+    }
+
+    // One VM's view of a fleet.
+    struct fleet_view {
+        member_list members;
+        serving_cells cells;
+
+        fleet_view(int self, int vms, int domains, int slots)
+            : members(record(self, domains), {})
+            , cells(members,
+                  { .hostsOf = [](auto) { return std::span(hosts); },
+                      .slotsOf = [slots](auto) { return slots; } })
+        {
+            for (int number = 0; number < vms; ++number) {
+                members.merge(record(number, domains), start);
+            }
+        }
+    };
+
+    std::vector<std::string> hostsOf(const std::vector<serving_vm>& vms)
+    {
+        std::vector<std::string> names;
+        for (const auto& each : vms) {
+            names.push_back(each.host);
+        }
+        return names;
+    }
+
+}
+
+TEST_CASE("Serving VMs are enough for the slots, and spread over the failure domains")
+{
+    struct size_case {
+        const char* name;
+        int vms;
+        int domains;
+        int slots;
+        std::size_t least; // Distinct serving VMs.
+        std::size_t most;
+    };
+    const size_case cases[] = {
+        { "few slots", 20, 2, 32, 4, 4 },
+        { "one dozen", 36, 3, 72, 9, 9 },
+        { "a grown fleet", 95, 3, 189, 12, 18 },
+        { "a large fleet", 444, 5, 1'044, 70, 90 },
+        { "fewer VMs than wanted", 4, 5, 2'970, 4, 4 },
+    };
+    for (const auto& each : cases) {
+        CAPTURE(std::string(each.name));
+        fleet_view view(0, each.vms, each.domains, each.slots);
+        const auto& serving = view.cells.servingVms(hosts.front(), start);
+        CHECK(serving.size() >= each.least);
+        CHECK(serving.size() <= each.most);
+        std::map<std::string, std::size_t> perDomain;
+        for (const auto& vm : serving) {
+            ++perDomain[vm.failureDomain];
+        }
+        CHECK(perDomain.size() == static_cast<std::size_t>(std::min(each.vms, each.domains)));
+        for (int number = 0; number < 20; ++number) {
+            auto upstream = "upstream-" + std::to_string(number);
+            CAPTURE(upstream);
+            std::map<std::string, int> sharing; // VMs of each domain that use the upstream.
+            for (const auto& vm : serving) {
+                auto peers = view.cells.peersSharing("s", upstream, start);
+                bool isSharing = std::find(peers.begin(), peers.end(), vm.host) != peers.end();
+                bool isSelf = vm.host == view.members.self().host;
+                sharing[vm.failureDomain] += isSharing && !isSelf ? 1 : 0;
+            }
+            auto [least, most] = std::minmax_element(sharing.begin(), sharing.end(),
+                [](const auto& left, const auto& right) { return left.second < right.second; });
+            CHECK(most->second - least->second <= 1); // The VM itself is not among its peers.
+        }
+    }
+}
+
+TEST_CASE("Serving VMs exclude leaving ones")
+{
+    fleet_view view(0, 20, 2, 32);
+    auto before = hostsOf(view.cells.servingVms(hosts.front(), start));
+    REQUIRE(before.size() == 4);
+    auto leavingHost = before.front() == view.members.self().host ? before.back() : before.front();
+    member leaving { .host = leavingHost, .incarnation = 1, .version = 2, .state = member_state::leaving };
+    view.members.merge(leaving, start);
+    auto after = hostsOf(view.cells.servingVms(hosts.front(), start + milliseconds(150)));
+    CHECK(after.size() == 4);
+    CHECK(std::find(after.begin(), after.end(), leavingHost) == after.end());
+}
+
+TEST_CASE("All VMs agree on who sends requests to an upstream")
+{
+    struct fleet_case {
+        int vms;
+        int domains;
+        int slots;
+    };
+    const fleet_case cases[] = { { 36, 3, 72 }, { 95, 3, 249 }, { 130, 3, 681 }, { 444, 5, 1'044 } };
+    for (const auto& each : cases) {
+        CAPTURE(each.vms);
+        std::vector<std::unique_ptr<fleet_view>> views;
+        for (int number = 0; number < each.vms; ++number) {
+            views.push_back(std::make_unique<fleet_view>(number, each.vms, each.domains, each.slots));
+        }
+        for (int number = 0; number < 20; ++number) {
+            auto upstream = "upstream-" + std::to_string(number);
+            CAPTURE(upstream);
+            std::set<std::string> expected;
+            for (const auto& view : views) {
+                const auto& own = view->cells.viewOf("s", start);
+                if (own.isServing && own.partition->includes(upstream)) {
+                    expected.insert(view->members.self().host);
+                }
+            }
+            CHECK(expected.size() >= 3);
+            CHECK(expected.size() <= 12); // The number that must share what they observe stays bounded.
+            auto peers = views.front()->cells.peersSharing("s", upstream, start);
+            std::set<std::string> told(peers.begin(), peers.end());
+            expected.erase(views.front()->members.self().host);
+            CHECK(told == expected);
+        }
+    }
+}
+
+TEST_CASE("Every upstream is in the part of some VM, and parts are of similar size")
+{
+    constexpr int upstreams = 348;
+    auto plan = routing::planCells(upstreams * 3, 5);
+    std::vector<int> sizes(static_cast<std::size_t>(plan.cells));
+    for (int number = 0; number < upstreams; ++number) {
+        ++sizes[static_cast<std::size_t>(routing::cellOf("upstream-" + std::to_string(number), plan.cells))];
+    }
+    auto [least, most] = std::minmax_element(sizes.begin(), sizes.end());
+    CHECK(*least * 4 > *most);
+}
+
+TEST_CASE("A further cell takes over upstreams and moves none between the others")
+{
+    int moved = 0;
+    for (int number = 0; number < 1'000; ++number) {
+        auto upstream = "upstream-" + std::to_string(number);
+        auto before = routing::cellOf(upstream, 9);
+        auto after = routing::cellOf(upstream, 10);
+        CHECK((after == before || after == 9));
+        moved += after == 9 ? 1 : 0;
+    }
+    CHECK(moved > 50);
+    CHECK(moved < 200);
+}
+
+TEST_CASE("The loss of a VM changes only the cells that it was in")
+{
+    fleet_view view(0, 200, 5, 400);
+    auto peersOf = [&](int number, steady_clock::time_point now) {
+        return view.cells.peersSharing("s", "upstream-" + std::to_string(number), now);
+    };
+    std::vector<std::vector<std::string>> before;
+    for (int number = 0; number < 50; ++number) {
+        before.push_back(peersOf(number, start));
+    }
+    auto lost = before.front().front();
+    view.members.merge(
+        { .host = lost, .incarnation = 1, .version = 2, .state = member_state::leaving }, start);
+    auto later = start + milliseconds(150);
+    for (int number = 0; number < 50; ++number) {
+        CAPTURE(number);
+        auto& known = before[static_cast<std::size_t>(number)];
+        auto after = peersOf(number, later);
+        if (std::find(known.begin(), known.end(), lost) == known.end()) {
+            CHECK(after == known);
+        } else {
+            std::vector<std::string> kept;
+            std::set_intersection(
+                known.begin(), known.end(), after.begin(), after.end(), std::back_inserter(kept));
+            CHECK(kept.size() + 1 >= known.size());
+        }
+    }
+}
+
+TEST_CASE("Many changes of members cause few recalculations, and none is left out")
+{
+    fleet_view view(0, 36, 3, 72);
+    auto before = hostsOf(view.cells.servingVms(hosts.front(), start));
+    auto leavingHost = before.front() == view.members.self().host ? before.back() : before.front();
+    view.members.merge(
+        { .host = leavingHost, .incarnation = 1, .version = 2, .state = member_state::leaving }, start);
+    CHECK(hostsOf(view.cells.servingVms(hosts.front(), start + milliseconds(50))) == before);
+    CHECK(hostsOf(view.cells.servingVms(hosts.front(), start + milliseconds(100))) != before);
+    view.cells.invalidate();
+    CHECK(view.cells.servingVms(hosts.front(), start + milliseconds(101)).size() == before.size());
+}
+
+}
--- a/marlsill/cluster/store_relay.cc
+++ b/marlsill/cluster/store_relay.cc
@@ -1,9 +1,12 @@
 #include "marlsill/cluster/store_relay.h"
 
 #include "marlsill/base/hash.h"
+#include "marlsill/events/events.h"
 #include "marlsill/routing/serving_set.h"
 
 #include <algorithm>
+#include <cmath>
+#include <functional>
 #include <utility>
 
 namespace marlsill::cluster {
@@ -11,25 +14,19 @@
 namespace {
 
     constexpr std::string_view electionKey = "store-watchers";
+    constexpr double electionCapacityPower = 4;
+    constexpr double minElectionCapacity = 1e-3; // Cores.
 
     double electionScore(const member& each)
     {
-        return routing::servingScore(electionKey, { each.host, each.failureDomain, each.capacity });
+        // The power makes the largest VMs of a domain win almost always: a watcher sends to all others of
+        // its domain, which takes a small VM a large part of its processor and its link.
+        auto weight = std::pow(std::max(each.capacity, minElectionCapacity), electionCapacityPower);
+        return routing::servingScore(electionKey, { each.host, each.failureDomain, weight });
     }
 
 }
 
-std::uint64_t digestOf(const std::vector<placement::upstream_entry>& entries)
-{
-    std::uint64_t sum = entries.size();
-    for (const auto& each : entries) {
-        sum += fastHash(each.id,
-            fastHash(
-                each.address, each.version * 4 + (each.isLeaving ? 2 : 0) + (each.isUnconfirmed ? 1 : 0)));
-    }
-    return sum;
-}
-
 store_relay::store_relay(const member_list& members, store_relay_options options, store_relay_actions actions,
     steady_clock::time_point now)
     : m_members(members)
@@ -41,42 +38,45 @@
 {
 }
 
-bool store_relay::isElected(const member& candidate, const std::vector<member>& records) const
+// Elects the watchers anew if the members have changed.
+void store_relay::refreshElection()
 {
-    std::set<std::string_view> domains;
-    std::size_t higherRanked = 0;
+    if (m_electionGeneration == m_members.generation()) {
+        return;
+    }
+    m_electionGeneration = m_members.generation();
+    auto records = m_members.records();
+    std::map<std::string_view, std::vector<std::pair<double, std::string_view>>> candidates; // By domain.
     for (const auto& each : records) {
-        if (each.state == member_state::leaving) {
-            continue;
+        if (each.state != member_state::leaving) {
+            candidates[each.failureDomain].emplace_back(electionScore(each), each.host);
         }
-        domains.insert(each.failureDomain);
-        bool isCompetitor = each.failureDomain == candidate.failureDomain && each.host != candidate.host;
-        higherRanked += isCompetitor && electionScore(each) > electionScore(candidate) ? 1 : 0;
     }
-    auto watchersPerDomain = domains.size() >= m_options.minWatchers ? 1 : m_options.minWatchers;
-    return candidate.state != member_state::leaving && higherRanked < watchersPerDomain;
-}
-
-bool store_relay::isElected() const { return isElected(m_members.self(), m_members.records()); }
-
-// Returns the hosts that a watcher sends to: those of its own failure domain and the watchers of the others.
-std::vector<std::string> store_relay::relayTargets() const
-{
-    auto records = m_members.records();
-    std::vector<std::string> hosts;
+    auto watchersPerDomain = candidates.size() >= m_options.minWatchers ? 1 : m_options.minWatchers;
+    std::set<std::string_view> elected;
+    for (auto& [domain, scored] : candidates) {
+        auto count = std::min(watchersPerDomain, scored.size());
+        std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(count), scored.end(),
+            std::greater<>());
+        for (std::size_t place = 0; place < count; ++place) {
+            elected.insert(scored[place].second);
+        }
+    }
+    const auto& self = m_members.self();
+    m_isElected = elected.contains(self.host);
+    m_relayTargets.clear();
     for (const auto& each : records) {
-        bool isSameDomain = each.failureDomain == m_members.self().failureDomain;
-        if (each.host != m_members.self().host && (isSameDomain || isElected(each, records))) {
-            hosts.push_back(each.host);
+        bool isTarget = each.failureDomain == self.failureDomain || elected.contains(each.host);
+        if (each.host != self.host && isTarget) {
+            m_relayTargets.push_back(each.host);
         }
     }
-    return hosts;
 }
 
 store_summary store_relay::summary(steady_clock::time_point now) const
 {
     auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - lastContact()).count();
-    return { m_configurationVersion, m_storeVersion, m_upstreamDigest,
+    return { m_configurationVersion, m_storeVersion, m_upstreams.digest(),
         static_cast<std::uint64_t>(std::clamp<std::int64_t>(age, 0, 3'600'000)) };
 }
 
@@ -85,147 +85,137 @@
     if (version <= m_configurationVersion) {
         return;
     }
-    m_configuration = std::move(text);
+    auto previous = std::exchange(m_configuration, std::move(text));
     m_configurationVersion = version;
+    m_wholeConfiguration.clear();
+    m_assembler.discardUpTo(version);
+    broadcastConfiguration(previous);
     m_actions.onConfiguration(m_configuration, m_configurationVersion);
-    broadcastConfiguration();
 }
 
-void store_relay::broadcastConfiguration()
+void store_relay::broadcastConfiguration(std::string_view previous)
 {
-    if (!isElected()) {
-        return;
-    }
-    for (const auto& host : relayTargets()) {
-        sendConfiguration(host);
+    refreshElection();
+    if (m_isElected && m_configuration.size() <= maxConfigurationBytes) {
+        sendConfiguration(m_relayTargets, makeParts(m_configuration, m_configurationVersion, previous));
     }
 }
 
-void store_relay::setUpstreams(std::vector<placement::upstream_entry> entries, std::uint64_t storeVersion)
+void store_relay::setUpstreams(std::span<const placement::upstream_entry> entries, std::uint64_t storeVersion)
 {
     m_storeVersion = std::max(m_storeVersion, storeVersion);
-    auto digest = digestOf(entries);
-    if (digest == m_upstreamDigest) {
-        return;
+    auto delta = m_upstreams.deltaTo(entries);
+    if (m_upstreams.digestAfter(delta) != m_upstreams.digest()) {
+        applyDelta(delta);
     }
-    auto previous = std::exchange(m_upstreams, {});
-    auto previousDigest = m_upstreamDigest;
-    applyUpstreams(std::move(entries), digest);
-    broadcastDelta(previous, previousDigest);
 }
 
-// Applies a list. An unconfirmed entry is used only if this VM used it before.
-void store_relay::applyUpstreams(std::vector<placement::upstream_entry> entries, std::uint64_t digest)
+// Applies a difference and, if this VM is elected, sends it as a chain of deltas of one datagram each.
+void store_relay::applyDelta(const upstream_delta& delta)
 {
-    std::vector<placement::upstream_entry> used;
-    for (const auto& each : entries) {
-        if (!each.isUnconfirmed || m_inUse.contains(each.id)) {
-            used.push_back(each);
-        }
-    }
-    m_inUse.clear();
-    for (const auto& each : used) {
-        m_inUse.insert(each.id);
-    }
-    m_upstreams = std::move(entries);
-    m_upstreamDigest = digest;
-    m_actions.onUpstreams(used);
-}
-
-// Sends the difference from the previous list, as a chain of deltas of one datagram each.
-void store_relay::broadcastDelta(
-    const std::vector<placement::upstream_entry>& previous, std::uint64_t previousDigest)
-{
-    if (!isElected()) {
-        return;
-    }
-    std::map<std::string, placement::upstream_entry> applied;
-    for (const auto& each : previous) {
-        applied[each.id] = each;
-    }
-    std::map<std::string, placement::upstream_entry> current;
-    for (const auto& each : m_upstreams) {
-        current[each.id] = each;
-    }
-    std::vector<peer_message> messages(1);
-    auto openDelta = [&]() -> peer_message& {
-        if (messages.back().upstreams.size() + messages.back().removed.size()
-            >= m_options.entriesPerDatagram) {
-            finishDelta(messages.back(), applied, previousDigest);
-            messages.emplace_back();
+    refreshElection();
+    peer_message message;
+    auto finishMessage = [&] {
+        message.isDelta = true;
+        message.baseDigest = m_upstreams.digest();
+        upstream_delta part { message.upstreams, message.removed };
+        m_upstreams.apply(part);
+        if (m_isElected) {
+            message.summary = summary(steady_clock::now());
+            m_actions.send(m_relayTargets, message);
         }
-        return messages.back();
+        message = {};
     };
-    for (const auto& each : previous) {
-        if (!current.contains(each.id)) {
-            openDelta().removed.push_back(each.id);
-            applied.erase(each.id);
+    auto startEntry = [&] {
+        if (message.upstreams.size() + message.removed.size() >= m_options.entriesPerDatagram) {
+            finishMessage();
         }
-    }
-    for (const auto& [id, each] : current) {
-        auto found = applied.find(id);
-        if (found == applied.end() || !(found->second == each)) {
-            openDelta().upstreams.push_back(each);
-            applied[id] = each;
+    };
+    for (const auto& id : delta.removed) {
+        startEntry();
+        message.removed.push_back(id);
+        m_inUse.erase(id);
+    }
+    for (const auto& each : delta.changed) {
+        startEntry();
+        message.upstreams.push_back(each);
+        if (!each.isUnconfirmed) {
+            m_inUse.insert(each.id);
         }
     }
-    finishDelta(messages.back(), applied, previousDigest);
-    for (const auto& host : relayTargets()) {
-        for (const auto& message : messages) {
-            m_actions.send(host, message);
+    finishMessage();
+    m_actions.onUpstreams();
+}
+
+std::vector<placement::upstream_entry> store_relay::upstreamsInUse() const
+{
+    std::vector<placement::upstream_entry> used;
+    for (const auto& [id, each] : m_upstreams.entries()) {
+        if (m_inUse.contains(id)) {
+            used.push_back(each);
         }
     }
+    return used;
 }
 
-// Completes one delta, which leads from the list with `previousDigest` to `result`, and sets `previousDigest`
-// to the digest of `result`.
-void store_relay::finishDelta(peer_message& message,
-    const std::map<std::string, placement::upstream_entry>& result, std::uint64_t& previousDigest) const
+void store_relay::sendConfiguration(
+    std::span<const std::string> hosts, const std::vector<configuration_part>& parts)
 {
-    std::vector<placement::upstream_entry> entries;
-    for (const auto& [id, each] : result) {
-        entries.push_back(each);
+    for (const auto& each : parts) {
+        peer_message message;
+        message.configuration = each;
+        m_actions.send(hosts, message);
     }
-    message.isDelta = true;
-    message.baseDigest = previousDigest;
-    message.summary = summary(steady_clock::now());
-    message.summary->upstreamDigest = digestOf(entries);
-    previousDigest = message.summary->upstreamDigest;
 }
 
-void store_relay::sendConfiguration(const std::string& host)
+void store_relay::applyConfigurationPart(const configuration_part& part)
 {
-    if (m_configuration.empty() || m_configuration.size() > m_options.maxConfigurationBytes) {
+    if (part.version <= m_configurationVersion) {
         return;
     }
-    peer_message message;
-    message.configuration = m_configuration;
-    message.configurationVersion = m_configurationVersion;
-    m_actions.send(host, std::move(message));
+    reason why;
+    if (auto received = m_assembler.add(part, m_configuration, why)) {
+        setConfiguration(std::move(received->text), received->version);
+    } else if (why.code != reason_code::none) {
+        logEvent(event::configurationPartIgnored,
+            { { "version", std::to_string(part.version) },
+                { "known", std::to_string(m_configurationVersion) }, { "cause", why.text } });
+    }
 }
 
 void store_relay::sendUpstreams(const std::string& host, steady_clock::time_point now)
 {
-    for (std::size_t start = 0; start < m_upstreams.size(); start += m_options.entriesPerDatagram) {
-        peer_message chunk;
-        chunk.summary = summary(now);
-        auto end = std::min(m_upstreams.size(), start + m_options.entriesPerDatagram);
-        chunk.upstreams.assign(m_upstreams.begin() + static_cast<std::ptrdiff_t>(start),
-            m_upstreams.begin() + static_cast<std::ptrdiff_t>(end));
-        m_actions.send(host, std::move(chunk));
+    peer_message chunk;
+    chunk.summary = summary(now);
+    auto sendChunk = [&] {
+        m_actions.send(std::span(&host, 1), chunk);
+        chunk.upstreams.clear();
+    };
+    for (const auto& [id, each] : m_upstreams.entries()) {
+        chunk.upstreams.push_back(each);
+        if (chunk.upstreams.size() == m_options.entriesPerDatagram) {
+            sendChunk();
+        }
+    }
+    if (!chunk.upstreams.empty()) {
+        sendChunk();
     }
 }
 
 void store_relay::handleMessage(const peer_message& message, steady_clock::time_point now)
 {
-    if (message.wantsConfiguration) {
-        sendConfiguration(message.sender);
+    if (message.wantsConfiguration && !m_configuration.empty()
+        && m_configuration.size() <= maxConfigurationBytes) {
+        if (m_wholeConfiguration.empty()) {
+            m_wholeConfiguration = makeParts(m_configuration, m_configurationVersion, {});
+        }
+        sendConfiguration(std::span(&message.sender, 1), m_wholeConfiguration);
     }
     if (message.wantsUpstreams) {
         sendUpstreams(message.sender, now);
     }
-    if (!message.configuration.empty() && message.configurationVersion > m_configurationVersion) {
-        setConfiguration(message.configuration, message.configurationVersion);
+    if (message.configuration) {
+        applyConfigurationPart(*message.configuration);
     }
     if (message.summary) {
         mergeUpstreams(message, now);
@@ -241,36 +231,35 @@
     // A VM that reads the store itself accepts only lists of a newer store version.
     bool hasFreshStoreRead = m_isWatching && now - m_lastContact <= m_options.maxContactAge;
     bool isNotNewer = summary.storeVersion < m_storeVersion + (hasFreshStoreRead ? 1 : 0)
-        || summary.upstreamDigest == m_upstreamDigest;
-    bool hasOtherBase = isDelta && message.baseDigest != m_upstreamDigest;
+        || summary.upstreamDigest == m_upstreams.digest();
+    bool hasOtherBase = isDelta && message.baseDigest != m_upstreams.digest();
     if (isNotNewer || hasOtherBase || (message.upstreams.empty() && !isDelta)) {
         return;
     }
-    std::map<std::string, placement::upstream_entry> updated;
     if (isDelta) {
-        for (const auto& each : m_upstreams) {
-            updated[each.id] = each;
+        upstream_delta delta { message.upstreams, message.removed };
+        if (m_upstreams.digestAfter(delta) == summary.upstreamDigest) {
+            m_storeVersion = std::max(m_storeVersion, summary.storeVersion);
+            applyDelta(delta);
         }
-        for (const auto& id : message.removed) {
-            updated.erase(id);
-        }
-    } else if (m_partialSnapshotDigest != summary.upstreamDigest) {
-        m_partialSnapshot.clear();
+        return;
+    }
+    if (m_partialSnapshotDigest != summary.upstreamDigest) {
+        m_partialSnapshot = {};
         m_partialSnapshotDigest = summary.upstreamDigest;
     }
-    auto& merged = isDelta ? updated : m_partialSnapshot;
     for (const auto& each : message.upstreams) {
-        merged[each.id] = each;
+        m_partialSnapshot.put(each);
+    }
+    if (m_partialSnapshot.digest() != summary.upstreamDigest) {
+        return;
     }
     std::vector<placement::upstream_entry> entries;
-    for (const auto& [id, each] : merged) {
+    for (const auto& [id, each] : m_partialSnapshot.entries()) {
         entries.push_back(each);
     }
-    if (digestOf(entries) != summary.upstreamDigest) {
-        return;
-    }
-    m_partialSnapshot.clear();
-    setUpstreams(std::move(entries), summary.storeVersion);
+    m_partialSnapshot = {};
+    setUpstreams(entries, summary.storeVersion);
 }
 
 void store_relay::handleSummary(const peer_message& message, steady_clock::time_point now)
@@ -279,7 +268,7 @@
     peer_message request;
     request.wantsConfiguration = summary.configurationVersion > m_configurationVersion;
     request.wantsUpstreams
-        = summary.storeVersion >= m_storeVersion && summary.upstreamDigest != m_upstreamDigest;
+        = summary.storeVersion >= m_storeVersion && summary.upstreamDigest != m_upstreams.digest();
     if (!message.isBeacon) {
         return;
     }
@@ -294,7 +283,7 @@
     // The answer may be under way; it is not requested again with every beacon.
     if (isBehind && hasPassed(m_nextRequest, now)) {
         m_nextRequest = now + m_options.requestInterval;
-        m_actions.send(message.sender, std::move(request));
+        m_actions.send(std::span(&message.sender, 1), request);
     }
     bool isCatchUpOverdue = m_behindSince && now - *m_behindSince > m_options.catchUpTimeout;
     if (age <= m_options.maxContactAge && !isCatchUpOverdue) {
@@ -305,43 +294,50 @@
     }
 }
 
+// Returns whether the members are known well enough for an election.
+bool store_relay::isElectionDue(steady_clock::time_point now)
+{
+    if (std::exchange(m_lastMemberCount, m_members.size()) != m_members.size()) {
+        m_lastJoin = now;
+    }
+    bool isSettled = now - m_lastJoin >= m_options.joinSettlingTime;
+    bool isDue = now - m_startedAt >= m_options.electionDelay
+        && (isSettled || now - m_startedAt >= m_options.maxElectionDelay);
+    if (!m_firstElection && isDue) {
+        m_firstElection = now;
+    }
+    return m_firstElection.has_value();
+}
+
 void store_relay::tick(steady_clock::time_point now)
 {
-    if (now - m_startedAt < m_options.electionDelay) {
+    if (!isElectionDue(now)) {
         return;
     }
     bool isBeaconFresh = now - m_lastFreshBeacon <= m_options.beaconTimeout;
     bool isBeaconStable = isBeaconFresh && now - m_beaconsFreshSince >= m_options.stabilizationPeriod;
-    bool elected = isElected();
-    bool isBeaconMissing = !isBeaconFresh && now - m_startedAt >= m_options.startupGracePeriod;
-    if (elected || isBeaconMissing) {
+    refreshElection();
+    bool isBeaconMissing = !isBeaconFresh && now - *m_firstElection >= m_options.firstBeaconGracePeriod;
+    if (m_isElected || isBeaconMissing) {
         setWatching(true);
     } else if (isBeaconStable) {
         setWatching(false);
     }
     bool hasContact = now - lastContact() <= m_options.maxContactAge;
-    if (!elected || !hasContact) {
+    if (!m_isElected || !hasContact) {
         return;
     }
     peer_message beacon;
     beacon.isBeacon = true;
     beacon.summary = summary(now);
-    for (const auto& host : relayTargets()) {
-        m_actions.send(host, beacon);
-    }
+    m_actions.send(m_relayTargets, beacon);
 }
 
 void store_relay::setWatching(bool isWatching)
 {
     if (m_isWatching != isWatching) {
         m_isWatching = isWatching;
-        std::vector<placement::upstream_entry> known;
-        for (const auto& each : m_upstreams) {
-            if (m_inUse.contains(each.id)) {
-                known.push_back(each);
-            }
-        }
-        m_actions.watchStore(isWatching, known);
+        m_actions.watchStore(isWatching, upstreamsInUse());
     }
 }
 
--- a/marlsill/cluster/store_relay_test.cc
+++ b/marlsill/cluster/store_relay_test.cc
@@ -18,6 +18,7 @@
             std::unique_ptr<member_list> members;
             std::unique_ptr<store_relay> relay;
             bool isWatching = false;
+            bool hasWatched = false;
             bool canReachStore = true;
             bool isPartitioned = false;
             std::uint64_t configuration = 0;
@@ -25,6 +26,7 @@
         };
 
         steady_clock::time_point now { std::chrono::hours(1) };
+        std::vector<member> records;
         std::map<std::string, node> nodes;
         std::deque<std::pair<std::string, peer_message>> queue;
         static constexpr int maxMessages = 20'000; // A message storm exceeds this.
@@ -32,12 +34,13 @@
         int requests = 0;
         bool dropsLargeMessages = false; // All but beacons and requests.
         std::uint64_t storedConfiguration = 1;
+        std::string storedText = "{}";
+        std::size_t configurationBytes = 0; // Sent between VMs.
         std::vector<placement::upstream_entry> storedUpstreams;
         std::uint64_t storeVersion = 10;
 
-        explicit virtual_fleet(int count, int domains = 1)
+        explicit virtual_fleet(int count, int domains = 1, bool knowEachOther = true)
         {
-            std::vector<member> records;
             for (int index = 0; index < count; ++index) {
                 auto host = "10.0.0." + std::to_string(index + 1);
                 auto domain = std::string(1, static_cast<char>('a' + index % domains));
@@ -46,31 +49,46 @@
             for (const auto& self : records) {
                 auto& each = nodes[self.host];
                 each.members = std::make_unique<member_list>(self, member_list_options());
-                for (const auto& other : records) {
-                    each.members->merge(other, now);
-                }
                 each.relay = std::make_unique<store_relay>(
                     *each.members, store_relay_options(), actionsOf(self.host), now);
             }
+            if (knowEachOther) {
+                introduce(count);
+            }
             for (int index = 0; index < 24; ++index) {
                 storedUpstreams.push_back(
                     { .id = "u" + std::to_string(index), .service = "s", .version = 1 });
             }
         }
 
+        // Lets all VMs know the first `count` VMs.
+        void introduce(int count)
+        {
+            for (auto& [host, each] : nodes) {
+                for (int index = 0; index < count; ++index) {
+                    each.members->merge(records[static_cast<std::size_t>(index)], now);
+                }
+            }
+        }
+
         store_relay_actions actionsOf(const std::string& self)
         {
             return { .send =
-                         [this, self](const std::string& host, peer_message message) {
-                             message.sender = self;
-                             queue.emplace_back(host, std::move(message));
+                         [this, self](std::span<const std::string> hosts, const peer_message& message) {
+                             for (const auto& host : hosts) {
+                                 queue.emplace_back(host, message);
+                                 queue.back().second.sender = self;
+                             }
                          },
-                .watchStore
-                = [this, self](bool isWatching, const auto&) { nodes[self].isWatching = isWatching; },
+                .watchStore =
+                    [this, self](bool isWatching, const auto&) {
+                        nodes[self].isWatching = isWatching;
+                        nodes[self].hasWatched = nodes[self].hasWatched || isWatching;
+                    },
                 .onConfiguration
                 = [this, self](const auto&, auto version) { nodes[self].configuration = version; },
                 .onUpstreams
-                = [this, self](const auto& entries) { nodes[self].upstreams = entries.size(); } };
+                = [this, self] { nodes[self].upstreams = nodes[self].relay->upstreamsInUse().size(); } };
         }
 
         void deliver()
@@ -79,8 +97,9 @@
                 auto [host, message] = std::move(queue.front());
                 queue.pop_front();
                 REQUIRE(++delivered < maxMessages);
+                configurationBytes += message.configuration ? message.configuration->bytes.size() : 0;
                 requests += message.wantsUpstreams || message.wantsConfiguration ? 1 : 0;
-                bool isLarge = !message.configuration.empty() || !message.upstreams.empty();
+                bool isLarge = message.configuration || !message.upstreams.empty();
                 if (!(dropsLargeMessages && isLarge) && !nodes[host].isPartitioned
                     && !nodes[message.sender].isPartitioned) {
                     nodes[host].relay->handleMessage(message, now);
@@ -95,7 +114,7 @@
                 for (auto& [host, each] : nodes) {
                     if (each.isWatching && each.canReachStore) {
                         each.relay->noteStoreContact(now);
-                        each.relay->setConfiguration("{}", storedConfiguration);
+                        each.relay->setConfiguration(storedText, storedConfiguration);
                         each.relay->setUpstreams(storedUpstreams, storeVersion);
                     }
                     if ((now.time_since_epoch() / milliseconds(50)) % 5 == 0) {
@@ -161,6 +180,22 @@
     }
 }
 
+TEST_CASE("VMs that start together and learn of each other slowly do not all watch the store")
+{
+    // Guards against each VM of a large fleet listing all upstreams because it knows too few others.
+    constexpr int vms = 60;
+    virtual_fleet fleet(vms, 5, false);
+    for (int known = 3; known <= vms; known += 19) {
+        fleet.run(milliseconds(250));
+        fleet.introduce(known);
+    }
+    fleet.run(milliseconds(3'000));
+    CHECK(fleet.allHave(1, 24));
+    CHECK(std::count_if(fleet.nodes.begin(), fleet.nodes.end(), [](const auto& each) {
+        return each.second.hasWatched;
+    }) <= 5);
+}
+
 TEST_CASE("Changes take effect within two seconds when a watcher fails")
 {
     struct fault_case {
@@ -298,6 +333,50 @@
     CHECK(fleet.allHave(2, 25));
 }
 
+TEST_CASE("A configuration of any size reaches all VMs, and a change costs what it changes")
+{
+    // Guards against every VM reading a large configuration from the store, and against changes that cost
+    // the whole of it.
+    auto textOf = [](int routes, int timeout) {
+        std::string text = "{\"rows\":[";
+        for (int number = 0; number < routes; ++number) {
+            text += "[\"r" + std::to_string(number * 7919 % 100'003) + "\",\"h.example\",\"/p"
+                + std::to_string(number * 104'729 % 1'000'003) + "/\","
+                + std::to_string(number == routes / 2 ? timeout : 1'000) + ",\"s\"],";
+        }
+        return text + "[]]}";
+    };
+    struct row {
+        const char* name;
+        int routesBefore;
+        int routesAfter;
+        std::size_t mostBytesPerVm; // Of the change.
+    };
+    const row rows[] = {
+        { "one value of a few routes", 10, 10, 200 },
+        { "one value of many routes", 8'000, 8'000, 200 },
+        { "1,400 routes more", 10, 1'410, 40'000 },
+        { "all but ten removed", 1'410, 10, 300 },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        constexpr int vms = 12;
+        virtual_fleet fleet(vms, 2);
+        fleet.storedText = textOf(each.routesBefore, 1'000);
+        REQUIRE(fleet.storedText.size() <= maxConfigurationBytes);
+        fleet.run(milliseconds(5'000));
+        REQUIRE(fleet.allHave(1, 24));
+        fleet.configurationBytes = 0;
+        fleet.delivered = 0;
+        fleet.storedText = textOf(each.routesAfter, 2'000);
+        fleet.changeStore();
+        fleet.run(milliseconds(500));
+        CHECK(fleet.allHave(2, 25));
+        CHECK(fleet.watcherCount() == 2);
+        CHECK(fleet.configurationBytes < vms * each.mostBytesPerVm);
+    }
+}
+
 TEST_CASE("Older lists and configurations are ignored")
 {
     virtual_fleet fleet(2);
@@ -307,8 +386,7 @@
     old.sender = "10.0.0.9";
     old.summary = store_summary { 0, 1, 12345, 0 };
     old.upstreams = { { .id = "x" } };
-    old.configuration = "{}";
-    old.configurationVersion = 0;
+    old.configuration = makeParts("{}", 0, {}).front();
     node.relay->handleMessage(old, fleet.now);
     CHECK(node.upstreams == 24);
     CHECK(node.configuration == 1);
--- a/marlsill/events/events.cc
+++ b/marlsill/events/events.cc
@@ -61,6 +61,8 @@
             "A submitted document was refused; what is in force stays." },
         { event::configurationFetchFailed, severity::warning, "configuration_fetch_failed",
             "A newer generation could not be read whole; what is in force stays." },
+        { event::configurationPartIgnored, severity::warning, "configuration_part_ignored",
+            "A part of a newer configuration from a peer was of no use; the whole is requested." },
         { event::platformUnavailable, severity::warning, "platform_unavailable",
             "Calls to the platform fail; what is in force stays." },
         { event::platformAvailable, severity::info, "platform_available",
--- a/marlsill/events/events.h
+++ b/marlsill/events/events.h
@@ -39,6 +39,7 @@
     configurationAccepted = 3002,
     configurationRefused = 3003,
     configurationFetchFailed = 3004,
+    configurationPartIgnored = 3005,
     platformUnavailable = 3010,
     platformAvailable = 3011,
     platformBudgetSpent = 3012,
--- a/marlsill/model/policies.cc
+++ b/marlsill/model/policies.cc
@@ -35,8 +35,8 @@
     , m_retryBudget(makeRetryBudget(options))
     , m_random(seed)
 {
-    m_loadBalancer.setServingVms(options.vms);
     m_loadBalancer.replaceUpstreams(makeUpstreams(options), {});
+    m_loadBalancer.setServiceShare(service, options.vms, nullptr);
 }
 
 placement::choice fleet_policy::chooseUpstream(
--- a/marlsill/placement/load_balancer.cc
+++ b/marlsill/placement/load_balancer.cc
@@ -26,6 +26,7 @@
     // At-most-once requests and those without a retry do not probe if a request that can be retried arrived
     // within this time.
     constexpr std::chrono::milliseconds repeatableWindow { 1'000 };
+    constexpr int samplesOutsidePart = 6;
     constexpr int overcommit = 1; // Requests beyond the slots, because the known load lags behind.
 
     double smooth(double old, double sample)
@@ -73,7 +74,10 @@
         bool isFromPeer = false;
     };
 
-    std::vector<upstream_state*> upstreams; // Those that are not leaving.
+    std::vector<upstream_state*> upstreams; // Those of this VM's part that are not leaving.
+    std::vector<upstream_state*> others; // Those of other VMs' parts that are not leaving.
+    std::shared_ptr<const upstream_partition> partition; // Null: this VM uses all upstreams.
+    int sharingVms = 1;
     double latencyMs = 0;
     std::deque<outcome> outcomes;
     steady_clock::time_point lastRepeatableAt {};
@@ -94,6 +98,7 @@
     decltype(m_upstreams) kept;
     for (auto& each : m_services) {
         each.second->upstreams.clear();
+        each.second->others.clear();
     }
     for (const auto& entry : upstreams) {
         auto found = m_upstreams.find(entry.id);
@@ -115,6 +120,41 @@
         kept[entry.id] = std::move(current);
     }
     m_upstreams = std::move(kept);
+    for (auto& each : m_services) {
+        divideUpstreams(*each.second);
+    }
+}
+
+void load_balancer::setServiceShare(
+    std::string_view service, int sharingVms, const std::shared_ptr<const upstream_partition>& partition)
+{
+    auto found = m_services.find(service);
+    if (found == m_services.end()) {
+        return;
+    }
+    found->second->sharingVms = std::max(1, sharingVms);
+    if (found->second->partition != partition) {
+        found->second->partition = partition;
+        divideUpstreams(*found->second);
+    }
+}
+
+// Moves the upstreams of this VM's part to `upstreams` and the rest to `others`. If the part is empty, all of
+// them are its part.
+void load_balancer::divideUpstreams(service_state& service)
+{
+    auto& own = service.upstreams;
+    own.insert(own.end(), service.others.begin(), service.others.end());
+    service.others.clear();
+    if (!service.partition) {
+        return;
+    }
+    auto firstOther = std::stable_partition(own.begin(), own.end(),
+        [&](const upstream_state* each) { return service.partition->includes(each->entry.id); });
+    if (firstOther != own.begin()) {
+        service.others.assign(firstOther, own.end());
+        own.erase(firstOther, own.end());
+    }
 }
 
 load_balancer::upstream_state* load_balancer::findState(std::string_view upstream) const
@@ -216,7 +256,7 @@
         first = std::min(first, each.at);
     }
     auto ownOutcomes = own * toMilliseconds(lossWindow) / toMilliseconds(now - first);
-    return lost / std::max<double>(minOutcomes, ownOutcomes * m_servingVms);
+    return lost / std::max<double>(minOutcomes, ownOutcomes * service.sharingVms);
 }
 
 void load_balancer::recordOutcome(std::string_view service, bool isServed, steady_clock::time_point now)
@@ -367,6 +407,9 @@
         return { choice_status::chosen, &best->upstream->entry, false, inFlightAt(*best->upstream, now),
             std::move(permitWanted) };
     }
+    if (auto* outside = chooseOutsidePart(service, request)) {
+        return { choice_status::chosen, &outside->entry, false, outside->inFlight };
+    }
     bool isExcludedAllowed = !hasHealthy || request.mayUseExcluded;
     if (excludedFallback && isExcludedAllowed) {
         return { choice_status::chosen, &excludedFallback->entry, true, inFlightAt(*excludedFallback, now),
@@ -378,6 +421,27 @@
         .expectedPermits = expectedPermits };
 }
 
+// Returns an upstream of another VM's part, or nullptr. As its load is unknown, the one with the fewest
+// requests of this VM is taken out of a few random ones.
+load_balancer::upstream_state* load_balancer::chooseOutsidePart(
+    const service_state& service, const choice_request& request)
+{
+    upstream_state* best = nullptr;
+    for (int sample = 0; sample < samplesOutsidePart && !service.others.empty(); ++sample) {
+        auto* each
+            = service
+                  .others[std::uniform_int_distribution<std::size_t>(0, service.others.size() - 1)(m_random)];
+        bool isTried
+            = std::find(request.tried.begin(), request.tried.end(), each->entry.id) != request.tried.end();
+        bool isLimited = request.limits && request.limits->limitOf(each->entry.id);
+        bool isUsable = !isTried && !isLimited && !each->isExcluded && each->inFlight < each->entry.slots;
+        if (isUsable && (!best || each->inFlight < best->inFlight)) {
+            best = each;
+        }
+    }
+    return best;
+}
+
 void load_balancer::startAttempt(std::string_view upstream, bool isProbe, steady_clock::time_point now)
 {
     auto* found = findState(upstream);
@@ -618,6 +682,9 @@
         for (const auto* each : found->second->upstreams) {
             slots += each->entry.slots;
         }
+        for (const auto* each : found->second->others) {
+            slots += each->entry.slots;
+        }
     }
     return slots;
 }
--- a/marlsill/placement/load_balancer.h
+++ b/marlsill/placement/load_balancer.h
@@ -12,10 +12,13 @@
 // Each upstream has a circuit breaker: a failure excludes the upstream (open) for an exclusion time, after
 // which single requests probe it (half-open) until it is readmitted (closed). The share of a service's
 // upstreams that are excluded and receive no requests at all is limited, so that exclusions, justified or
-// not, cannot concentrate the load on too few upstreams. Performs no I/O. Not thread safe.
+// not, cannot concentrate the load on too few upstreams. In a large fleet a VM uses a part of the upstreams
+// only; those of other VMs are a last resort for its overload, as it does not know their load. Performs no
+// I/O. Not thread safe.
 
 #include "marlsill/placement/rate_limits.h"
 #include "marlsill/placement/upstream_entry.h"
+#include "marlsill/placement/upstream_partition.h"
 
 #include <algorithm>
 #include <chrono>
@@ -188,8 +191,10 @@
     // Records whether a request of this VM succeeded; feeds the service's loss share.
     void recordOutcome(std::string_view service, bool isServed, steady_clock::time_point now);
 
-    // Sets how many VMs serve the requests, to extrapolate the total from this VM's.
-    void setServingVms(int vms) { m_servingVms = std::max(1, vms); }
+    // Sets how many VMs send requests to this VM's part of a service's upstreams, to extrapolate the total
+    // from its own, and that part. The other upstreams are used only if none of the part has room.
+    void setServiceShare(
+        std::string_view service, int sharingVms, const std::shared_ptr<const upstream_partition>& partition);
 
     // Returns the registered entry of an upstream, or nullptr.
     const upstream_entry* find(std::string_view upstream) const;
@@ -200,7 +205,8 @@
     // Returns the sum of slots of a service's upstreams, excluded ones included, leaving ones not.
     int slotsOf(std::string_view service) const;
 
-    // Returns the aggregated state of a service's upstreams; all zeros for an unknown service.
+    // Returns the aggregated state of this VM's part of a service's upstreams; all zeros for an unknown
+    // service.
     service_stats statsOf(
         std::string_view service, steady_clock::time_point now, const rate_limits* limits = nullptr) const;
 
@@ -216,6 +222,8 @@
     bool isProbeDue(const upstream_state& each, steady_clock::time_point now) const;
     std::chrono::milliseconds probeDelay(const upstream_state& each) const;
     int inFlightAt(const upstream_state& each, steady_clock::time_point now) const;
+    upstream_state* chooseOutsidePart(const service_state& service, const choice_request& request);
+    void divideUpstreams(service_state& service);
     upstream_state* longestUnused(
         service_state& service, const choice_request& request, steady_clock::time_point now) const;
     void exclude(upstream_state& each, std::chrono::milliseconds exclusion, steady_clock::time_point now);
@@ -231,7 +239,6 @@
 
     const load_balancer_options m_options;
     std::mt19937_64 m_random;
-    int m_servingVms = 1;
     std::map<std::string, std::unique_ptr<upstream_state>, std::less<>> m_upstreams;
     std::map<std::string, std::unique_ptr<service_state>, std::less<>> m_services;
 };
--- a/marlsill/placement/load_balancer_test.cc
+++ b/marlsill/placement/load_balancer_test.cc
@@ -431,4 +431,47 @@
     CHECK(first.status == choice_status::chosen);
 }
 
+TEST_CASE("A VM uses its part of the upstreams, and others only when none of its part has room")
+{
+    constexpr int count = 40;
+    constexpr int slots = 2;
+    auto balancer = balancerOf(count, slots);
+    auto part = std::make_shared<const upstream_partition>(
+        upstream_partition { .divisions = { { .cells = 4, .ownCells = { 2 } } } });
+    balancer.setServiceShare("s", 3, part);
+    auto all = entries(count);
+    auto own = std::count_if(
+        all.begin(), all.end(), [&](const upstream_entry& each) { return part->includes(each.id); });
+    REQUIRE(own > 0);
+    REQUIRE(own < count);
+    CHECK(balancer.statsOf("s", start).upstreams == own);
+    CHECK(balancer.slotsOf("s") == count * slots);
+    auto capacity = static_cast<int>(own) * (slots + 1); // With one request of overcommit each.
+    std::set<std::string> used;
+    for (int placed = 0; placed < capacity; ++placed) {
+        auto chosen = balancer.choose({ .service = "s" }, start);
+        REQUIRE(chosen.status == choice_status::chosen);
+        CHECK(part->includes(chosen.upstream->id));
+        used.insert(chosen.upstream->id);
+        balancer.startAttempt(chosen.upstream->id, false, start);
+    }
+    CHECK(used.size() == static_cast<std::size_t>(own));
+    auto outside = balancer.choose({ .service = "s" }, start);
+    REQUIRE(outside.status == choice_status::chosen);
+    CHECK_FALSE(part->includes(outside.upstream->id));
+    balancer.replaceUpstreams(entries(count, slots), start);
+    CHECK(balancer.statsOf("s", start).upstreams == own); // The part outlives changes of the list.
+}
+
+TEST_CASE("A VM whose part has no upstreams uses all of them")
+{
+    auto balancer = balancerOf(1);
+    for (int cell = 0; cell < 3; ++cell) {
+        balancer.setServiceShare("s", 1,
+            std::make_shared<const upstream_partition>(
+                upstream_partition { .divisions = { { .cells = 3, .ownCells = { cell } } } }));
+        CHECK(balancer.choose({ .service = "s" }, start).status == choice_status::chosen);
+    }
+}
+
 }
--- a/marlsill/routing/serving_set.h
+++ b/marlsill/routing/serving_set.h
@@ -4,6 +4,15 @@
 //
 //     auto members = servingSet("bookings", servingSetSize(30), nodes);
 //
+// A host with more upstreams than a dozen VMs can serve is divided into cells. Each cell is a serving set of
+// its own that sends requests to its own part of the upstreams. Cells are small: the VMs of a cell tell each
+// other what they observe, and the failures of an upstream are noticed as soon by few VMs that send it all of
+// its requests as by many:
+//
+//     auto plan = planCells(1'044, 5);
+//     auto members = servingSet(cellName("bookings", 3), plan.vmsPerCell, nodes);
+//     bool isInCell = cellOf("upstream-17", plan.cells) == 3;
+//
 // Uses weighted rendezvous hashing (Thaler and Ravishankar, 1998): every VM computes the same set without
 // coordination, and a VM that joins or leaves changes only the sets that it belongs to. Members are spread
 // over the failure domains.
@@ -26,6 +35,24 @@
 // Returns the size of the serving set of a service that has `slots` slots over all its upstreams.
 int servingSetSize(int slots);
 
+// How a host's traffic is divided among VMs.
+struct cell_plan {
+    int cells = 1;
+    int vmsPerCell = 0;
+};
+
+// Returns the division for a host whose services have `slots` slots over all their upstreams, in a fleet of
+// `domains` failure domains. The number of VMs is a multiple of `domains`.
+cell_plan planCells(int slots, int domains);
+
+// Returns the name of a cell, to select its VMs. The first cell has the host's own name.
+std::string cellName(std::string_view host, int cell);
+
+// Returns the cell, from 0 to `cells` - 1, that sends requests to an upstream. A further cell takes over
+// upstreams in equal parts from the others and moves none between them (jump consistent hash; Lamping and
+// Veach, 2014).
+int cellOf(std::string_view upstream, int cells);
+
 // Returns a node's rendezvous score for a service. Nodes with higher scores are preferred.
 double servingScore(std::string_view service, const candidate_node& node);
 
