Give up answers that cannot become whole, and bound what they hold

Users wrote: bytes that are no answer may come without end, in a head or a body, until the caller closes. Seen with upstreams that do so ('Bytes without end ...' in gateway_test, on the code before): informational responses, answers to other requests, chunks of a huge size, long extensions, trailers and a slow head of many lines were read until the route's time-out of 3 s instead of being given up; up to 95 MB were read of one answer. The caller got 504 where 502 was known at once. Change: a head of more than 100 lines, nine informational responses, five answers to other requests, a Content-Length or chunk beyond the limit, 100 trailers, and framing that far exceeds its data end the connection at once. buffer_budget bounds what all answers in reading hold: 32 MB, twice that at the worst, also with a thousand connections; those beyond an even share give up first. E2101 says why (why=).

--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -96,6 +96,7 @@
     , m_options(std::move(options))
     , m_wire(std::move(wire))
     , m_loadBalancer({ .failureDomain = m_options.failureDomain })
+    , m_responseBuffers(m_options.maxResponseBuffers)
     , m_crashMonitor(io, m_loadBalancer, m_counters,
           { .connectTimeout = m_options.connectTimeout, .quarantine = m_options.quarantine })
     , m_rateLimiter(
@@ -368,12 +369,14 @@
         exchange_options options { .isHead = current->request.head.getMethod() == "HEAD",
             .matchesRequest
             = [this, current](const auto& response) { return isResponseTo(*current, response); },
-            .limits = { .maxBodyBytes = m_options.maxResponseBytes } };
+            .limits = { .maxBodyBytes = m_options.maxResponseBytes },
+            .buffers = &m_responseBuffers };
         thisAttempt->isSent = true;
         auto result = co_await connection->exchange(serializeFor(*current, *thisAttempt, steady_clock::now()),
             std::move(options), current->effectiveDeadline);
         m_counters.lateAnswersSkipped += static_cast<std::uint64_t>(result.skippedResponses);
         thisAttempt->outcome.outcome = toAttemptOutcome(result.status);
+        thisAttempt->failure = result.failure;
         thisAttempt->outcome.status = result.response.head.getStatus();
         thisAttempt->response = std::move(result.response);
         bool isMisdirected = thisAttempt->outcome.status == Poco::Net::HTTPResponse::HTTP_MISDIRECTED_REQUEST;
@@ -436,6 +439,7 @@
         { { "request", current.id }, { "upstream", thisAttempt.upstream },
             { "end", std::string(toText(thisAttempt.outcome.outcome)) },
             { "status", std::to_string(thisAttempt.outcome.status) },
+            { "why", std::string(thisAttempt.failure) },
             { "limit", thisAttempt.response.head.get(m_wire.rateLimit, "none") },
             { "reused", thisAttempt.outcome.wasReused ? "1" : "0" },
             { "idle_ms", std::to_string(thisAttempt.outcome.idleBefore.count()) },
--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -39,6 +39,9 @@
 struct forwarder_options {
     std::string failureDomain; // Of this VM; upstreams in it are preferred.
     std::uint64_t maxResponseBytes = 8 * 1024 * 1024;
+    // Of all responses that are being read; they may take twice as much, see buffer_budget. A fifth of the
+    // memory of a small VM.
+    std::size_t maxResponseBuffers = 32 * 1024 * 1024;
     std::chrono::milliseconds connectTimeout { 400 }; // Far above a round trip between failure domains.
     std::chrono::milliseconds responseTransitTime { 10 }; // Deducted from the timeout sent to upstreams.
     std::chrono::milliseconds maxWaitForHealthy { 150 }; // Then a suspect upstream may be used.
@@ -96,6 +99,7 @@
         bool isFinished = false;
         bool isEvaluated = false; // evaluateAttempt() has processed its outcome.
         placement::completed_attempt outcome;
+        std::string_view failure; // Why the response was given up; empty if it was not.
         http::response_message response;
     };
 
@@ -228,6 +232,7 @@
     placement::load_balancer m_loadBalancer;
     placement::idle_limits m_idleLimits;
     placement::retry_after_gate m_retryAfterGate;
+    buffer_budget m_responseBuffers;
     connection_pool m_pool;
     traffic_counters m_counters;
     crash_monitor m_crashMonitor;
--- a/marlsill/gateway/upstream_connection.cc
+++ b/marlsill/gateway/upstream_connection.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
+#include <limits>
 #include <sys/socket.h>
 
 namespace marlsill::gateway {
@@ -136,18 +137,30 @@
     http::response_parser parser(options.isHead);
     auto parsed = http::parse_status::needMore;
     bool hasResponseBytes = false;
+    buffer_budget unlimited(std::numeric_limits<std::size_t>::max());
+    buffer_budget::share held(options.buffers ? *options.buffers : unlimited);
     while (true) {
         parsed = parser.parse(m_readBuffer, result.response, options.limits);
         if (parsed == http::parse_status::complete) {
             if (options.matchesRequest(result.response)) {
                 break;
             }
-            ++result.skippedResponses;
+            if (++result.skippedResponses > options.maxSkippedResponses) {
+                parsed = http::parse_status::malformed;
+                result.failure = "too many answers to other requests";
+                break;
+            }
             parser = http::response_parser(options.isHead);
             result.response = {};
             continue;
         }
         if (parsed != http::parse_status::needMore) {
+            result.failure = http::toText(parsed);
+            break;
+        }
+        if (!held.resize(m_readBuffer.size() + result.response.body.size())) {
+            parsed = http::parse_status::bodyTooLarge;
+            result.failure = "no memory left for responses";
             break;
         }
         bool isOpen = co_await receive();
--- a/marlsill/gateway/upstream_connection.h
+++ b/marlsill/gateway/upstream_connection.h
@@ -10,6 +10,7 @@
 // Every operation ends at its deadline or with abort(). Not thread safe; used from a single event loop.
 
 #include "marlsill/base/time.h"
+#include "marlsill/gateway/buffer_budget.h"
 #include "marlsill/http/message_parser.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -18,6 +19,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace marlsill::gateway {
 
@@ -38,6 +40,8 @@
     // Returns whether a response belongs to the current request. Others are skipped.
     std::function<bool(const http::response_message&)> matchesRequest;
     http::read_limits limits;
+    int maxSkippedResponses = 4; // An upstream that sends more is not answering this request.
+    buffer_budget* buffers = nullptr; // Of all responses that are being read; may be null.
 };
 
 // The result of an exchange. `response` is complete only if `status` is `completed`.
@@ -45,6 +49,7 @@
     exchange_status status = exchange_status::broken;
     http::response_message response;
     int skippedResponses = 0; // Late responses to earlier requests.
+    std::string_view failure; // Why the response was given up; empty if it was not.
 };
 
 // See the file comment.
--- a/marlsill/http/message_parser.cc
+++ b/marlsill/http/message_parser.cc
@@ -15,6 +15,10 @@
 
     constexpr std::size_t maxLineBytes = 256; // Per chunk-size or trailer line.
     constexpr int maxFields = 100;
+    constexpr int maxInformationalResponses = 8; // Before one final response.
+    // Framing of a chunked body. One byte a chunk takes six bytes of framing.
+    constexpr std::size_t maxFramingBytes = 16 * 1024;
+    constexpr std::size_t maxFramingPerDataByte = 8;
 
     // Looks for a complete header block at the front of `buffer` and sets `length` to its size in bytes.
     parse_status findHeaderBlock(std::string_view buffer, std::size_t maxBytes, std::size_t& length)
@@ -28,7 +32,9 @@
             || buffer.find("\n\r\n") != std::string_view::npos) {
             return parse_status::malformed;
         }
-        return buffer.size() > maxBytes ? parse_status::headTooLarge : parse_status::needMore;
+        bool hasTooManyLines = std::count(buffer.begin(), buffer.end(), '\n') > maxFields + 1;
+        return buffer.size() > maxBytes || hasTooManyLines ? parse_status::headTooLarge
+                                                           : parse_status::needMore;
     }
 
     // Parses the header block at the front of `buffer` into `head` and removes it.
@@ -79,6 +85,13 @@
 
 }
 
+std::string_view toText(parse_status status)
+{
+    constexpr std::string_view names[]
+        = { "incomplete", "complete", "malformed", "head too large", "body too large" };
+    return names[static_cast<int>(status)];
+}
+
 body_decoder body_decoder::withLength(std::uint64_t length)
 {
     body_decoder decoder;
@@ -103,18 +116,17 @@
 
 parse_status body_decoder::takeBytes(std::string& buffer, std::string& out, std::size_t maxBytes)
 {
-    auto room = std::min<std::uint64_t>(m_bytesLeft, maxBytes - std::min(maxBytes, out.size()));
-    auto count = static_cast<std::size_t>(std::min<std::uint64_t>(room, buffer.size()));
+    if (m_bytesLeft > maxBytes - std::min(maxBytes, out.size())) {
+        return parse_status::bodyTooLarge;
+    }
+    auto count = static_cast<std::size_t>(std::min<std::uint64_t>(m_bytesLeft, buffer.size()));
     out.append(buffer, 0, count);
     buffer.erase(0, count);
     m_bytesLeft -= count;
-    if (m_bytesLeft == 0) {
-        return parse_status::complete;
-    }
-    return out.size() >= maxBytes ? parse_status::bodyTooLarge : parse_status::needMore;
+    return m_bytesLeft == 0 ? parse_status::complete : parse_status::needMore;
 }
 
-parse_status body_decoder::decodeLine(std::string& buffer)
+parse_status body_decoder::decodeLine(std::string& buffer, std::size_t decodedBytes)
 {
     auto end = buffer.find('\n');
     if (end == std::string::npos) {
@@ -123,6 +135,10 @@
     if (end == 0 || buffer[end - 1] != '\r' || end > maxLineBytes) {
         return parse_status::malformed;
     }
+    m_framingBytes += end + 1;
+    if (m_framingBytes > maxFramingBytes + maxFramingPerDataByte * decodedBytes) {
+        return parse_status::malformed;
+    }
     auto line = std::string_view(buffer).substr(0, end - 1);
     bool isEmpty = line.empty();
     if (m_state == state::chunkSize) {
@@ -139,6 +155,8 @@
         m_state = state::chunkSize;
     } else if (isEmpty) {
         m_state = state::done;
+    } else if (++m_trailerFields > maxFields) {
+        return parse_status::malformed;
     }
     buffer.erase(0, end + 1);
     return parse_status::complete;
@@ -164,7 +182,7 @@
             }
             break;
         default:
-            status = decodeLine(buffer);
+            status = decodeLine(buffer, out.size());
             break;
         }
         if (status != parse_status::complete) {
@@ -217,6 +235,9 @@
         if (code >= 200) {
             break;
         }
+        if (++m_informationalResponses > maxInformationalResponses) {
+            return parse_status::malformed;
+        }
     }
     auto framing = internal::parseFraming(message.head);
     if (!framing) {
--- a/marlsill/http/message_parser.h
+++ b/marlsill/http/message_parser.h
@@ -26,6 +26,9 @@
     bodyTooLarge,
 };
 
+// Returns a status as text, for logs.
+std::string_view toText(parse_status status);
+
 // Incrementally decodes one message body.
 class body_decoder {
 public:
@@ -42,7 +45,8 @@
     static body_decoder untilClose();
 
     // Removes encoded bytes from the front of `buffer` and appends the decoded ones to `out`. Returns
-    // `bodyTooLarge` if `out` would exceed `maxBytes`.
+    // `bodyTooLarge` as soon as it is known that `out` would exceed `maxBytes`, and `malformed` if chunk
+    // sizes, extensions and trailers take up far more than the data.
     parse_status decode(std::string& buffer, std::string& out, std::size_t maxBytes);
 
     // Returns whether the body ends only when the connection is closed.
@@ -59,11 +63,13 @@
         untilClose,
     };
 
-    parse_status decodeLine(std::string& buffer);
+    parse_status decodeLine(std::string& buffer, std::size_t decodedBytes);
     parse_status takeBytes(std::string& buffer, std::string& out, std::size_t maxBytes);
 
     state m_state = state::done;
     std::uint64_t m_bytesLeft = 0;
+    std::size_t m_framingBytes = 0; // Of chunk sizes, extensions and trailers.
+    int m_trailerFields = 0;
 };
 
 // Parses the requests of one connection in sequence.
@@ -95,7 +101,7 @@
     {
     }
 
-    // Continues parsing with the bytes in `buffer`. Skips 1xx responses, except that 101 is malformed.
+    // Continues parsing with the bytes in `buffer`. Skips a few 1xx responses, except that 101 is malformed.
     parse_status parse(std::string& buffer, response_message& message, const read_limits& limits);
 
     // Returns whether an orderly close of the connection at this point completes the response.
@@ -110,6 +116,7 @@
 
     bool m_isHead;
     bool m_hasHead = false;
+    int m_informationalResponses = 0;
     body_decoder m_body;
 };
 
--- a/testing/gateway_test.cc
+++ b/testing/gateway_test.cc
@@ -293,6 +293,57 @@
     CHECK(tested.upstream(1).runsOf("r1") == 1);
 }
 
+TEST_CASE("Bytes without end are not read on once they cannot be an answer")
+{
+    // Guards against a VM that reads, or holds in memory, whatever a failing upstream sends until the
+    // deadline.
+    struct row {
+        const char* name;
+        upstream_step step;
+        int status; // Of a request that may run once.
+        std::size_t mostBytes; // Sent by the upstream, with what sockets hold; 0: only the deadline ends it.
+    };
+    constexpr std::size_t inSockets = 6'000'000; // What two sockets on loopback may hold at the most.
+    constexpr std::size_t maxResponse = 8 * 1024 * 1024;
+    const row rows[] = {
+        { "a head of one line", upstream_step::endlessHeadLine, 502, inSockets },
+        { "a head of many lines", upstream_step::endlessHead, 502, inSockets },
+        { "informational responses", upstream_step::endlessInformational, 502, inSockets },
+        { "answers to other requests", upstream_step::endlessStrangers, 502, inSockets },
+        { "a body without length", upstream_step::endlessBody, 502, inSockets + maxResponse },
+        { "bytes after the answer", upstream_step::endlessExcess, 200, inSockets },
+        { "a chunk of a huge size", upstream_step::endlessChunk, 502, inSockets },
+        { "chunks with long extensions", upstream_step::endlessExtensions, 502, inSockets },
+        { "trailers", upstream_step::endlessTrailers, 502, inSockets },
+        { "bytes that are no HTTP", upstream_step::endlessNoise, 502, inSockets },
+    };
+    for (const auto& each : rows) {
+        for (auto pause : { milliseconds(0), milliseconds(10) }) {
+            CAPTURE(std::string(each.name));
+            CAPTURE(pause.count());
+            // A body without length is an answer until it is too long, which takes minutes if it is slow.
+            bool isEndedByDeadline = each.step == upstream_step::endlessBody && pause.count() > 0;
+            gateway_fixture tested(1, milliseconds(3'000));
+            tested.upstream(0).setEndlessPause(pause);
+            tested.upstream(0).plan({ each.step });
+            auto sentAt = steady_clock::now();
+            auto answered = tested.sendAndReceive("POST", "/once/a", "r1", 4'000, "b");
+            auto elapsed = steady_clock::now() - sentAt;
+            CHECK(answered.status == (isEndedByDeadline ? 504 : each.status));
+            CHECK(elapsed < (isEndedByDeadline ? milliseconds(3'500) : milliseconds(2'500)));
+            CHECK(tested.upstream(0).runsOf("r1") == 1);
+            auto until = deadlineAfter(milliseconds(500));
+            while (tested.upstream(0).isSendingEndlessly() && !hasPassed(until, steady_clock::now())) {
+                std::this_thread::sleep_for(milliseconds(5));
+            }
+            CHECK_FALSE(tested.upstream(0).isSendingEndlessly());
+            CHECK(tested.upstream(0).mostEndlessBytes() <= each.mostBytes);
+            // No byte of it reaches the next request.
+            CHECK(tested.sendAndReceive("GET", "/repeat/b", "r2", 2'000).status == 200);
+        }
+    }
+}
+
 TEST_CASE("A late duplicate response is not delivered to any caller")
 {
     gateway_fixture tested(1);
--- a/testing/scripted_upstream.cc
+++ b/testing/scripted_upstream.cc
@@ -142,6 +142,31 @@
     return step;
 }
 
+// Sends `first` and then `piece` again and again, until the other side closes or the upstream is stopped.
+void scripted_upstream::sendEndlessly(
+    Poco::Net::StreamSocket& socket, const std::string& first, const std::string& piece)
+{
+    ++m_endlessSenders;
+    auto pause = m_endlessPause.load();
+    auto part = piece;
+    while (pause.count() == 0 && part.size() < 16'000) {
+        part += piece;
+    }
+    sendText(socket, first);
+    std::size_t total = first.size();
+    while (!m_isStopped) {
+        auto sent = ::send(socket.impl()->sockfd(), part.data(), part.size(), MSG_NOSIGNAL);
+        if (sent <= 0) {
+            break;
+        }
+        total += static_cast<std::size_t>(sent);
+        std::this_thread::sleep_for(pause);
+    }
+    auto most = m_mostEndlessBytes.load();
+    while (total > most && !m_mostEndlessBytes.compare_exchange_weak(most, total)) { }
+    --m_endlessSenders;
+}
+
 void scripted_upstream::serve(Poco::Net::StreamSocket socket)
 {
     std::string buffer;
@@ -258,6 +283,39 @@
         return false;
     case upstream_step::early:
         return true;
+    case upstream_step::endlessHeadLine:
+        sendEndlessly(socket, start + "X-Long: ", std::string(1'000, 'x'));
+        return false;
+    case upstream_step::endlessHead:
+        sendEndlessly(socket, start, "X-Field: value\r\n");
+        return false;
+    case upstream_step::endlessInformational:
+        sendEndlessly(socket, "", "HTTP/1.1 103 Early Hints\r\n\r\n");
+        return false;
+    case upstream_step::endlessStrangers:
+        sendEndlessly(socket, "",
+            "HTTP/1.1 200 OK\r\n" + m_fields.requestId + ": other\r\nContent-Length: 2\r\n\r\nno");
+        return false;
+    case upstream_step::endlessBody:
+        sendEndlessly(socket, start + "\r\n", std::string(4'000, 'x'));
+        return false;
+    case upstream_step::endlessExcess:
+        sendEndlessly(socket, whole, std::string(1'000, 'x'));
+        return false;
+    case upstream_step::endlessChunk:
+        sendEndlessly(
+            socket, start + "Transfer-Encoding: chunked\r\n\r\nffffffffffff\r\n", std::string(4'000, 'x'));
+        return false;
+    case upstream_step::endlessExtensions:
+        sendEndlessly(
+            socket, start + "Transfer-Encoding: chunked\r\n\r\n", "1;" + std::string(200, 'e') + "\r\nx\r\n");
+        return false;
+    case upstream_step::endlessTrailers:
+        sendEndlessly(socket, start + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-Trailer: value\r\n");
+        return false;
+    case upstream_step::endlessNoise:
+        sendEndlessly(socket, "", std::string(500, '\x01') + "\n");
+        return false;
     }
     return false;
 }
--- a/testing/scripted_upstream.h
+++ b/testing/scripted_upstream.h
@@ -38,6 +38,16 @@
     hang, // Runs it and never answers.
     lateReset, // Works on it for a while, then resets the connection.
     forget, // Answers, and resets the connection when the next request arrives on it, without running that.
+    endlessHeadLine, // Runs it and sends a header line without end.
+    endlessHead, // Runs it and sends header fields without end.
+    endlessInformational, // Runs it and sends 1xx responses without end.
+    endlessStrangers, // Runs it and sends answers to other requests without end.
+    endlessBody, // Runs it and sends a body without length or end.
+    endlessExcess, // Answers, and sends more bytes without end.
+    endlessChunk, // Runs it and sends a chunk of a huge size.
+    endlessExtensions, // Runs it and sends small chunks with long extensions.
+    endlessTrailers, // Runs it and sends trailers without end.
+    endlessNoise, // Runs it and sends bytes that are no HTTP without end.
     early, // Answers before it has read the body, and keeps the connection.
 };
 
@@ -82,6 +92,14 @@
     // Returns whether a caller of this upstream closed its connection during a hang.
     bool sawCancel() const { return m_sawCancel.load(); }
 
+    // Sets the pause between the pieces of what is sent without end; 0: as fast as it is read.
+    void setEndlessPause(std::chrono::milliseconds pause) { m_endlessPause = pause; }
+
+    // Returns how many bytes the longest of the endless answers has sent before its connection was closed,
+    // and whether any is still being sent.
+    std::size_t mostEndlessBytes() const { return m_mostEndlessBytes.load(); }
+    bool isSendingEndlessly() const { return m_endlessSenders.load() > 0; }
+
     // Closes the listening socket and all connections, as a crash does.
     void crash();
 
@@ -90,6 +108,7 @@
     void serve(Poco::Net::StreamSocket socket);
     bool serveOne(Poco::Net::StreamSocket& socket, std::string& buffer);
     upstream_step nextStep();
+    void sendEndlessly(Poco::Net::StreamSocket& socket, const std::string& first, const std::string& piece);
     std::string limitField() const;
 
     const std::string m_id;
@@ -102,6 +121,9 @@
     std::atomic<bool> m_sawCancel = false;
     std::atomic<std::chrono::milliseconds> m_workTime = std::chrono::milliseconds(0);
     std::atomic<double> m_rateLimit = 0;
+    std::atomic<std::chrono::milliseconds> m_endlessPause = std::chrono::milliseconds(0);
+    std::atomic<std::size_t> m_mostEndlessBytes = 0;
+    std::atomic<int> m_endlessSenders = 0;
     mutable std::mutex m_mutex; // Guards what follows.
     std::vector<std::chrono::steady_clock::time_point> m_arrivalTimes;
     std::function<void(const std::string&)> m_listener;
