Let a change of upstreams cost what it changes on every VM

Cause, from the code: each change of the list worked out all cells anew (a millisecond of a core with 444 VMs, serving_cells_benchmark) and rebuilt the balancer's list of 990. Test: 'Changes of upstreams keep the cells while their number stays the same'.

--- a/marlsill/cluster/serving_cells.cc
+++ b/marlsill/cluster/serving_cells.cc
@@ -21,7 +21,10 @@
     }
     m_isStale = false;
     m_generation = m_members.generation();
-    m_nextRefresh = now + m_options.minRefreshInterval;
+    m_nextRefresh = now
+        + std::max<steady_clock::duration>(
+            m_options.minRefreshInterval, m_options.refreshIntervalPerCost * m_refreshCost);
+    m_refreshCost = {};
     m_candidates.clear();
     for (const auto* each : m_members.eligibleMembers()) {
         m_candidates.push_back(*each);
@@ -30,21 +33,36 @@
     for (const auto& each : m_candidates) {
         m_nodes.push_back({ each.host, each.failureDomain, each.capacity });
     }
+    std::set<std::string_view> domains;
+    for (const auto& each : m_nodes) {
+        domains.insert(each.failureDomain);
+    }
+    m_domains = std::max(1, static_cast<int>(domains.size()));
     m_cells.clear();
     m_views.clear();
 }
 
+void serving_cells::noteUpstreamsChanged()
+{
+    auto isOutdated = [this](const auto& each) { return !(planOf(each.first) == each.second.plan); };
+    if (std::erase_if(m_cells, isOutdated) > 0) {
+        m_views.clear();
+    }
+}
+
+routing::cell_plan serving_cells::planOf(std::string_view host) const
+{
+    return routing::planCells(m_sources.slotsOf(host), m_domains);
+}
+
 const serving_cells::host_cells& serving_cells::cellsOf(std::string_view host)
 {
     if (auto found = m_cells.find(host); found != m_cells.end()) {
         return found->second;
     }
-    std::set<std::string_view> domains;
-    for (const auto& each : m_nodes) {
-        domains.insert(each.failureDomain);
-    }
-    auto plan = routing::planCells(m_sources.slotsOf(host), std::max(1, static_cast<int>(domains.size())));
-    host_cells result;
+    auto startedAt = steady_clock::now();
+    auto plan = planOf(host);
+    host_cells result { .plan = plan };
     std::set<std::size_t> listed;
     for (int cell = 0; cell < plan.cells; ++cell) {
         auto chosen = routing::servingSet(routing::cellName(host, cell), plan.vmsPerCell, m_nodes);
@@ -61,6 +79,7 @@
         }
         result.cells.push_back(std::move(chosen));
     }
+    m_refreshCost += steady_clock::now() - startedAt;
     return m_cells.emplace(std::string(host), std::move(result)).first->second;
 }
 
--- a/marlsill/cluster/serving_cells.h
+++ b/marlsill/cluster/serving_cells.h
@@ -35,9 +35,11 @@
 
 // Settings of serving cells.
 struct serving_cells_options {
-    // Between recalculations for changed members: each takes about a millisecond with hundreds of VMs, and
-    // members change often while the fleet starts.
+    // Between recalculations for changed members, which change often in a fleet of hundreds.
     std::chrono::milliseconds minRefreshInterval { 100 };
+    // The interval is at least this many times as long as the last recalculation took, which was a
+    // millisecond of a core with hundreds of VMs, and many on a VM with a small share of one.
+    int refreshIntervalPerCost = 20;
 };
 
 // A VM that serves a host.
@@ -60,9 +62,12 @@
     serving_cells(
         const member_list& members, serving_cells_sources sources, serving_cells_options options = {});
 
-    // Must be called when the configuration or the upstreams have changed.
+    // Must be called when the configuration has changed.
     void invalidate() { m_isStale = true; }
 
+    // Must be called when the upstreams have changed. The results stay if the number of cells does.
+    void noteUpstreamsChanged();
+
     // Returns the VMs that serve a host, each once. Valid until the next call.
     const std::vector<serving_vm>& servingVms(std::string_view host, steady_clock::time_point now);
 
@@ -76,12 +81,14 @@
 private:
     // The cells of one host.
     struct host_cells {
+        routing::cell_plan plan;
         std::vector<std::vector<std::size_t>> cells; // Indexes into m_candidates.
         std::vector<int> ownCells;
         std::vector<serving_vm> vms;
     };
 
     void refresh(steady_clock::time_point now);
+    routing::cell_plan planOf(std::string_view host) const;
     const host_cells& cellsOf(std::string_view host);
     service_view makeView(std::string_view service);
 
@@ -91,6 +98,8 @@
     bool m_isStale = true;
     std::uint64_t m_generation = 0; // Of the members that the results follow from.
     deadline m_nextRefresh {};
+    steady_clock::duration m_refreshCost {}; // Of all recalculations since the last refresh.
+    int m_domains = 1; // Failure domains of the candidates.
     std::vector<member> m_candidates;
     std::vector<routing::candidate_node> m_nodes; // Views into m_candidates.
     std::map<std::string, host_cells, std::less<>> m_cells; // By host.
--- a/marlsill/cluster/serving_cells_test.cc
+++ b/marlsill/cluster/serving_cells_test.cc
@@ -199,6 +199,28 @@
     }
 }
 
+TEST_CASE("Changes of upstreams keep the cells while their number stays the same")
+{
+    // Guards against working out all cells anew with each of the many changes of a large list.
+    int slots = 1'044;
+    member_list members(record(0, 5), {});
+    for (int number = 0; number < 444; ++number) {
+        members.merge(record(number, 5), start);
+    }
+    serving_cells cells(members,
+        { .hostsOf = [](auto) { return std::span(hosts); }, .slotsOf = [&](auto) { return slots; } });
+    auto partition = cells.viewOf("s", start).partition;
+    auto peers = cells.peersSharing("s", "upstream-1", start);
+    slots += 3;
+    cells.noteUpstreamsChanged();
+    CHECK(cells.viewOf("s", start).partition == partition);
+    CHECK(cells.peersSharing("s", "upstream-1", start) == peers);
+    slots *= 2;
+    cells.noteUpstreamsChanged();
+    CHECK(cells.viewOf("s", start).partition != partition);
+    CHECK(cells.viewOf("s", start).partition->divisions.front().cells == routing::planCells(slots, 5).cells);
+}
+
 TEST_CASE("Many changes of members cause few recalculations, and none is left out")
 {
     fleet_view view(0, 36, 3, 72);
--- a/marlsill/placement/load_balancer.cc
+++ b/marlsill/placement/load_balancer.cc
@@ -95,33 +95,59 @@
 
 void load_balancer::replaceUpstreams(std::span<const upstream_entry> upstreams, steady_clock::time_point now)
 {
-    decltype(m_upstreams) kept;
-    for (auto& each : m_services) {
-        each.second->upstreams.clear();
-        each.second->others.clear();
-    }
+    std::set<std::string, std::less<>> changedServices; // With other upstreams than before.
+    std::set<std::string_view> listed;
     for (const auto& entry : upstreams) {
-        auto found = m_upstreams.find(entry.id);
-        bool isSameIncarnation = found != m_upstreams.end()
-            && found->second->entry.startedUnixMs == entry.startedUnixMs
-            && found->second->entry.service == entry.service;
-        auto current = isSameIncarnation ? std::move(found->second) : std::make_unique<upstream_state>();
-        if (!isSameIncarnation) {
+        listed.insert(entry.id);
+        auto& current = m_upstreams[entry.id];
+        bool isKnown = current && current->entry.startedUnixMs == entry.startedUnixMs
+            && current->entry.service == entry.service;
+        if (isKnown && current->entry == entry) {
+            continue;
+        }
+        if (!isKnown || current->entry.isLeaving != entry.isLeaving) {
+            changedServices.insert(entry.service);
+        }
+        if (current) {
+            changedServices.insert(current->entry.service);
+        }
+        if (!isKnown) {
+            current = std::make_unique<upstream_state>();
             current->lastUsedAt = now;
         }
         current->entry = entry;
-        if (!entry.isLeaving) {
-            auto& service = m_services[entry.service];
-            if (!service) {
-                service = std::make_unique<service_state>();
-            }
-            service->upstreams.push_back(current.get());
+    }
+    for (auto each = m_upstreams.begin(); each != m_upstreams.end();) {
+        bool isRemoved = !listed.contains(each->first);
+        if (isRemoved) {
+            changedServices.insert(each->second->entry.service);
+        }
+        each = isRemoved ? m_upstreams.erase(each) : std::next(each);
+    }
+    rebuildServices(changedServices);
+}
+
+// Collects the upstreams of services anew.
+void load_balancer::rebuildServices(const std::set<std::string, std::less<>>& services)
+{
+    if (services.empty()) {
+        return;
+    }
+    for (const auto& name : services) {
+        auto& service = m_services[name];
+        if (!service) {
+            service = std::make_unique<service_state>();
+        }
+        service->upstreams.clear();
+        service->others.clear();
+    }
+    for (const auto& [id, each] : m_upstreams) {
+        if (!each->entry.isLeaving && services.contains(each->entry.service)) {
+            m_services[each->entry.service]->upstreams.push_back(each.get());
         }
-        kept[entry.id] = std::move(current);
     }
-    m_upstreams = std::move(kept);
-    for (auto& each : m_services) {
-        divideUpstreams(*each.second);
+    for (const auto& name : services) {
+        divideUpstreams(*m_services[name]);
     }
 }
 
--- a/marlsill/placement/load_balancer.h
+++ b/marlsill/placement/load_balancer.h
@@ -26,6 +26,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -162,6 +163,7 @@
     load_balancer(load_balancer&& other) noexcept;
 
     // Replaces the registered upstreams. Keeps the state of those whose service and start time are unchanged.
+    // The cost grows with the number of upstreams, mildly for unchanged ones.
     void replaceUpstreams(std::span<const upstream_entry> upstreams, steady_clock::time_point now);
 
     // Selects an upstream. The caller must call startAttempt() and finishAttempt() for it.
@@ -223,6 +225,7 @@
     std::chrono::milliseconds probeDelay(const upstream_state& each) const;
     int inFlightAt(const upstream_state& each, steady_clock::time_point now) const;
     upstream_state* chooseOutsidePart(const service_state& service, const choice_request& request);
+    void rebuildServices(const std::set<std::string, std::less<>>& services);
     void divideUpstreams(service_state& service);
     upstream_state* longestUnused(
         service_state& service, const choice_request& request, steady_clock::time_point now) const;
--- a/marlsill/routing/serving_set.h
+++ b/marlsill/routing/serving_set.h
@@ -39,6 +39,8 @@
 struct cell_plan {
     int cells = 1;
     int vmsPerCell = 0;
+
+    bool operator==(const cell_plan&) const = default;
 };
 
 // Returns the division for a host whose services have `slots` slots over all their upstreams, in a fleet of
