--- a/marlsill/placement/load_balancer.cc
+++ b/marlsill/placement/load_balancer.cc
@@ -124,11 +124,12 @@
         }
         each = isRemoved ? m_upstreams.erase(each) : std::next(each);
     }
-    rebuildServices(changedServices);
+    rebuildServices(changedServices, upstreams);
 }
 
-// Collects the upstreams of services anew.
-void load_balancer::rebuildServices(const std::set<std::string, std::less<>>& services)
+// Collects the upstreams of services anew, in the order of the list.
+void load_balancer::rebuildServices(
+    const std::set<std::string, std::less<>>& services, std::span<const upstream_entry> upstreams)
 {
     if (services.empty()) {
         return;
@@ -141,9 +142,9 @@
         service->upstreams.clear();
         service->others.clear();
     }
-    for (const auto& [id, each] : m_upstreams) {
-        if (!each->entry.isLeaving && services.contains(each->entry.service)) {
-            m_services[each->entry.service]->upstreams.push_back(each.get());
+    for (const auto& entry : upstreams) {
+        if (!entry.isLeaving && services.contains(entry.service)) {
+            m_services[entry.service]->upstreams.push_back(findState(entry.id));
         }
     }
     for (const auto& name : services) {
--- a/marlsill/placement/load_balancer.h
+++ b/marlsill/placement/load_balancer.h
@@ -225,7 +225,8 @@
     std::chrono::milliseconds probeDelay(const upstream_state& each) const;
     int inFlightAt(const upstream_state& each, steady_clock::time_point now) const;
     upstream_state* chooseOutsidePart(const service_state& service, const choice_request& request);
-    void rebuildServices(const std::set<std::string, std::less<>>& services);
+    void rebuildServices(
+        const std::set<std::string, std::less<>>& services, std::span<const upstream_entry> upstreams);
     void divideUpstreams(service_state& service);
     upstream_state* longestUnused(
         service_state& service, const choice_request& request, steady_clock::time_point now) const;
--- a/marlsill/placement/retry_slack_share.h
+++ b/marlsill/placement/retry_slack_share.h
@@ -11,7 +11,8 @@
 // - is unused for one window after this VM starts or enters the serving set: a VM that was there before, such
 //   as its own earlier process, may have used it in that window;
 // - is divided by the largest number of VMs known within a long time: VMs that are out of reach may live and
-//   use theirs;
+//   use theirs. Each side of a partition forms a whole serving set, so all shares shrink with the part of the
+//   fleet that is in reach;
 // - is unused while this VM knows no other, though there are some to know.
 // Retries within the ratio of this VM's own requests need no share. Not thread safe.
 
@@ -92,7 +93,8 @@
             return 0;
         }
         if (m_view.isServing && hasPassed(m_servingShareFrom, now)) {
-            return m_options.servingFraction / std::max(1, m_servingVms.value());
+            auto inReach = static_cast<double>(m_view.knownVms) / std::max(1, m_knownVms.value());
+            return inReach * m_options.servingFraction / std::max(1, m_servingVms.value());
         }
         return m_options.outsideFraction / std::max(1, m_knownVms.value());
     }
