Hold the ports of a test's fleet until its last daemon goes

Cause: planFleet asked the kernel for a free port, closed the probe, and asked again. The kernel may give the same port a second time: to the same daemon (three ports a host) or to another fleet that is planned before the first one has bound.

Change: a fleet takes three TCP ports and a UDP port on a host that no daemon has, keeps those sockets open while any of its daemons lives, and uses the same ports on all of its hosts. The kernel gives each port there to one socket only.

Test: entry_process_test.

--- a/testing/soak/entry_process.cc
+++ b/testing/soak/entry_process.cc
@@ -19,49 +19,54 @@
 
     constexpr std::chrono::milliseconds endCheck { 10 };
 
-    int freePort(const std::string& address)
-    {
-        Poco::Net::ServerSocket probe(Poco::Net::SocketAddress(address, 0));
-        return probe.address().port();
-    }
-
     std::string hostOf(int entry) { return "127.0.1." + std::to_string(entry + 1); }
 
-    // Returns a UDP port that is free on all hosts.
-    int freePeerPort(int entries)
+    constexpr const char* holdingHost = "127.0.1.254"; // Of no daemon.
+
+}
+
+// Ports of one fleet, the same on all its hosts. The kernel gives a port on the holding host to one socket
+// only, so no other fleet on this machine, of any process, gets one while the sockets are open.
+class held_ports {
+public:
+    held_ports()
+        : m_caller(anyPort())
+        , m_readiness(anyPort())
+        , m_directory(anyPort())
+        , m_peer(anyPort())
     {
-        while (true) {
-            Poco::Net::DatagramSocket probe(Poco::Net::SocketAddress(hostOf(0), 0));
-            auto port = probe.address().port();
-            try {
-                for (int entry = 1; entry < entries; ++entry) {
-                    Poco::Net::DatagramSocket other(Poco::Net::SocketAddress(hostOf(entry), port));
-                }
-                return port;
-            } catch (const Poco::Exception&) {
-                continue; // Taken on another host.
-            }
-        }
     }
 
-}
+    int caller() const { return m_caller.address().port(); }
+    int readiness() const { return m_readiness.address().port(); }
+    int directory() const { return m_directory.address().port(); }
+    int peer() const { return m_peer.address().port(); }
+
+private:
+    static Poco::Net::SocketAddress anyPort() { return { holdingHost, 0 }; }
+
+    Poco::Net::ServerSocket m_caller;
+    Poco::Net::ServerSocket m_readiness;
+    Poco::Net::ServerSocket m_directory;
+    Poco::Net::DatagramSocket m_peer;
+};
 
 std::vector<entry_options> planFleet(int entries)
 {
-    int peerPort = freePeerPort(entries);
-    auto seeds
-        = hostOf(0) + ":" + std::to_string(peerPort) + "," + hostOf(1) + ":" + std::to_string(peerPort);
+    auto ports = std::make_shared<const held_ports>();
+    auto peerPort = std::to_string(ports->peer());
+    auto seeds = hostOf(0) + ":" + peerPort + "," + hostOf(1) + ":" + peerPort;
     std::vector<entry_options> fleet;
     for (int index = 0; index < entries; ++index) {
-        auto own = hostOf(index);
         fleet.push_back({ .name = "entry-" + std::to_string(index),
-            .host = own,
+            .host = hostOf(index),
             .domain = "domain-" + std::to_string(index % 3),
             .seeds = seeds,
-            .callerPort = freePort(own),
-            .readinessPort = freePort(own),
-            .directoryPort = freePort(own),
-            .peerPort = peerPort });
+            .callerPort = ports->caller(),
+            .readinessPort = ports->readiness(),
+            .directoryPort = ports->directory(),
+            .peerPort = ports->peer(),
+            .ports = ports });
     }
     return fleet;
 }
--- a/testing/soak/entry_process.h
+++ b/testing/soak/entry_process.h
@@ -21,6 +21,8 @@
 constexpr int retrySlack = 56;
 constexpr std::chrono::seconds retryWindow { 10 };
 
+class held_ports;
+
 // What an entry daemon is started with.
 struct entry_options {
     std::string program;
@@ -35,10 +37,12 @@
     int directoryPort = 0;
     int peerPort = 0;
     int graceSeconds = 3;
+    std::shared_ptr<const held_ports> ports; // Kept until the last daemon of the fleet goes.
 };
 
-// Returns options for daemons that form a fleet: hosts from 127.0.1.1 on, free ports, three failure domains
-// in turn, and the first two daemons as seeds. The program, the folder and the store are left empty.
+// Returns options for at most 253 daemons that form a fleet: hosts from 127.0.1.1 on, ports that no other
+// fleet on the machine gets while one of these options lives, three failure domains in turn, and the first
+// two daemons as seeds. The program, the folder and the store are left empty.
 std::vector<entry_options> planFleet(int entries);
 
 class entry_process;
