Check loads and stalls of the upstreams in use only

Cause: every VM went over all 990 upstreams about eleven times a second, to find loads that changed and requests that stall, while it has requests at a handful.

Change: the balancer notes which loads changed, and which upstreams had attempts. The cost grows with those alone.

--- a/marlsill/placement/load_balancer.cc
+++ b/marlsill/placement/load_balancer.cc
@@ -477,8 +477,9 @@
     }
     ++found->inFlight;
     found->started.insert(now);
+    m_used.insert(found->entry.id);
     found->lastUsedAt = now;
-    found->hasChangedLoad = true;
+    noteChangedLoad(*found);
     if (isProbe) {
         found->probeUntil = now + m_options.probeTimeout;
     }
@@ -559,7 +560,7 @@
         return std::nullopt;
     }
     found->inFlight = std::max(0, found->inFlight - 1);
-    found->hasChangedLoad = true;
+    noteChangedLoad(*found);
     if (auto own = found->started.find(started); own != found->started.end()) {
         found->started.erase(own);
     }
@@ -675,28 +676,40 @@
 std::vector<upstream_evidence> load_balancer::excludeStalled(steady_clock::time_point now)
 {
     std::vector<upstream_evidence> stalled;
-    for (auto& [id, each] : m_upstreams) {
-        auto service = m_services.find(each->entry.service);
-        if (each->started.empty() || each->isExcluded || service == m_services.end()) {
+    for (auto id = m_used.begin(); id != m_used.end();) {
+        auto* each = findState(*id);
+        if (!each || each->started.empty()) {
+            id = m_used.erase(id);
             continue;
         }
-        auto usual = std::chrono::milliseconds(
-            static_cast<std::int64_t>(m_options.stallFactor * service->second->latencyMs));
+        const auto& service = *m_services.find(each->entry.service)->second;
+        auto usual
+            = std::chrono::milliseconds(static_cast<std::int64_t>(m_options.stallFactor * service.latencyMs));
         auto limit = std::max(m_options.minStallTime, usual);
-        if (now - *each->started.begin() > limit) {
+        if (!each->isExcluded && now - *each->started.begin() > limit) {
             exclude(*each, m_options.exclusionRepeatable, now);
-            stalled.push_back({ id, evidence_kind::stalled });
+            stalled.push_back({ *id, evidence_kind::stalled });
         }
+        ++id;
     }
     return stalled;
 }
 
+void load_balancer::noteChangedLoad(upstream_state& each)
+{
+    if (!std::exchange(each.hasChangedLoad, true)) {
+        m_changedLoads.push_back(each.entry.id);
+    }
+}
+
 std::vector<upstream_load> load_balancer::takeChangedLoads()
 {
     std::vector<upstream_load> changed;
-    for (auto& [id, each] : m_upstreams) {
-        if (std::exchange(each->hasChangedLoad, false)) {
-            changed.push_back({ id, each->inFlight, static_cast<int>(each->latencyMs) });
+    for (auto& id : std::exchange(m_changedLoads, {})) {
+        auto* each = findState(id);
+        // Not for one that was replaced since.
+        if (each && std::exchange(each->hasChangedLoad, false)) {
+            changed.push_back({ std::move(id), each->inFlight, static_cast<int>(each->latencyMs) });
         }
     }
     return changed;
--- a/marlsill/placement/load_balancer.h
+++ b/marlsill/placement/load_balancer.h
@@ -184,10 +184,12 @@
     // Replaces a peer's load at an upstream.
     void applyPeerLoad(std::string_view peer, const upstream_load& load, steady_clock::time_point now);
 
-    // Excludes upstreams at which a request of this VM stalls. Returns the evidence to send to the peers.
+    // Excludes upstreams at which a request of this VM stalls. Returns the evidence to send to the peers. The
+    // cost grows with the upstreams in use by this VM, not with those registered.
     std::vector<upstream_evidence> excludeStalled(steady_clock::time_point now);
 
-    // Returns this VM's load at each upstream where it changed since the last call.
+    // Returns this VM's load at each upstream where it changed since the last call, in the order of the
+    // changes. The cost grows with the changes only.
     std::vector<upstream_load> takeChangedLoads();
 
     // Records whether a request of this VM succeeded; feeds the service's loss share.
@@ -233,6 +235,7 @@
     void exclude(upstream_state& each, std::chrono::milliseconds exclusion, steady_clock::time_point now);
     bool recordErrorAfterProcessing(upstream_state& each, bool isAtMostOnce, steady_clock::time_point now);
     void recordPeerLoss(const upstream_state& each, bool isAtMostOnce, steady_clock::time_point now);
+    void noteChangedLoad(upstream_state& each);
     void recordFailure(upstream_state& each, bool isAtMostOnce, steady_clock::time_point now);
     void scheduleNextProbe(upstream_state& each, steady_clock::time_point now);
     void readmit(upstream_state& each);
@@ -245,6 +248,8 @@
     std::mt19937_64 m_random;
     std::map<std::string, std::unique_ptr<upstream_state>, std::less<>> m_upstreams;
     std::map<std::string, std::unique_ptr<service_state>, std::less<>> m_services;
+    std::set<std::string, std::less<>> m_used; // Those with attempts of this VM in flight, and some that had.
+    std::vector<std::string> m_changedLoads; // Since the last takeChangedLoads().
 };
 
 }
