Log a peer's word only when it changes whether an upstream is used

Cause: with hundreds of VMs each failure is told to those that share the upstream, and each wrote a line for it, also when the upstream was excluded already. Such a line is no decision.

Change: applyEvidence returns whether an exclusion begins or ends; E5101 is logged then, with excluded=1 or 0.

--- a/marlsill/events/events.cc
+++ b/marlsill/events/events.cc
@@ -98,7 +98,7 @@
         { event::upstreamLeaving, severity::info, "upstream_leaving",
             "An upstream is leaving and gets no new work." },
         { event::upstreamEvidence, severity::info, "upstream_evidence",
-            "An upstream was judged by a peer's word or by stalled work." },
+            "An upstream gets no requests from now on, or gets them again, by a peer's word or for stalled work." },
         { event::upstreamCrashed, severity::warning, "upstream_crashed",
             "An upstream ended under a request and cannot be reached." },
         { event::upstreamsChanged, severity::info, "upstreams_changed",
--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -164,10 +164,12 @@
         return;
     }
     bool isAtMostOnce = m_configuration && m_configuration->routes().isAtMostOnce(known->service);
-    m_loadBalancer.applyEvidence(evidence, isAtMostOnce, steady_clock::now());
-    logEvent(event::upstreamEvidence,
-        { { "upstream", evidence.upstream }, { "source", "peer" },
-            { "kind", std::to_string(static_cast<int>(evidence.kind)) } });
+    if (auto isExcluded = m_loadBalancer.applyEvidence(evidence, isAtMostOnce, steady_clock::now())) {
+        logEvent(event::upstreamEvidence,
+            { { "upstream", evidence.upstream }, { "source", "peer" },
+                { "kind", std::to_string(static_cast<int>(evidence.kind)) },
+                { "excluded", *isExcluded ? "1" : "0" } });
+    }
     if (evidence.kind == placement::evidence_kind::recovered) {
         wakeNextQueued(known->service);
     }
--- a/marlsill/placement/load_balancer.cc
+++ b/marlsill/placement/load_balancer.cc
@@ -624,13 +624,14 @@
     }
 }
 
-void load_balancer::applyEvidence(
+std::optional<bool> load_balancer::applyEvidence(
     const upstream_evidence& evidence, bool isAtMostOnce, steady_clock::time_point now)
 {
     auto* found = findState(evidence.upstream);
     if (!found) {
-        return;
+        return std::nullopt;
     }
+    bool wasExcluded = found->isExcluded;
     switch (evidence.kind) {
     case evidence_kind::failed:
         recordFailure(*found, isAtMostOnce, now);
@@ -654,6 +655,7 @@
         readmit(*found);
         break;
     }
+    return found->isExcluded == wasExcluded ? std::nullopt : std::optional(found->isExcluded);
 }
 
 void load_balancer::applyPeerLoad(
--- a/marlsill/placement/load_balancer.h
+++ b/marlsill/placement/load_balancer.h
@@ -178,8 +178,10 @@
         steady_clock::duration elapsed, steady_clock::time_point started, bool isAtMostOnce,
         steady_clock::time_point now);
 
-    // Applies evidence received from a peer.
-    void applyEvidence(const upstream_evidence& evidence, bool isAtMostOnce, steady_clock::time_point now);
+    // Applies evidence received from a peer. Returns whether the upstream is excluded from now on, or no
+    // longer; std::nullopt if that did not change.
+    std::optional<bool> applyEvidence(
+        const upstream_evidence& evidence, bool isAtMostOnce, steady_clock::time_point now);
 
     // Replaces a peer's load at an upstream.
     void applyPeerLoad(std::string_view peer, const upstream_load& load, steady_clock::time_point now);
