Work out cells from reachable VMs, whomever a VM suspects

Cause: a VM that had not answered its last ping left the cells of the VM that pinged it, and came back with its answer. In a fleet of hundreds one nearly always is late, each VM suspects others, and so cells were worked out several times a second, and differed between VMs that know the same members.

Change: cells follow from ready, reachable VMs. Callers still are not sent to a suspect: the directory leaves it out unless all are. The digest of the member list is kept until a record changes; the peers of a cell are sorted once.

Test: serving_cells_test, "VMs that suspect different VMs agree on the cells".

--- a/marlsill/cluster/member_list.cc
+++ b/marlsill/cluster/member_list.cc
@@ -80,7 +80,7 @@
     each.isAwaitingPong = false;
     each.isReportedUnreachable = false;
     each.wasReported = false;
-    m_generation += each.isUnreachable || each.missedPings > 0 ? 1 : 0;
+    m_generation += each.isUnreachable ? 1 : 0;
     each.isUnreachable = false;
     each.missedPings = 0;
 }
@@ -89,7 +89,6 @@
 {
     each.isAwaitingPong = false;
     ++each.missedPings;
-    m_generation += each.missedPings == 1 ? 1 : 0;
     if (each.missedPings >= m_options.maxMissedPings && !each.isUnreachable) {
         each.isUnreachable = true;
         each.unreachableSince = now;
@@ -181,13 +180,19 @@
         eligible.push_back(&m_self);
     }
     for (const auto& [host, each] : m_others) {
-        if (each.record.state == member_state::ready && !each.isUnreachable && each.missedPings == 0) {
+        if (each.record.state == member_state::ready && !each.isUnreachable) {
             eligible.push_back(&each.record);
         }
     }
     return eligible;
 }
 
+bool member_list::isSuspect(std::string_view host) const
+{
+    auto found = m_others.find(host);
+    return found != m_others.end() && found->second.missedPings > 0;
+}
+
 std::vector<std::uint32_t> member_list::bucketDigests() const
 {
     std::vector<std::uint32_t> digests(bucketCount);
@@ -218,11 +223,15 @@
 
 std::uint64_t member_list::digest() const
 {
-    auto sum = recordHash(m_self);
+    if (m_digestGeneration == m_generation) {
+        return m_digest;
+    }
+    m_digestGeneration = m_generation;
+    m_digest = recordHash(m_self);
     for (const auto& [host, each] : m_others) {
-        sum += each.isUnreachable ? 0 : recordHash(each.record);
+        m_digest += each.isUnreachable ? 0 : recordHash(each.record);
     }
-    return sum;
+    return m_digest;
 }
 
 }
--- a/marlsill/cluster/member_list.h
+++ b/marlsill/cluster/member_list.h
@@ -106,13 +106,17 @@
 
     std::size_t size() const { return m_others.size() + 1; }
 
-    // Returns a number that grows with each change of the records or of which VMs are eligible to serve.
+    // Returns a number that grows with each change of the records or of which VMs are reachable.
     std::uint64_t generation() const { return m_generation; }
 
-    // Returns the VMs that are eligible to serve: ready, reachable, and without an unanswered ping. The
-    // pointers are valid until the list changes.
+    // Returns the VMs that are eligible to serve: ready and reachable. The pointers are valid until the list
+    // changes.
     std::vector<const member*> eligibleMembers() const;
 
+    // Returns whether a host has not answered its last ping. In a fleet of hundreds there nearly always is
+    // one, mostly a slow VM, and each VM suspects others.
+    bool isSuspect(std::string_view host) const;
+
 private:
     struct entry {
         member record;
@@ -134,6 +138,8 @@
     std::string m_lastPinged;
     std::vector<unreachable_host> m_newlyUnreachable;
     std::uint64_t m_generation = 1;
+    mutable std::uint64_t m_digest = 0; // Of the records as of m_digestGeneration.
+    mutable std::uint64_t m_digestGeneration = 0;
 };
 
 }
--- a/marlsill/cluster/serving_cells.cc
+++ b/marlsill/cluster/serving_cells.cc
@@ -1,6 +1,7 @@
 #include "marlsill/cluster/serving_cells.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 
 namespace marlsill::cluster {
@@ -67,9 +68,14 @@
     for (int cell = 0; cell < plan.cells; ++cell) {
         auto chosen = routing::servingSet(routing::cellName(host, cell), plan.vmsPerCell, m_nodes);
         bool isOwn = false;
+        std::vector<std::string> peers;
         for (auto index : chosen) {
             const auto& vm = m_candidates[index];
-            isOwn = isOwn || vm.host == m_members.self().host;
+            if (vm.host == m_members.self().host) {
+                isOwn = true;
+            } else {
+                peers.push_back(vm.host);
+            }
             if (listed.insert(index).second) {
                 result.vms.push_back({ vm.host, vm.failureDomain, vm.callerAddress });
             }
@@ -77,6 +83,8 @@
         if (isOwn) {
             result.ownCells.push_back(cell);
         }
+        std::sort(peers.begin(), peers.end());
+        result.peers.push_back(std::move(peers));
         result.cells.push_back(std::move(chosen));
     }
     m_refreshCost += steady_clock::now() - startedAt;
@@ -89,6 +97,15 @@
     return cellsOf(host).vms;
 }
 
+std::vector<serving_vm> serving_cells::offeredVms(std::string_view host, steady_clock::time_point now)
+{
+    const auto& all = servingVms(host, now);
+    std::vector<serving_vm> offered;
+    std::copy_if(all.begin(), all.end(), std::back_inserter(offered),
+        [this](const auto& each) { return !m_members.isSuspect(each.host); });
+    return offered.empty() ? all : offered;
+}
+
 service_view serving_cells::makeView(std::string_view service)
 {
     std::set<std::string> all;
@@ -132,15 +149,13 @@
     refresh(now);
     std::vector<std::string> peers;
     for (const auto& host : m_sources.hostsOf(service)) {
-        const auto& cells = cellsOf(host).cells;
-        for (auto index :
-            cells[static_cast<std::size_t>(routing::cellOf(upstream, static_cast<int>(cells.size())))]) {
-            peers.push_back(m_candidates[index].host);
-        }
+        const auto& cells = cellsOf(host).peers;
+        const auto& ofCell
+            = cells[static_cast<std::size_t>(routing::cellOf(upstream, static_cast<int>(cells.size())))];
+        std::vector<std::string> merged;
+        std::set_union(peers.begin(), peers.end(), ofCell.begin(), ofCell.end(), std::back_inserter(merged));
+        peers = std::move(merged);
     }
-    std::sort(peers.begin(), peers.end());
-    peers.erase(std::unique(peers.begin(), peers.end()), peers.end());
-    std::erase(peers, m_members.self().host);
     return peers;
 }
 
--- a/marlsill/cluster/serving_cells.h
+++ b/marlsill/cluster/serving_cells.h
@@ -68,9 +68,14 @@
     // Must be called when the upstreams have changed. The results stay if the number of cells does.
     void noteUpstreamsChanged();
 
-    // Returns the VMs that serve a host, each once. Valid until the next call.
+    // Returns the VMs that serve a host, each once. Valid until the next call. VMs agree on them once they
+    // know the same members, whomever they suspect.
     const std::vector<serving_vm>& servingVms(std::string_view host, steady_clock::time_point now);
 
+    // Returns those of the VMs that serve a host to which callers should be sent now: without those that this
+    // VM suspects, unless it suspects all.
+    std::vector<serving_vm> offeredVms(std::string_view host, steady_clock::time_point now);
+
     // Returns this VM's view of a service. Valid until the next call.
     const service_view& viewOf(std::string_view service, steady_clock::time_point now);
 
@@ -83,6 +88,7 @@
     struct host_cells {
         routing::cell_plan plan;
         std::vector<std::vector<std::size_t>> cells; // Indexes into m_candidates.
+        std::vector<std::vector<std::string>> peers; // Hosts of the other VMs of each cell, sorted.
         std::vector<int> ownCells;
         std::vector<serving_vm> vms;
     };
--- a/marlsill/cluster/serving_cells_test.cc
+++ b/marlsill/cluster/serving_cells_test.cc
@@ -221,6 +221,52 @@
     CHECK(cells.viewOf("s", start).partition->divisions.front().cells == routing::planCells(slots, 5).cells);
 }
 
+TEST_CASE("VMs that suspect different VMs agree on the cells, and send no caller to a suspect")
+{
+    // Guards against cells that are worked out anew, and differently, with each ping that is answered late:
+    // in a fleet of hundreds one nearly always is.
+    struct suspicion_case {
+        const char* name;
+        int vms;
+        int domains;
+        int slots;
+        bool areAllSuspect;
+    };
+    const suspicion_case cases[] = {
+        { "one of a small fleet", 20, 2, 32, false },
+        { "one of a large fleet", 444, 5, 1'044, false },
+        { "all of a small fleet", 20, 2, 32, true },
+    };
+    for (const auto& each : cases) {
+        CAPTURE(std::string(each.name));
+        fleet_view calm(0, each.vms, each.domains, each.slots);
+        fleet_view suspecting(0, each.vms, each.domains, each.slots);
+        auto expected = hostsOf(calm.cells.servingVms(hosts.front(), start));
+        auto self = calm.members.self().host;
+        auto suspect = expected.front() == self ? expected.back() : expected.front();
+        auto partition = suspecting.cells.viewOf("s", start).partition;
+        auto now = start;
+        for (int turn = 0; turn <= each.vms; ++turn) {
+            for (const auto& host : suspecting.members.selectPingTargets(now)) {
+                if (host != suspect && !each.areAllSuspect) {
+                    suspecting.members.noteMessageFrom(host, now);
+                }
+            }
+        }
+        suspecting.members.selectPingTargets(now + milliseconds(250));
+        REQUIRE(suspecting.members.isSuspect(suspect));
+        REQUIRE(suspecting.members.takeUnreachable().empty());
+        now += milliseconds(400);
+        CHECK(hostsOf(suspecting.cells.servingVms(hosts.front(), now)) == expected);
+        CHECK(suspecting.cells.viewOf("s", now).partition == partition);
+        auto offered = hostsOf(suspecting.cells.offeredVms(hosts.front(), now));
+        bool isOffered = std::find(offered.begin(), offered.end(), suspect) != offered.end();
+        bool isSelfServing = std::find(expected.begin(), expected.end(), self) != expected.end();
+        CHECK(isOffered == (each.areAllSuspect && !isSelfServing));
+        CHECK_FALSE(offered.empty());
+    }
+}
+
 TEST_CASE("Many changes of members cause few recalculations, and none is left out")
 {
     fleet_view view(0, 36, 3, 72);
