Apply the upstreams that changed, not the whole list

Cause: each change, up to ten a second, copied all 990 entries out of the relay, compared each with the balancer's, and added up the slots of all of them for the number of cells.

Change: the relay hands on what changed since the last time, the balancer applies that, and keeps the sum of slots of each service. Only services that got other upstreams are divided anew.

--- a/marlsill/cluster/store_relay.cc
+++ b/marlsill/cluster/store_relay.cc
@@ -135,6 +135,7 @@
         startEntry();
         message.removed.push_back(id);
         m_inUse.erase(id);
+        m_changed.insert(id);
     }
     for (const auto& each : delta.changed) {
         startEntry();
@@ -142,6 +143,9 @@
         if (!each.isUnconfirmed) {
             m_inUse.insert(each.id);
         }
+        if (m_inUse.contains(each.id)) {
+            m_changed.insert(each.id);
+        }
     }
     finishMessage();
     m_actions.onUpstreams();
@@ -158,6 +162,19 @@
     return used;
 }
 
+upstream_delta store_relay::takeUpstreamChanges()
+{
+    upstream_delta changes;
+    for (const auto& id : std::exchange(m_changed, {})) {
+        if (m_inUse.contains(id)) {
+            changes.changed.push_back(m_upstreams.entries().at(id));
+        } else {
+            changes.removed.push_back(id);
+        }
+    }
+    return changes;
+}
+
 void store_relay::sendConfiguration(
     std::span<const std::string> hosts, const std::vector<configuration_part>& parts)
 {
--- a/marlsill/cluster/store_relay.h
+++ b/marlsill/cluster/store_relay.h
@@ -58,7 +58,7 @@
     std::function<void(bool isWatching, const std::vector<placement::upstream_entry>& known)> watchStore;
     // Called with each newer configuration, and when the list of upstreams to use has changed.
     std::function<void(const std::string& text, std::uint64_t version)> onConfiguration;
-    std::function<void()> onUpstreams; // See upstreamsInUse().
+    std::function<void()> onUpstreams; // See takeUpstreamChanges().
 };
 
 class store_relay {
@@ -82,6 +82,11 @@
     // Returns the upstreams to use. An unconfirmed one is among them only if it was before.
     std::vector<placement::upstream_entry> upstreamsInUse() const;
 
+    // Returns by what upstreamsInUse() differs from what it was at the last call; from nothing at the first.
+    upstream_delta takeUpstreamChanges();
+
+    std::size_t upstreamsInUseCount() const { return m_inUse.size(); }
+
     // Returns a digest of all upstreams, including those that are not in use.
     std::uint64_t upstreamDigest() const { return m_upstreams.digest(); }
 
@@ -119,6 +124,7 @@
     configuration_assembler m_assembler;
     upstream_list m_upstreams; // Including unconfirmed ones.
     std::set<std::string> m_inUse; // Ids of the entries of `m_upstreams` that this VM uses.
+    std::set<std::string> m_changed; // Ids of those that changed, or ended, since takeUpstreamChanges().
     std::uint64_t m_storeVersion = 0; // Store version that the upstream list is from.
     steady_clock::time_point m_lastContact {}; // When the store last responded to this VM.
     steady_clock::time_point m_lastRelayedContact {}; // When it last responded to another VM, by a beacon.
--- a/marlsill/cluster/store_relay_test.cc
+++ b/marlsill/cluster/store_relay_test.cc
@@ -23,6 +23,7 @@
             bool isPartitioned = false;
             std::uint64_t configuration = 0;
             std::size_t upstreams = 0;
+            std::map<std::string, placement::upstream_entry> followed; // From the changes alone.
         };
 
         steady_clock::time_point now { std::chrono::hours(1) };
@@ -87,8 +88,26 @@
                     },
                 .onConfiguration
                 = [this, self](const auto&, auto version) { nodes[self].configuration = version; },
-                .onUpstreams
-                = [this, self] { nodes[self].upstreams = nodes[self].relay->upstreamsInUse().size(); } };
+                .onUpstreams = [this, self] { applyChanges(nodes[self]); } };
+        }
+
+        // Follows the changes of a relay, which lead to the upstreams that it says are in use.
+        static void applyChanges(node& each)
+        {
+            auto changes = each.relay->takeUpstreamChanges();
+            for (const auto& id : changes.removed) {
+                each.followed.erase(id);
+            }
+            for (const auto& entry : changes.changed) {
+                each.followed[entry.id] = entry;
+            }
+            std::vector<placement::upstream_entry> followed;
+            for (const auto& [id, entry] : each.followed) {
+                followed.push_back(entry);
+            }
+            REQUIRE(followed == each.relay->upstreamsInUse());
+            REQUIRE(followed.size() == each.relay->upstreamsInUseCount());
+            each.upstreams = followed.size();
         }
 
         void deliver()
--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -114,9 +114,10 @@
     return true;
 }
 
-void forwarder::setUpstreams(std::span<const placement::upstream_entry> upstreams)
+void forwarder::changeUpstreams(
+    std::span<const placement::upstream_entry> changed, std::span<const std::string> removed)
 {
-    m_loadBalancer.replaceUpstreams(upstreams, steady_clock::now());
+    m_loadBalancer.changeUpstreams(changed, removed, steady_clock::now());
     m_rateLimiter.forgetUnregistered();
     m_crashMonitor.recordCrashesOfRestarted();
     for (auto& [service, queue] : m_queues) {
--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -148,8 +148,9 @@
     // Applies a configuration to later requests. Returns false and ignores it unless its version is newer.
     bool setConfiguration(std::shared_ptr<const configuration> next);
 
-    // Replaces the registered upstreams.
-    void setUpstreams(std::span<const placement::upstream_entry> upstreams);
+    // Applies changes of the registered upstreams: added or changed ones, and the ids of removed ones.
+    void changeUpstreams(
+        std::span<const placement::upstream_entry> changed, std::span<const std::string> removed);
 
     // Sets what sends this VM's observations to its peers.
     void setEvidenceReporter(evidence_reporter report) { m_reportEvidence = std::move(report); }
--- a/marlsill/placement/load_balancer.cc
+++ b/marlsill/placement/load_balancer.cc
@@ -65,6 +65,7 @@
     steady_clock::time_point lastRefusedAt {};
     steady_clock::time_point lastErrorAfterProcessing {};
     bool hasChangedLoad = false;
+    bool isListed = false; // Among the upstreams of its service, as it is registered and not leaving.
 };
 
 struct load_balancer::service_state {
@@ -78,6 +79,7 @@
     std::vector<upstream_state*> others; // Those of other VMs' parts that are not leaving.
     std::shared_ptr<const upstream_partition> partition; // Null: this VM uses all upstreams.
     int sharingVms = 1;
+    int slots = 0; // Sum over all upstreams of the service.
     double latencyMs = 0;
     std::deque<outcome> outcomes;
     steady_clock::time_point lastRepeatableAt {};
@@ -95,61 +97,87 @@
 
 void load_balancer::replaceUpstreams(std::span<const upstream_entry> upstreams, steady_clock::time_point now)
 {
-    std::set<std::string, std::less<>> changedServices; // With other upstreams than before.
     std::set<std::string_view> listed;
     for (const auto& entry : upstreams) {
         listed.insert(entry.id);
-        auto& current = m_upstreams[entry.id];
-        bool isKnown = current && current->entry.startedUnixMs == entry.startedUnixMs
-            && current->entry.service == entry.service;
-        if (isKnown && current->entry == entry) {
-            continue;
+    }
+    std::vector<std::string> removed;
+    for (const auto& [id, each] : m_upstreams) {
+        if (!listed.contains(id)) {
+            removed.push_back(id);
         }
-        if (!isKnown || current->entry.isLeaving != entry.isLeaving) {
-            changedServices.insert(entry.service);
+    }
+    changeUpstreams(upstreams, removed, now);
+}
+
+void load_balancer::changeUpstreams(std::span<const upstream_entry> changed,
+    std::span<const std::string> removed, steady_clock::time_point now)
+{
+    std::set<service_state*> affected;
+    std::vector<std::unique_ptr<upstream_state>> gone; // Kept until no service names them.
+    auto unlist = [&](std::unique_ptr<upstream_state>& state) {
+        state->isListed = false;
+        affected.insert(&serviceOf(state->entry.service));
+        gone.push_back(std::move(state));
+    };
+    for (const auto& id : removed) {
+        if (auto found = m_upstreams.find(id); found != m_upstreams.end()) {
+            unlist(found->second);
+            m_upstreams.erase(found);
         }
-        if (current) {
-            changedServices.insert(current->entry.service);
+    }
+    for (const auto& entry : changed) {
+        auto& current = m_upstreams[entry.id];
+        if (current && current->entry == entry) {
+            continue;
         }
+        bool isKnown = current && current->entry.startedUnixMs == entry.startedUnixMs
+            && current->entry.service == entry.service;
         if (!isKnown) {
+            if (current) {
+                unlist(current);
+            }
             current = std::make_unique<upstream_state>();
             current->lastUsedAt = now;
         }
+        auto& service = serviceOf(entry.service);
+        bool wasListed = std::exchange(current->isListed, !entry.isLeaving);
+        if (current->isListed && !wasListed) {
+            service.upstreams.push_back(current.get());
+        }
+        if (current->isListed != wasListed || current->entry.slots != entry.slots) {
+            affected.insert(&service);
+        }
         current->entry = entry;
     }
-    for (auto each = m_upstreams.begin(); each != m_upstreams.end();) {
-        bool isRemoved = !listed.contains(each->first);
-        if (isRemoved) {
-            changedServices.insert(each->second->entry.service);
-        }
-        each = isRemoved ? m_upstreams.erase(each) : std::next(each);
+    for (auto* service : affected) {
+        updateService(*service);
     }
-    rebuildServices(changedServices, upstreams);
 }
 
-// Collects the upstreams of services anew, in the order of the list.
-void load_balancer::rebuildServices(
-    const std::set<std::string, std::less<>>& services, std::span<const upstream_entry> upstreams)
+// Returns the state of a service, which need not have been known.
+load_balancer::service_state& load_balancer::serviceOf(const std::string& name)
 {
-    if (services.empty()) {
-        return;
-    }
-    for (const auto& name : services) {
-        auto& service = m_services[name];
-        if (!service) {
-            service = std::make_unique<service_state>();
-        }
-        service->upstreams.clear();
-        service->others.clear();
+    auto& service = m_services[name];
+    if (!service) {
+        service = std::make_unique<service_state>();
     }
-    for (const auto& entry : upstreams) {
-        if (!entry.isLeaving && services.contains(entry.service)) {
-            m_services[entry.service]->upstreams.push_back(findState(entry.id));
+    return *service;
+}
+
+// Leaves out upstreams that are not listed any more, and divides the others anew.
+void load_balancer::updateService(service_state& service)
+{
+    auto isUnlisted = [](const upstream_state* each) { return !each->isListed; };
+    std::erase_if(service.upstreams, isUnlisted);
+    std::erase_if(service.others, isUnlisted);
+    divideUpstreams(service);
+    service.slots = 0;
+    for (const auto* part : { &service.upstreams, &service.others }) {
+        for (const auto* each : *part) {
+            service.slots += each->entry.slots;
         }
     }
-    for (const auto& name : services) {
-        divideUpstreams(*m_services[name]);
-    }
 }
 
 void load_balancer::setServiceShare(
@@ -719,16 +747,8 @@
 
 int load_balancer::slotsOf(std::string_view service) const
 {
-    int slots = 0;
-    if (auto found = m_services.find(service); found != m_services.end()) {
-        for (const auto* each : found->second->upstreams) {
-            slots += each->entry.slots;
-        }
-        for (const auto* each : found->second->others) {
-            slots += each->entry.slots;
-        }
-    }
-    return slots;
+    auto found = m_services.find(service);
+    return found == m_services.end() ? 0 : found->second->slots;
 }
 
 service_stats load_balancer::statsOf(
--- a/marlsill/placement/load_balancer.h
+++ b/marlsill/placement/load_balancer.h
@@ -163,9 +163,14 @@
     load_balancer(load_balancer&& other) noexcept;
 
     // Replaces the registered upstreams. Keeps the state of those whose service and start time are unchanged.
-    // The cost grows with the number of upstreams, mildly for unchanged ones.
     void replaceUpstreams(std::span<const upstream_entry> upstreams, steady_clock::time_point now);
 
+    // Likewise, by what differs from before: upstreams that were added or changed, and the ids of those that
+    // were removed. Those that are as before, or unknown, are ignored. The cost grows with the changes and
+    // with the upstreams of services that got other ones.
+    void changeUpstreams(std::span<const upstream_entry> changed, std::span<const std::string> removed,
+        steady_clock::time_point now);
+
     // Selects an upstream. The caller must call startAttempt() and finishAttempt() for it.
     choice choose(const choice_request& request, steady_clock::time_point now);
 
@@ -229,8 +234,8 @@
     std::chrono::milliseconds probeDelay(const upstream_state& each) const;
     int inFlightAt(const upstream_state& each, steady_clock::time_point now) const;
     upstream_state* chooseOutsidePart(const service_state& service, const choice_request& request);
-    void rebuildServices(
-        const std::set<std::string, std::less<>>& services, std::span<const upstream_entry> upstreams);
+    service_state& serviceOf(const std::string& name);
+    void updateService(service_state& service);
     void divideUpstreams(service_state& service);
     upstream_state* longestUnused(
         service_state& service, const choice_request& request, steady_clock::time_point now) const;
--- a/testing/gateway_test.cc
+++ b/testing/gateway_test.cc
@@ -62,7 +62,7 @@
             m_gateway = std::make_unique<gateway::gateway>(m_io, options, gateway::wire_fields());
             REQUIRE(m_gateway->start().empty());
             m_gateway->requestForwarder().setConfiguration(config);
-            m_gateway->requestForwarder().setUpstreams(entries());
+            m_gateway->requestForwarder().changeUpstreams(entries(), {});
             m_gateway->setUpstreamsKnown();
             // A VM may use its share of the retry slack one window after it has begun to serve.
             m_gateway->requestForwarder().sweep();
@@ -281,10 +281,11 @@
 {
     gateway_fixture tested(2);
     tested.runOnEventLoop([&](gateway::gateway& gateway) {
-        gateway.requestForwarder().setUpstreams(std::vector { tested.entries()[0] });
+        gateway.requestForwarder().changeUpstreams({}, std::vector { tested.entries()[1].id });
         gateway.requestForwarder().setServiceShareProvider([&](const std::string&) {
-            tested.post(
-                [&](auto& later) { later.requestForwarder().setUpstreams(tested.entriesWithLeaving(0)); });
+            tested.post([&](auto& later) {
+                later.requestForwarder().changeUpstreams(tested.entriesWithLeaving(0), {});
+            });
             return gateway::service_share();
         });
     });
