Decode peers' datagrams without a tree of objects

Cause: a tree of maps, arrays and strings was built for each datagram, with an allocation for nearly every value, and taken apart again.

Change: cbor_document keeps the values of a datagram in one array and reads them in their order; the format is the same, and the parser is the library's. It is stricter: an integer that does not fit its field, and nesting deeper than 8, are refused. The old decoder followed 65,000 arrays in each other; with a stack of 1 MB that ended the process.

Tests: cbor_document_test (the type does not exist before; the nested datagram ends the old decoder under ulimit -s 1024), and those of peer_message as they are.

--- a/marlsill/cluster/peer_message.cc
+++ b/marlsill/cluster/peer_message.cc
@@ -1,5 +1,7 @@
 #include "marlsill/cluster/peer_message.h"
 
+#include "marlsill/cluster/cbor_document.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -46,12 +48,16 @@
             json::binary({ part.bytes.begin(), part.bytes.end() }) });
     }
 
-    configuration_part decodeConfiguration(const json& item)
+    configuration_part decodeConfiguration(cbor_items item)
     {
-        const auto& bytes = item.at(5).get_binary();
-        return { item.at(0).get<std::uint64_t>(), item.at(1).get<std::uint64_t>(),
-            item.at(2).get<std::uint64_t>(), item.at(3).get<int>(), item.at(4).get<int>(),
-            { bytes.begin(), bytes.end() } };
+        configuration_part part { .version = item.integer<std::uint64_t>(),
+            .textDigest = item.integer<std::uint64_t>(),
+            .baseDigest = item.integer<std::uint64_t>(),
+            .part = item.integer<int>(),
+            .parts = item.integer<int>() };
+        auto bytes = item.bytes();
+        part.bytes.assign(bytes.begin(), bytes.end());
+        return part;
     }
 
     json encodeUpstream(const placement::upstream_entry& entry)
@@ -62,20 +68,20 @@
             entry.version, entry.isUnconfirmed });
     }
 
-    placement::upstream_entry decodeUpstream(const json& item)
+    placement::upstream_entry decodeUpstream(cbor_items item)
     {
-        placement::upstream_entry entry { .id = item.at(0).get<std::string>(),
-            .service = item.at(1).get<std::string>(),
-            .address = item.at(2).get<std::string>(),
-            .failureDomain = item.at(3).get<std::string>(),
-            .slots = item.at(4).get<int>(),
-            .isLeaving = item.at(5).get<bool>() };
-        if (auto warmupMs = item.at(6).get<std::int64_t>(); warmupMs > 0) {
+        placement::upstream_entry entry { .id = item.text(),
+            .service = item.text(),
+            .address = item.text(),
+            .failureDomain = item.text(),
+            .slots = item.integer<int>(),
+            .isLeaving = item.boolean() };
+        if (auto warmupMs = item.integer<std::int64_t>(); warmupMs > 0) {
             entry.warmUpUntil = deadlineAfter(std::chrono::milliseconds(warmupMs));
         }
-        entry.startedUnixMs = item.at(7).get<std::int64_t>();
-        entry.version = item.at(8).get<std::uint64_t>();
-        entry.isUnconfirmed = item.at(9).get<bool>();
+        entry.startedUnixMs = item.integer<std::int64_t>();
+        entry.version = item.integer<std::uint64_t>();
+        entry.isUnconfirmed = item.boolean();
         return entry;
     }
 
@@ -86,19 +92,19 @@
     }
 
     // Decodes a crash record. Earlier versions send a total that names no upstream.
-    placement::crash_record decodeCrash(const json& item)
+    placement::crash_record decodeCrash(cbor_items item)
     {
         constexpr auto retention = placement::crash_quarantine_options().retention;
+        placement::crash_record record { .fingerprint = item.integer<std::uint64_t>() };
+        record.crashes = item.integer<int>();
         auto left = std::int64_t { retention.count() };
-        std::string upstream;
-        int cleared = 0;
-        if (item.size() > 2) {
-            upstream = item.at(2).get<std::string>();
-            cleared = item.at(3).get<int>();
-            left = std::clamp<std::int64_t>(item.at(4).get<std::int64_t>(), 0, left);
+        if (item.hasNext()) {
+            record.upstream = item.text();
+            record.cleared = item.integer<int>();
+            left = std::clamp<std::int64_t>(item.integer<std::int64_t>(), 0, left);
         }
-        return { item.at(0).get<std::uint64_t>(), std::move(upstream), item.at(1).get<int>(), cleared,
-            deadlineAfter(std::chrono::milliseconds(left)) };
+        record.expiresAt = deadlineAfter(std::chrono::milliseconds(left));
+        return record;
     }
 
     // A limit that has ended is sent as null.
@@ -110,12 +116,15 @@
             notice.requestsPerSecond ? json(*notice.requestsPerSecond) : json(), age.count() });
     }
 
-    placement::rate_limit_notice decodeLimit(const json& item)
+    placement::rate_limit_notice decodeLimit(cbor_items item)
     {
-        auto age = std::chrono::milliseconds(std::max<std::int64_t>(0, item.at(2).get<std::int64_t>()));
-        return { item.at(0).get<std::string>(),
-            item.at(1).is_null() ? std::nullopt : std::optional(item.at(1).get<double>()),
-            steady_clock::now() - age };
+        placement::rate_limit_notice notice { .upstream = item.text() };
+        if (!item.skipNull()) {
+            notice.requestsPerSecond = item.number();
+        }
+        auto age = std::chrono::milliseconds(std::max<std::int64_t>(0, item.integer<std::int64_t>()));
+        notice.observedAt = steady_clock::now() - age;
+        return notice;
     }
 
     std::vector<std::uint8_t> toBytes(std::span<const std::uint32_t> digests)
@@ -153,16 +162,6 @@
         value[name] = std::move(list);
     }
 
-    // Calls `decodeItem` for each element of the list `name`, if it is present.
-    template <typename Decode> void forEachItem(const json& value, const char* name, Decode decodeItem)
-    {
-        if (auto found = value.find(name); found != value.end()) {
-            for (const auto& item : *found) {
-                decodeItem(item);
-            }
-        }
-    }
-
 }
 
 std::vector<std::uint8_t> encode(const peer_message& message)
@@ -240,85 +239,93 @@
 
 std::optional<peer_message> decodePeerMessage(std::span<const std::uint8_t> bytes, reason& why)
 {
-    try {
-        auto value = json::from_cbor(bytes.begin(), bytes.end());
-        if (value.at(versionField) != protocolVersion) {
-            return fail(why, reason_code::invalid, "unsupported peer protocol version");
-        }
-        peer_message message;
-        message.sender = value.at(senderField).get<std::string>();
-        message.ping = value.value(pingField, std::uint64_t { 0 });
-        message.pong = value.value(pongField, std::uint64_t { 0 });
-        message.digest = value.value(digestField, std::uint64_t { 0 });
-        message.wantsMembers = value.value(wantsMembersField, false);
-        if (auto found = value.find(memberDigestsField); found != value.end()) {
-            message.memberDigests = toDigests(found->get_binary());
-        }
-        forEachItem(value, wantedBucketsField,
-            [&](const json& item) { message.wantedBuckets.push_back(item.get<std::size_t>()); });
-        forEachItem(value, membersField, [&](const json& item) {
-            int state = item.at(5).get<int>();
-            if (state < 0 || state > static_cast<int>(member_state::leaving)) {
-                throw json::other_error::create(599, "unknown member state", &item);
-            }
-            message.members.push_back(
-                { item.at(0).get<std::string>(), item.at(1).get<std::string>(), item.at(2).get<std::string>(),
-                    item.at(3).get<std::uint64_t>(), item.at(4).get<std::uint64_t>(),
-                    static_cast<member_state>(state), item.at(6).get<double>() });
-        });
-        forEachItem(value, unreachableField,
-            [&](const json& item) { message.unreachableHosts.push_back(item.get<std::string>()); });
-        forEachItem(value, evidenceField, [&](const json& item) {
-            int kind = item.at(1).get<int>();
-            if (kind >= 0 && kind <= static_cast<int>(placement::lastEvidenceKind)) {
-                message.evidence.push_back(
-                    { item.at(0).get<std::string>(), static_cast<placement::evidence_kind>(kind) });
-            }
-        });
-        forEachItem(value, loadsField, [&](const json& item) {
-            message.loads.push_back(
-                { item.at(0).get<std::string>(), item.at(1).get<int>(), item.at(2).get<int>() });
-        });
-        message.crashDigest = value.value(crashDigestField, std::uint64_t { 0 });
-        forEachItem(
-            value, crashesField, [&](const json& item) { message.crashes.push_back(decodeCrash(item)); });
-        message.crashRequest = value.value(crashRequestField, std::uint64_t { 0 });
-        if (auto found = value.find(crashAnswerField); found != value.end()) {
-            message.crashAnswer = found->at(0).get<std::uint64_t>();
-            message.crashPart = found->at(1).get<int>();
-            message.crashParts = found->at(2).get<int>();
-        }
-        forEachItem(
-            value, limitsField, [&](const json& item) { message.limits.push_back(decodeLimit(item)); });
-        forEachItem(value, permitRequestsField, [&](const json& item) {
-            message.permitRequests.push_back(
-                { item.at(0).get<std::string>(), std::chrono::milliseconds(item.at(1).get<std::int64_t>()) });
-        });
-        forEachItem(value, permitsField, [&](const json& item) {
-            message.permits.push_back({ item.at(0).get<std::string>(),
-                { item.at(1).get<bool>(), std::chrono::milliseconds(item.at(2).get<std::int64_t>()) } });
-        });
-        if (auto found = value.find(summaryField); found != value.end()) {
-            message.summary
-                = store_summary { found->at(0).get<std::uint64_t>(), found->at(1).get<std::uint64_t>(),
-                      found->at(2).get<std::uint64_t>(), found->at(3).get<std::uint64_t>() };
-        }
-        message.isBeacon = value.value(beaconField, false);
-        message.wantsConfiguration = value.value(wantsConfigurationField, false);
-        message.wantsUpstreams = value.value(wantsUpstreamsField, false);
-        if (auto found = value.find(configurationField); found != value.end()) {
-            message.configuration = decodeConfiguration(*found);
+    auto document = cbor_document::parse(bytes, why);
+    if (!document) {
+        return std::nullopt;
+    }
+    auto fields = document->fields();
+    if (fields.integer<int>(versionField) != protocolVersion) {
+        return fail(why, reason_code::invalid, "unsupported peer protocol version");
+    }
+    if (!fields.contains(senderField)) {
+        return fail(why, reason_code::invalid, "no sender");
+    }
+    bool hasUnknownState = false;
+    peer_message message;
+    message.sender = fields.text(senderField);
+    message.ping = fields.integer<std::uint64_t>(pingField);
+    message.pong = fields.integer<std::uint64_t>(pongField);
+    message.digest = fields.integer<std::uint64_t>(digestField);
+    message.wantsMembers = fields.boolean(wantsMembersField);
+    message.memberDigests = toDigests(fields.bytes(memberDigestsField));
+    fields.forEachValue(wantedBucketsField,
+        [&](auto item) { message.wantedBuckets.push_back(item.template integer<std::size_t>()); });
+    fields.forEachItem(membersField, [&](auto item) {
+        member record { .host = item.text(),
+            .failureDomain = item.text(),
+            .callerAddress = item.text(),
+            .incarnation = item.template integer<std::uint64_t>(),
+            .version = item.template integer<std::uint64_t>() };
+        auto state = item.template integer<unsigned>();
+        hasUnknownState = hasUnknownState || state > static_cast<unsigned>(member_state::leaving);
+        record.state = static_cast<member_state>(state);
+        record.capacity = item.number();
+        message.members.push_back(std::move(record));
+    });
+    fields.forEachValue(
+        unreachableField, [&](auto item) { message.unreachableHosts.push_back(item.text()); });
+    fields.forEachItem(evidenceField, [&](auto item) {
+        auto upstream = item.text();
+        auto kind = item.template integer<int>();
+        if (kind >= 0 && kind <= static_cast<int>(placement::lastEvidenceKind)) {
+            message.evidence.push_back({ std::move(upstream), static_cast<placement::evidence_kind>(kind) });
         }
-        forEachItem(value, upstreamsField,
-            [&](const json& item) { message.upstreams.push_back(decodeUpstream(item)); });
-        forEachItem(value, removedField,
-            [&](const json& item) { message.removed.push_back(item.get<std::string>()); });
-        message.isDelta = value.contains(baseDigestField);
-        message.baseDigest = value.value(baseDigestField, std::uint64_t { 0 });
-        return message;
-    } catch (const json::exception& error) {
-        return fail(why, reason_code::invalid, error.what());
+    });
+    fields.forEachItem(loadsField, [&](auto item) {
+        message.loads.push_back({ .upstream = item.text(),
+            .inFlight = item.template integer<int>(),
+            .latencyMs = item.template integer<int>() });
+    });
+    message.crashDigest = fields.integer<std::uint64_t>(crashDigestField);
+    fields.forEachItem(crashesField, [&](auto item) { message.crashes.push_back(decodeCrash(item)); });
+    message.crashRequest = fields.integer<std::uint64_t>(crashRequestField);
+    if (auto answer = fields.items(crashAnswerField)) {
+        message.crashAnswer = answer->integer<std::uint64_t>();
+        message.crashPart = answer->integer<int>();
+        message.crashParts = answer->integer<int>();
+    }
+    fields.forEachItem(limitsField, [&](auto item) { message.limits.push_back(decodeLimit(item)); });
+    fields.forEachItem(permitRequestsField, [&](auto item) {
+        message.permitRequests.push_back({ .upstream = item.text(),
+            .maxDelay = std::chrono::milliseconds(item.template integer<std::int64_t>()) });
+    });
+    fields.forEachItem(permitsField, [&](auto item) {
+        issued_permit permit { .upstream = item.text() };
+        permit.answer.isGranted = item.boolean();
+        permit.answer.delay = std::chrono::milliseconds(item.template integer<std::int64_t>());
+        message.permits.push_back(std::move(permit));
+    });
+    if (auto summary = fields.items(summaryField)) {
+        message.summary = store_summary { .configurationVersion = summary->integer<std::uint64_t>(),
+            .storeVersion = summary->integer<std::uint64_t>(),
+            .upstreamDigest = summary->integer<std::uint64_t>(),
+            .contactAgeMs = summary->integer<std::uint64_t>() };
+    }
+    message.isBeacon = fields.boolean(beaconField);
+    message.wantsConfiguration = fields.boolean(wantsConfigurationField);
+    message.wantsUpstreams = fields.boolean(wantsUpstreamsField);
+    if (auto part = fields.items(configurationField)) {
+        message.configuration = decodeConfiguration(*part);
+    }
+    fields.forEachItem(upstreamsField, [&](auto item) { message.upstreams.push_back(decodeUpstream(item)); });
+    fields.forEachValue(removedField, [&](auto item) { message.removed.push_back(item.text()); });
+    message.isDelta = fields.contains(baseDigestField);
+    message.baseDigest = fields.integer<std::uint64_t>(baseDigestField);
+    if (document->isMismatched() || hasUnknownState) {
+        return fail(why, reason_code::invalid,
+            hasUnknownState ? "unknown member state" : "a field of another type than expected");
     }
+    return message;
 }
 
 }
