Tell a VM of the upstreams that it uses, not of all its neighbour uses

Cause: whoever sent evidence or loads about one upstream was subscribed for ten seconds to all evidence of the receiver. A VM belongs to cells of several services and has some sixty neighbours in them; each got what the VM saw at upstreams of all its cells, while it shares one cell with it.

Change: a subscription is for a group of upstreams: those that the same VMs send requests to.

Test: peer_mesh_test, "A VM that uses upstreams of others is told of those alone". With one group for all (as before) the outsider of the first row hears of b1 too, likewise in the third.

--- a/marlsill/cluster/peer_mesh.h
+++ b/marlsill/cluster/peer_mesh.h
@@ -41,7 +41,8 @@
     // Between the first contacts with seeds, so that VMs that start together find each other.
     std::chrono::milliseconds joinInterval { 500 };
     int joinAttempts = 3; // Contacts with seeds at `joinInterval`, before `seedInterval` applies.
-    // A peer that sends evidence or loads receives evidence this long after its last message with them.
+    // A peer that sends evidence or loads about upstreams receives evidence about those of the same group
+    // this long after its last message with them.
     std::chrono::milliseconds subscriptionLifetime { 10'000 };
 };
 
@@ -72,6 +73,8 @@
     std::function<void(const peer_message&)> storeUpdate;
     // Returns the hosts of the VMs that serve the same service as the upstream.
     std::function<std::vector<std::string>(const std::string& upstream)> servicePeers;
+    // Returns a number of the group that an upstream belongs to: the upstreams with the same servicePeers().
+    std::function<std::uint64_t(const std::string& upstream)> groupOf;
 };
 
 // Counters for the metrics page.
@@ -94,7 +97,7 @@
     void setState(member_state state);
 
     // Sends evidence about an upstream, with the next batch, to the VMs that serve the same service and to
-    // subscribers.
+    // subscribers of its group.
     void publish(const placement::upstream_evidence& evidence);
 
     // Sends the record of a request that crashed an upstream to all reachable VMs, with the next batch.
@@ -132,7 +135,8 @@
     void exchangeMembers(const std::string& host, std::span<const std::uint32_t> digests);
     void sendCrashes(const std::string& host);
     void sendAllCrashes(const std::string& host, std::uint64_t request);
-    std::vector<std::string> interestedHosts(const std::string& upstream) const;
+    std::vector<std::string> interestedHosts(const std::string& upstream);
+    void noteSubscriber(const peer_message& message, steady_clock::time_point now);
     void answerPermitRequests(const peer_message& message);
     void noteCrashPart(const peer_message& message);
     void scheduleBatch();
@@ -150,7 +154,8 @@
     std::map<std::pair<std::string, std::uint64_t>, std::set<int>> m_crashParts;
     std::uint64_t m_lastCrashRequest = 0;
     std::uint64_t m_answeredCrashRequests = 0; // Requests up to this one need no answer any more.
-    std::map<std::string, deadline, std::less<>> m_subscribers; // By host; when the subscription ends.
+    // By group and host; when the subscription ends.
+    std::map<std::uint64_t, std::map<std::string, deadline, std::less<>>> m_subscribers;
     deadline m_nextSeedContact {};
     std::size_t m_nextSeed = 0;
     int m_seedContacts = 0;
--- a/marlsill/cluster/peer_mesh_test.cc
+++ b/marlsill/cluster/peer_mesh_test.cc
@@ -26,7 +26,7 @@
     public:
         mesh_vm(asio::io_context& io, const std::string& host, const std::string& seed, unsigned short port)
             : m_mesh(io, { .port = port, .seeds = { seed } }, { .host = host }, {},
-                { .evidence = [](const auto&) {},
+                { .evidence = [this](const auto& each) { heard.push_back(each.upstream); },
                     .load = [](auto, const auto&) {},
                     .crash = [this](const auto& each) { quarantine.merge(each, steady_clock::now()); },
                     .crashDigest = [this] { return quarantine.digest(steady_clock::now()); },
@@ -44,18 +44,29 @@
                     .permit = [](const auto&) {},
                     .changedLoads = [] { return std::vector<placement::upstream_load>(); },
                     .storeUpdate = [](const auto&) {},
-                    .servicePeers = [](const auto&) { return std::vector<std::string>(); } })
+                    .servicePeers = [this](const auto&) { return sharing; },
+                    // Upstreams whose ids begin alike are of one group.
+                    .groupOf =
+                        [](const auto& upstream) {
+                            return std::uint64_t { static_cast<unsigned char>(upstream.front()) };
+                        } })
         {
             REQUIRE(m_mesh.start().empty());
         }
 
         bool requestCrashes() { return m_mesh.requestCrashes(); }
+        void publishEvidence(const std::string& upstream)
+        {
+            m_mesh.publish(placement::upstream_evidence { upstream });
+        }
         void publishLimit(const placement::rate_limit_notice& limit) { m_mesh.publish(limit); }
 
         placement::crash_quarantine quarantine;
         bool isUpToDate = true;
         int completeAnswers = 0;
         int limitNotices = 0;
+        std::vector<std::string> sharing; // Hosts of the VMs that share its upstreams.
+        std::vector<std::string> heard; // Upstreams that peers sent evidence about.
 
     private:
         peer_mesh m_mesh;
@@ -118,6 +129,43 @@
     CHECK(outsider.limitNotices == 1);
 }
 
+TEST_CASE("A VM that uses upstreams of others is told of those alone")
+{
+    // Guards against telling each VM of a large fleet all that its many neighbours see at upstreams it does
+    // not use.
+    struct row {
+        const char* name;
+        std::vector<std::string> used; // By the outsider, which tells the member about them.
+        std::vector<std::string> seen; // By the member.
+        std::vector<std::string> heard; // By the outsider.
+    };
+    const row rows[] = {
+        { "it uses one", { "a1" }, { "a1", "b1" }, { "a1" } },
+        { "another of the same group", { "a1" }, { "a2" }, { "a2" } },
+        { "several groups", { "a1", "c1" }, { "a2", "b1", "c2" }, { "a2", "c2" } },
+        { "it uses none", {}, { "a1" }, {} },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        asio::io_context io;
+        auto port = freePort();
+        mesh_vm member(io, firstHost, secondHost, port);
+        mesh_vm outsider(io, secondHost, firstHost, port);
+        outsider.sharing = { firstHost };
+        io.run_for(milliseconds(100));
+        for (const auto& upstream : each.used) {
+            outsider.publishEvidence(upstream);
+        }
+        io.run_for(milliseconds(100));
+        CHECK(member.heard == each.used);
+        for (const auto& upstream : each.seen) {
+            member.publishEvidence(upstream);
+        }
+        io.run_for(milliseconds(100));
+        CHECK(outsider.heard == each.heard);
+    }
+}
+
 TEST_CASE("A VM that was away gets all crash records of a peer that is up to date, and is told so")
 {
     struct row {
