--- a/marlsill/cluster/member_list.cc
+++ b/marlsill/cluster/member_list.cc
@@ -99,23 +99,33 @@
 
 std::vector<std::string> member_list::selectPingTargets(steady_clock::time_point now)
 {
-    m_generation += std::erase_if(m_others, [&](const auto& each) {
-        return each.second.isUnreachable && each.second.unreachableSince + m_options.removalDelay < now;
-    });
     std::vector<std::string> due;
     std::size_t unreachablePings = 0;
-    for (auto& [host, each] : m_others) {
+    for (auto watched = m_watched.begin(); watched != m_watched.end();) {
+        auto found = m_others.find(*watched);
+        bool isRemoved
+            = found->second.isUnreachable && found->second.unreachableSince + m_options.removalDelay < now;
+        if (isRemoved) {
+            m_others.erase(found);
+            ++m_generation;
+            watched = m_watched.erase(watched);
+            continue;
+        }
+        auto& each = found->second;
         if (each.isAwaitingPong && each.pingedAt + m_options.pingTimeout <= now) {
             recordMissedPing(each, now);
         }
         bool isSuspect = each.missedPings > 0 && !each.isUnreachable;
         bool isRetried = each.isUnreachable && each.pingedAt + m_options.unreachablePingInterval <= now
             && unreachablePings < m_options.maxUnreachablePings;
-        if (!each.isAwaitingPong
-            && (isSuspect || std::exchange(each.isReportedUnreachable, false) || isRetried)) {
-            due.push_back(host);
+        bool isDue = !each.isAwaitingPong
+            && (isSuspect || std::exchange(each.isReportedUnreachable, false) || isRetried);
+        if (isDue) {
+            due.push_back(*watched);
             unreachablePings += isRetried ? 1 : 0;
         }
+        bool isOfInterest = isDue || each.isAwaitingPong || each.isReportedUnreachable || each.isUnreachable;
+        watched = isOfInterest ? std::next(watched) : m_watched.erase(watched);
     }
     auto next = m_others.upper_bound(m_lastPinged);
     if (next == m_others.end()) {
@@ -132,6 +142,7 @@
         auto& each = m_others.find(host)->second;
         each.isAwaitingPong = true;
         each.pingedAt = now;
+        m_watched.insert(host);
     }
     return due;
 }
@@ -148,6 +159,7 @@
     if (found != m_others.end() && !wasHeardRecently && !found->second.isUnreachable) {
         found->second.isReportedUnreachable = true;
         found->second.wasReported = true;
+        m_watched.insert(host);
     }
 }
 
--- a/marlsill/cluster/member_list.h
+++ b/marlsill/cluster/member_list.h
@@ -17,6 +17,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -135,6 +136,8 @@
     member m_self;
     const member_list_options m_options;
     std::map<std::string, entry, std::less<>> m_others;
+    std::set<std::string>
+        m_watched; // Hosts in m_others with a ping under way, reported, suspect or unreachable.
     std::string m_lastPinged;
     std::vector<unreachable_host> m_newlyUnreachable;
     std::uint64_t m_generation = 1;
