Subscribe only who asks to be told of upstreams that are not its own, and encode a batch once

Change: a VM that uses an upstream of a part that is not its own says so (field h); only that subscribes it. A batch is encoded again only if it differs from the one before.

--- a/marlsill/cluster/peer_mesh.cc
+++ b/marlsill/cluster/peer_mesh.cc
@@ -382,8 +382,11 @@
 void peer_mesh::sendLoads()
 {
     for (const auto& load : m_handler.changedLoads()) {
+        bool wantsEvidence = !m_handler.isServicePeer(load.upstream);
         for (const auto& host : m_handler.servicePeers(load.upstream)) {
-            m_outbox[host].loads.push_back(load);
+            auto& message = m_outbox[host];
+            message.loads.push_back(load);
+            message.wantsEvidence = message.wantsEvidence || wantsEvidence;
         }
     }
     sendBatch();
@@ -411,6 +414,9 @@
 // upstreams with some dozens of others in a large fleet, but few with each.
 void peer_mesh::noteSubscriber(const peer_message& message, steady_clock::time_point now)
 {
+    if (!message.wantsEvidence) {
+        return;
+    }
     auto until = now + m_options.subscriptionLifetime;
     for (const auto& each : message.evidence) {
         m_subscribers[m_handler.groupOf(each.upstream)][message.sender] = until;
@@ -422,8 +428,11 @@
 
 void peer_mesh::publish(const placement::upstream_evidence& evidence)
 {
+    bool wantsEvidence = !m_handler.isServicePeer(evidence.upstream);
     for (const auto& host : interestedHosts(evidence.upstream)) {
-        m_outbox[host].evidence.push_back(evidence);
+        auto& message = m_outbox[host];
+        message.evidence.push_back(evidence);
+        message.wantsEvidence = message.wantsEvidence || wantsEvidence;
     }
     scheduleBatch();
 }
@@ -457,11 +466,23 @@
     });
 }
 
+// Sends what is due to each host. As most hosts are told the same, that is encoded once.
 void peer_mesh::sendBatch()
 {
     m_isBatchPending = false;
-    for (auto& [host, message] : std::exchange(m_outbox, {})) {
-        send(host, std::move(message));
+    const peer_message* previous = nullptr;
+    std::vector<std::uint8_t> bytes;
+    auto batch = std::exchange(m_outbox, {});
+    for (auto& [host, message] : batch) {
+        bool isSame = previous && previous->evidence == message.evidence && previous->loads == message.loads
+            && previous->wantsEvidence == message.wantsEvidence && previous->crashes.empty()
+            && message.crashes.empty() && previous->limits.empty() && message.limits.empty();
+        if (!isSame) {
+            message.sender = m_members.self().host;
+            bytes = encode(message);
+        }
+        sendDatagram(host, bytes);
+        previous = &message;
     }
 }
 
--- a/marlsill/cluster/peer_mesh.h
+++ b/marlsill/cluster/peer_mesh.h
@@ -41,8 +41,8 @@
     // Between the first contacts with seeds, so that VMs that start together find each other.
     std::chrono::milliseconds joinInterval { 500 };
     int joinAttempts = 3; // Contacts with seeds at `joinInterval`, before `seedInterval` applies.
-    // A peer that sends evidence or loads about upstreams receives evidence about those of the same group
-    // this long after its last message with them.
+    // A peer that uses upstreams of a group that is not its own receives evidence about that group this long
+    // after its last evidence or load.
     std::chrono::milliseconds subscriptionLifetime { 10'000 };
 };
 
@@ -75,6 +75,8 @@
     std::function<std::vector<std::string>(const std::string& upstream)> servicePeers;
     // Returns a number of the group that an upstream belongs to: the upstreams with the same servicePeers().
     std::function<std::uint64_t(const std::string& upstream)> groupOf;
+    // Returns whether this VM is among the servicePeers() that others see.
+    std::function<bool(const std::string& upstream)> isServicePeer;
 };
 
 // Counters for the metrics page.
--- a/marlsill/cluster/peer_mesh_test.cc
+++ b/marlsill/cluster/peer_mesh_test.cc
@@ -49,7 +49,8 @@
                     .groupOf =
                         [](const auto& upstream) {
                             return std::uint64_t { static_cast<unsigned char>(upstream.front()) };
-                        } })
+                        },
+                    .isServicePeer = [this](const auto&) { return sharing.empty(); } })
         {
             REQUIRE(m_mesh.start().empty());
         }
--- a/marlsill/cluster/peer_message.cc
+++ b/marlsill/cluster/peer_message.cc
@@ -26,6 +26,7 @@
     constexpr const char* unreachableField = "l";
     constexpr const char* evidenceField = "e";
     constexpr const char* loadsField = "u";
+    constexpr const char* wantsEvidenceField = "h";
     constexpr const char* crashesField = "c";
     constexpr const char* crashDigestField = "i";
     constexpr const char* crashRequestField = "f";
@@ -195,6 +196,9 @@
     putList(value, loadsField, message.loads, [](const placement::upstream_load& entry) {
         return json::array({ entry.upstream, entry.inFlight, entry.latencyMs });
     });
+    if (message.wantsEvidence) {
+        value[wantsEvidenceField] = true;
+    }
     if (message.crashDigest) {
         value[crashDigestField] = message.crashDigest;
     }
@@ -286,6 +290,7 @@
             .inFlight = item.template integer<int>(),
             .latencyMs = item.template integer<int>() });
     });
+    message.wantsEvidence = fields.boolean(wantsEvidenceField);
     message.crashDigest = fields.integer<std::uint64_t>(crashDigestField);
     fields.forEachItem(crashesField, [&](auto item) { message.crashes.push_back(decodeCrash(item)); });
     message.crashRequest = fields.integer<std::uint64_t>(crashRequestField);
--- a/marlsill/cluster/peer_message.h
+++ b/marlsill/cluster/peer_message.h
@@ -54,6 +54,8 @@
     std::vector<std::string> unreachableHosts; // Hosts that the sender cannot reach.
     std::vector<placement::upstream_evidence> evidence;
     std::vector<placement::upstream_load> loads;
+    // Whether the sender uses the upstreams of `evidence` and `loads` without being told of them by right.
+    bool wantsEvidence = false;
     std::uint64_t crashDigest = 0; // Of the sender's crash records, in pings and pongs.
     std::vector<placement::crash_record> crashes;
     std::uint64_t crashRequest = 0; // Non-zero: requests all of the receiver's crash records.
--- a/marlsill/cluster/peer_message_test.cc
+++ b/marlsill/cluster/peer_message_test.cc
@@ -22,6 +22,7 @@
         message.unreachableHosts = { "10.0.0.3" };
         message.evidence = { { "u1", placement::lastEvidenceKind } };
         message.loads = { { "u1", 2, 340 } };
+        message.wantsEvidence = true;
         message.crashDigest = 12;
         message.crashes = { { 99, "u1", 2, 1, {} } };
         message.summary = store_summary { 3, 40, 50, 60 };
@@ -55,6 +56,9 @@
     CHECK(decoded->digest == 0xfedcba9876543210);
     CHECK(decoded->memberDigests == fullMessage().memberDigests);
     CHECK(decoded->wantedBuckets == fullMessage().wantedBuckets);
+    CHECK(decoded->evidence == fullMessage().evidence);
+    CHECK(decoded->loads == fullMessage().loads);
+    CHECK(decoded->wantsEvidence);
 }
 
 TEST_CASE("Crash records keep their time left, within the retention")
--- a/marlsill/cluster/serving_cells.cc
+++ b/marlsill/cluster/serving_cells.cc
@@ -161,6 +161,18 @@
     return peers;
 }
 
+bool serving_cells::isSharing(
+    std::string_view service, std::string_view upstream, steady_clock::time_point now)
+{
+    refresh(now);
+    auto hosts = m_sources.hostsOf(service);
+    return std::any_of(hosts.begin(), hosts.end(), [&](const auto& host) {
+        const auto& known = cellsOf(host);
+        int cell = routing::cellOf(upstream, static_cast<int>(known.cells.size()));
+        return std::find(known.ownCells.begin(), known.ownCells.end(), cell) != known.ownCells.end();
+    });
+}
+
 std::uint64_t serving_cells::groupOf(
     std::string_view service, std::string_view upstream, steady_clock::time_point now)
 {
--- a/marlsill/placement/load_balancer.h
+++ b/marlsill/placement/load_balancer.h
@@ -66,6 +66,8 @@
 struct upstream_evidence {
     std::string upstream;
     evidence_kind kind = evidence_kind::failed;
+
+    bool operator==(const upstream_evidence&) const = default;
 };
 
 // One VM's requests in flight at one upstream, as reported to its peers.
@@ -73,6 +75,8 @@
     std::string upstream;
     int inFlight = 0;
     int latencyMs = 0; // Exponentially weighted moving average; 0 if unknown.
+
+    bool operator==(const upstream_load&) const = default;
 };
 
 // Settings of a load balancer.
