Check retries and answers without end in every soak

No change of the product. The count of repeats at the upstreams is an observer of its own (the users' rule: window, ratio, slack, three windows of requests), used by retry_budget_test and by the soak in every run; arrivals that an upstream rejects count. The soak also makes a third of its upstreams, or all, fail every request for seconds, and lets upstreams send each of the ten kinds of bytes without end, from a random source of its own, so that the other faults of a seed stay what they were.

--- a/testing/retry_budget_test.cc
+++ b/testing/retry_budget_test.cc
@@ -9,15 +9,13 @@
 #include "testing/raw_caller.h"
 #include "testing/scripted_upstream.h"
 #include "testing/soak/entry_process.h"
+#include "testing/soak/retry_budget_observer.h"
 
 #include <Poco/Exception.h>
-#include <algorithm>
 #include <atomic>
 #include <doctest/doctest.h>
 #include <filesystem>
 #include <functional>
-#include <mutex>
-#include <set>
 #include <thread>
 #include <unistd.h>
 #include <vector>
@@ -38,12 +36,6 @@
     constexpr milliseconds workTime { 10 };
     constexpr const char* service = "s";
 
-    // A run of a request at an upstream, or its sending by a caller.
-    struct observation {
-        steady_clock::time_point at;
-        bool isRepeat = false;
-    };
-
     class failing_fleet {
     public:
         failing_fleet()
@@ -61,7 +53,9 @@
                 auto& upstream = *m_upstreams.back();
                 upstream.setWorkTime(workTime);
                 upstream.plan(std::vector<upstream_step>(plannedSteps, upstream_step::error));
-                upstream.setRunListener([this](const std::string& request) { noteArrival(request); });
+                upstream.setArrivalListener([this](const std::string& request) {
+                    m_observer.noteArrival(request, steady_clock::now());
+                });
                 m_store.put(platform_adapter::upstreamKind, id,
                     platform_adapter::upstreamObject(service, upstream.address(), "ready"));
             }
@@ -97,52 +91,13 @@
             }
         }
 
-        // Returns the largest excess of repeats over the ratio of the requests in any window.
-        double mostBeyondRatio() const
-        {
-            std::lock_guard lock(m_mutex);
-            double most = 0;
-            for (const auto& last : m_arrivals) {
-                auto inWindow = [&](const observation& each, steady_clock::time_point end) {
-                    return each.at <= end && each.at > end - retryWindow;
-                };
-                auto repeats = std::count_if(m_arrivals.begin(), m_arrivals.end(),
-                    [&](const auto& each) { return each.isRepeat && inWindow(each, last.at); });
-                // The users count the requests of this window, the one before, or half a window before.
-                std::ptrdiff_t requests = 0;
-                for (auto earlier :
-                    { milliseconds(0), milliseconds(retryWindow) / 2, milliseconds(retryWindow) }) {
-                    requests = std::max(requests,
-                        std::count_if(m_sent.begin(), m_sent.end(),
-                            [&](const auto& each) { return inWindow(each, last.at - earlier); }));
-                }
-                most = std::max(
-                    most, static_cast<double>(repeats) - retryRatio * static_cast<double>(requests));
-            }
-            return most;
-        }
-
-        std::ptrdiff_t repeats() const
-        {
-            std::lock_guard lock(m_mutex);
-            return std::count_if(
-                m_arrivals.begin(), m_arrivals.end(), [](const auto& each) { return each.isRepeat; });
-        }
+        const retry_budget_observer& observer() const { return m_observer; }
 
     private:
-        void noteArrival(const std::string& request)
-        {
-            std::lock_guard lock(m_mutex);
-            m_arrivals.push_back({ steady_clock::now(), !m_known.insert(request).second });
-        }
-
         void call(std::size_t entry)
         {
             auto id = "r" + std::to_string(++m_requests);
-            {
-                std::lock_guard lock(m_mutex);
-                m_sent.push_back({ steady_clock::now() });
-            }
+            m_observer.noteRequest(steady_clock::now());
             try {
                 raw_caller caller(m_entries[entry]->callerAddress(), platformFields());
                 caller.sendRequest("GET", "/repeat/" + id, id, callTimeoutMs);
@@ -157,10 +112,7 @@
         std::vector<std::unique_ptr<scripted_upstream>> m_upstreams;
         std::vector<std::unique_ptr<entry_process>> m_entries;
         std::atomic<int> m_requests = 0;
-        mutable std::mutex m_mutex; // Guards what follows.
-        std::set<std::string> m_known;
-        std::vector<observation> m_arrivals;
-        std::vector<observation> m_sent;
+        retry_budget_observer m_observer { retryWindow, retryRatio };
     };
 
 }
@@ -170,7 +122,7 @@
     struct row {
         const char* name;
         std::function<void(std::vector<std::unique_ptr<entry_process>>&, int turn)> disturb;
-        int leastRepeats; // The budget is of use.
+        std::size_t leastRepeats; // The budget is of use.
     };
     auto restart = [](entry_process& entry) {
         entry.kill();
@@ -192,11 +144,11 @@
         CAPTURE(std::string(each.name));
         failing_fleet fleet;
         fleet.run(milliseconds(26'000), each.disturb);
-        auto beyond = fleet.mostBeyondRatio();
+        auto beyond = fleet.observer().mostBeyondRatio();
         MESSAGE(std::string(each.name) << ": " << beyond << " beyond the ratio in 10 s, " << retrySlack
-                                       << " allowed; " << fleet.repeats() << " repeats in all");
+                                       << " allowed; " << fleet.observer().repeats() << " repeats in all");
         CHECK(beyond <= retrySlack);
-        CHECK(fleet.repeats() >= each.leastRepeats);
+        CHECK(fleet.observer().repeats() >= each.leastRepeats);
     }
 }
 
--- a/testing/scripted_upstream.cc
+++ b/testing/scripted_upstream.cc
@@ -79,6 +79,12 @@
     m_listener = std::move(listener);
 }
 
+void scripted_upstream::setArrivalListener(std::function<void(const std::string&)> listener)
+{
+    std::lock_guard lock(m_mutex);
+    m_arrivalListener = std::move(listener);
+}
+
 int scripted_upstream::runsOf(const std::string& request) const
 {
     std::lock_guard lock(m_mutex);
@@ -224,6 +230,9 @@
         if (isRun && m_listener) {
             m_listener(request);
         }
+        if (m_arrivalListener) {
+            m_arrivalListener(request);
+        }
     }
     if (isCrash) {
         crash();
--- a/testing/scripted_upstream.h
+++ b/testing/scripted_upstream.h
@@ -80,6 +80,9 @@
     // Sets who is told of each request that is run, on the upstream's threads.
     void setRunListener(std::function<void(const std::string& request)> listener);
 
+    // Sets who is told of each request that arrives, also if it is not run, on the upstream's threads.
+    void setArrivalListener(std::function<void(const std::string& request)> listener);
+
     // Returns how often a request was run.
     int runsOf(const std::string& request) const;
 
@@ -127,6 +130,7 @@
     mutable std::mutex m_mutex; // Guards what follows.
     std::vector<std::chrono::steady_clock::time_point> m_arrivalTimes;
     std::function<void(const std::string&)> m_listener;
+    std::function<void(const std::string&)> m_arrivalListener;
     std::deque<upstream_step> m_steps;
     std::map<std::string, int> m_runs;
     std::string m_lastHead;
--- a/testing/soak/soak_run.cc
+++ b/testing/soak/soak_run.cc
@@ -25,6 +25,8 @@
     constexpr const char* service = "s";
     constexpr const char* host = "h.example";
     constexpr milliseconds workTime { 20 };
+    constexpr milliseconds endlessPause { 5 }; // Between pieces of answers without end.
+    constexpr std::size_t failedRequests = 20'000; // More than arrive while an upstream fails.
     constexpr milliseconds startLimit { 10'000 };
     constexpr milliseconds recoveryLimit { 15'000 }; // The users' bound after faults.
     constexpr milliseconds drainBound { 2'500 }; // The users' bound for news of a leaving upstream.
@@ -42,6 +44,7 @@
     : m_options(std::move(options))
     , m_random(m_options.seed)
     , m_limitRandom(m_options.seed + 1)
+    , m_failureRandom(m_options.seed + 2)
 {
 }
 
@@ -73,6 +76,10 @@
         auto place = std::make_unique<upstream_place>();
         place->upstream = std::make_unique<scripted_upstream>("u" + std::to_string(index), platformFields());
         place->upstream->setWorkTime(workTime);
+        place->upstream->setEndlessPause(endlessPause);
+        place->upstream->setArrivalListener([this](const std::string& request) {
+            m_retryObserver.noteArrival(request, steady_clock::now());
+        });
         place->upstream->setRunListener([this, id = place->upstream->id()](const std::string& request) {
             m_checker.noteRun(request, id, steady_clock::now());
         });
@@ -103,6 +110,7 @@
         try {
             raw_caller caller(entry.process->callerAddress(), platformFields());
             auto id = "serving-" + std::to_string(++m_probes);
+            m_retryObserver.noteRequest(steady_clock::now());
             caller.sendRequest("GET", "/repeat/" + id, id, timeoutMs);
             if (caller.receive().status == 200) {
                 return true;
@@ -152,6 +160,7 @@
             = isVersionCall ? versionPrefix(version) : std::string(isAtMostOnce ? "/once/" : "/repeat/");
         auto sentAt = steady_clock::now();
         m_checker.noteSent(id, isAtMostOnce);
+        m_retryObserver.noteRequest(sentAt);
         caller.sendRequest(
             isAtMostOnce ? "POST" : "GET", path + id, id, timeoutMs, isAtMostOnce ? "body " + id : "");
         auto answer = caller.receive();
@@ -208,6 +217,34 @@
     place.limitCheckedFrom = deadlineAfter(limitSettleTime);
 }
 
+// Makes a third of the upstreams, or now and then all, fail every request for a while.
+void soak_run::failUpstreams()
+{
+    bool areAll = m_failureRandom() % 3 == 0;
+    auto until = deadlineAfter(milliseconds(1'000 + m_failureRandom() % 3'000));
+    for (auto& each : m_upstreams) {
+        if (areAll || m_failureRandom() % 3 == 0) {
+            each->upstream->plan(std::vector(failedRequests, upstream_step::error));
+            each->failsUntil = until;
+        }
+    }
+}
+
+// Makes an upstream answer a few requests with bytes that are no answer and have no end.
+void soak_run::answerWithoutEnd()
+{
+    constexpr upstream_step steps[] = { upstream_step::endlessHeadLine, upstream_step::endlessHead,
+        upstream_step::endlessInformational, upstream_step::endlessStrangers, upstream_step::endlessBody,
+        upstream_step::endlessExcess, upstream_step::endlessChunk, upstream_step::endlessExtensions,
+        upstream_step::endlessTrailers, upstream_step::endlessNoise };
+    auto& place = *m_upstreams[m_failureRandom() % m_upstreams.size()];
+    std::vector<upstream_step> planned;
+    for (auto step = m_failureRandom() % 4; step < 4; ++step) {
+        planned.push_back(steps[m_failureRandom() % std::size(steps)]);
+    }
+    place.upstream->plan(planned);
+}
+
 // Ends the limits whose time is over, and checks that they were kept.
 void soak_run::endLimits()
 {
@@ -360,6 +397,10 @@
         if (isAll || hasPassed(each->troubleUntil, now)) {
             each->link->setTrouble(link_trouble::none);
         }
+        if (each->failsUntil != deadline() && (isAll || hasPassed(each->failsUntil, now))) {
+            each->failsUntil = {};
+            each->upstream->plan({});
+        }
         bool isWatched = each->isDraining && hasPassed(each->drainBound + drainCheck, now);
         if (isWatched || (isAll && each->isDraining)) {
             m_drainsChecked += each->isDrainChecked && isWatched ? 1 : 0;
@@ -410,8 +451,14 @@
     auto until = deadlineAfter(m_options.length);
     while (!hasPassed(until, steady_clock::now())) {
         nameLimit();
+        if (m_failureRandom() % 2 == 0) {
+            failUpstreams();
+        }
         for (int left = draw(6); left >= 0; --left) {
             playFault();
+            if (m_failureRandom() % 4 == 0) {
+                answerWithoutEnd();
+            }
             std::this_thread::sleep_for(drawLength(10, 400));
             endTroubles(false);
         }
@@ -446,6 +493,10 @@
         }
         m_isOver = true;
     }
+    if (auto beyond = m_retryObserver.mostBeyondRatio(); beyond > retrySlack) {
+        m_checker.noteBroken("retries: " + std::to_string(beyond) + " beyond the ratio in a window, "
+            + std::to_string(retrySlack) + " allowed");
+    }
     for (auto& each : m_entries) {
         each->process->signal(SIGTERM);
     }
@@ -455,7 +506,7 @@
         }
     }
     return { m_checker.broken(), m_checker.sent(), m_checker.answered(200), m_checker.answered(503), m_faults,
-        m_drainsChecked, m_limitsChecked };
+        m_drainsChecked, m_limitsChecked, static_cast<int>(m_retryObserver.repeats()) };
 }
 
 }
--- a/testing/soak/soak_run.h
+++ b/testing/soak/soak_run.h
@@ -13,6 +13,7 @@
 #include "testing/soak/entry_process.h"
 #include "testing/soak/loopback_proxy.h"
 #include "testing/soak/promise_checker.h"
+#include "testing/soak/retry_budget_observer.h"
 
 #include <atomic>
 #include <memory>
@@ -41,6 +42,7 @@
     int faults = 0;
     int drainsChecked = 0;
     int limitsChecked = 0;
+    int repeats = 0; // Arrivals of requests at upstreams beyond the first.
 };
 
 class soak_run {
@@ -55,6 +57,7 @@
         std::unique_ptr<scripted_upstream> upstream;
         std::unique_ptr<loopback_proxy> link;
         steady_clock::time_point troubleUntil {};
+        deadline failsUntil {}; // Set while it fails all requests.
         steady_clock::time_point drainBound {}; // In the future while it drains.
         bool isDraining = false;
         int life = 1;
@@ -90,6 +93,8 @@
     void troubleUpstreamLink(upstream_place& place);
     void drainUpstream(upstream_place& place);
     void nameLimit();
+    void failUpstreams();
+    void answerWithoutEnd();
     void endLimits();
     void delayLimitChecks(steady_clock::time_point troubleUntil);
     void endTroubles(bool isAll);
@@ -101,7 +106,9 @@
     const soak_options m_options;
     std::mt19937_64 m_random; // Of the faults' thread.
     std::mt19937_64 m_limitRandom; // Of limits; apart, so that the other faults of a seed stay the same.
+    std::mt19937_64 m_failureRandom; // Of upstreams that fail for long or answer without end; apart likewise.
     promise_checker m_checker;
+    retry_budget_observer m_retryObserver { retryWindow, retryRatio };
     platform_adapter::fake_object_store m_store;
     steady_clock::time_point m_storeTroubleUntil {};
     std::vector<std::unique_ptr<upstream_place>> m_upstreams;
