--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -8,7 +8,8 @@
 build=${BUILD_DIR:-build}
 work=$(mktemp -d)
 pids=()
-fleet_key=0123456789abcdef-fleet
+# Of this fleet alone: fleets of several scripts at a time must not meet when one gets ports that another had.
+fleet_key=fleet-$$-$(od -An -N16 -tx1 /dev/urandom | tr -d ' \n')
 operator_key=0123456789abcdef-operator
 declare -A entry_pid entry_caller entry_operator entry_peer upstream_address upstream_control upstream_pid
 
