--- a/testing/traffic_split_test.cc
+++ b/testing/traffic_split_test.cc
@@ -188,18 +188,25 @@
 
 TEST_CASE("A configuration that changes the weights changes the proportions, and no others do")
 {
+    struct row {
+        weights split;
+        double share; // Of the first service.
+    };
+    const row rows[] = {
+        { { { "s0", 1 }, { "s1", 0 } }, 1 },
+        { { { "s0", 0 }, { "s1", 7 } }, 0 },
+        { { { "s0", 1 }, { "s1", 1 } }, 0.5 },
+    };
     split_fleet fleet;
-    for (const auto& [split, share] : { std::pair(weights { { "s0", 1 }, { "s1", 0 } }, 1.0),
-             std::pair(weights { { "s0", 0 }, { "s1", 7 } }, 0.0),
-             std::pair(weights { { "s0", 1 }, { "s1", 1 } }, 0.5) }) {
-        CAPTURE(share);
-        fleet.setWeights(split, true);
+    for (const auto& each : rows) {
+        CAPTURE(each.share);
+        fleet.setWeights(each.split, true);
         int first = 0;
         for (int number = 0; number < requestsInWindow; ++number) {
             first += fleet.send(number) == "0" ? 1 : 0;
         }
-        auto tolerance = 5 * std::sqrt(share * (1 - share) * requestsInWindow) / requestsInWindow;
-        CHECK(std::abs(static_cast<double>(first) / requestsInWindow - share) <= tolerance);
+        auto tolerance = 5 * std::sqrt(each.share * (1 - each.share) * requestsInWindow) / requestsInWindow;
+        CHECK(std::abs(static_cast<double>(first) / requestsInWindow - each.share) <= tolerance);
     }
 }
 
