Tell a VM all that is seen by those whose upstreams it uses

Cause: told a VM only of upstreams that the same VMs use as one it had used itself. A VM outside the serving sets uses each upstream seldom; it now found out by its callers' requests which ones fail.

Change: who uses upstreams that are not of its part asks for all evidence of the VM that it tells about them. Neighbours in a cell, who caused the cost on the large deployment, still get only what they share.

Test: peer_mesh_test.

--- a/marlsill/cluster/peer_mesh.cc
+++ b/marlsill/cluster/peer_mesh.cc
@@ -300,7 +300,9 @@
     for (const auto& host : message.unreachableHosts) {
         m_members.noteReportedUnreachable(host, now);
     }
-    noteSubscriber(message, now);
+    if (message.wantsEvidence) {
+        m_subscribers[message.sender] = now + m_options.subscriptionLifetime;
+    }
     for (const auto& each : message.evidence) {
         m_handler.evidence(each);
     }
@@ -396,13 +398,9 @@
 std::vector<std::string> peer_mesh::interestedHosts(const std::string& upstream)
 {
     auto hosts = m_handler.servicePeers(upstream);
-    auto found = m_subscribers.find(m_handler.groupOf(upstream));
-    if (found == m_subscribers.end()) {
-        return hosts;
-    }
     auto now = steady_clock::now();
-    std::erase_if(found->second, [&](const auto& each) { return hasPassed(each.second, now); });
-    for (const auto& [host, until] : found->second) {
+    std::erase_if(m_subscribers, [&](const auto& each) { return hasPassed(each.second, now); });
+    for (const auto& [host, until] : m_subscribers) {
         if (std::find(hosts.begin(), hosts.end(), host) == hosts.end()) {
             hosts.push_back(host);
         }
@@ -410,22 +408,6 @@
     return hosts;
 }
 
-// Subscribes the sender to what concerns the upstreams that it uses, and to nothing else: a VM shares
-// upstreams with some dozens of others in a large fleet, but few with each.
-void peer_mesh::noteSubscriber(const peer_message& message, steady_clock::time_point now)
-{
-    if (!message.wantsEvidence) {
-        return;
-    }
-    auto until = now + m_options.subscriptionLifetime;
-    for (const auto& each : message.evidence) {
-        m_subscribers[m_handler.groupOf(each.upstream)][message.sender] = until;
-    }
-    for (const auto& each : message.loads) {
-        m_subscribers[m_handler.groupOf(each.upstream)][message.sender] = until;
-    }
-}
-
 void peer_mesh::publish(const placement::upstream_evidence& evidence)
 {
     bool wantsEvidence = !m_handler.isServicePeer(evidence.upstream);
--- a/marlsill/cluster/peer_mesh.h
+++ b/marlsill/cluster/peer_mesh.h
@@ -41,8 +41,8 @@
     // Between the first contacts with seeds, so that VMs that start together find each other.
     std::chrono::milliseconds joinInterval { 500 };
     int joinAttempts = 3; // Contacts with seeds at `joinInterval`, before `seedInterval` applies.
-    // A peer that uses upstreams of a group that is not its own receives evidence about that group this long
-    // after its last evidence or load.
+    // A peer that uses upstreams without being one of their servicePeers() receives all evidence of this VM
+    // this long after its last evidence or load.
     std::chrono::milliseconds subscriptionLifetime { 10'000 };
 };
 
@@ -73,8 +73,6 @@
     std::function<void(const peer_message&)> storeUpdate;
     // Returns the hosts of the VMs that serve the same service as the upstream.
     std::function<std::vector<std::string>(const std::string& upstream)> servicePeers;
-    // Returns a number of the group that an upstream belongs to: the upstreams with the same servicePeers().
-    std::function<std::uint64_t(const std::string& upstream)> groupOf;
     // Returns whether this VM is among the servicePeers() that others see.
     std::function<bool(const std::string& upstream)> isServicePeer;
 };
@@ -99,7 +97,7 @@
     void setState(member_state state);
 
     // Sends evidence about an upstream, with the next batch, to the VMs that serve the same service and to
-    // subscribers of its group.
+    // subscribers.
     void publish(const placement::upstream_evidence& evidence);
 
     // Sends the record of a request that crashed an upstream to all reachable VMs, with the next batch.
@@ -138,7 +136,6 @@
     void sendCrashes(const std::string& host);
     void sendAllCrashes(const std::string& host, std::uint64_t request);
     std::vector<std::string> interestedHosts(const std::string& upstream);
-    void noteSubscriber(const peer_message& message, steady_clock::time_point now);
     void answerPermitRequests(const peer_message& message);
     void noteCrashPart(const peer_message& message);
     void scheduleBatch();
@@ -156,8 +153,7 @@
     std::map<std::pair<std::string, std::uint64_t>, std::set<int>> m_crashParts;
     std::uint64_t m_lastCrashRequest = 0;
     std::uint64_t m_answeredCrashRequests = 0; // Requests up to this one need no answer any more.
-    // By group and host; when the subscription ends.
-    std::map<std::uint64_t, std::map<std::string, deadline, std::less<>>> m_subscribers;
+    std::map<std::string, deadline, std::less<>> m_subscribers; // By host; when the subscription ends.
     deadline m_nextSeedContact {};
     std::size_t m_nextSeed = 0;
     int m_seedContacts = 0;
--- a/marlsill/cluster/peer_mesh_test.cc
+++ b/marlsill/cluster/peer_mesh_test.cc
@@ -4,6 +4,7 @@
 #include <Poco/Net/SocketAddress.h>
 #include <boost/asio/io_context.hpp>
 #include <doctest/doctest.h>
+#include <map>
 
 namespace marlsill::cluster {
 
@@ -44,13 +45,9 @@
                     .permit = [](const auto&) {},
                     .changedLoads = [] { return std::vector<placement::upstream_load>(); },
                     .storeUpdate = [](const auto&) {},
-                    .servicePeers = [this](const auto&) { return sharing; },
-                    // Upstreams whose ids begin alike are of one group.
-                    .groupOf =
-                        [](const auto& upstream) {
-                            return std::uint64_t { static_cast<unsigned char>(upstream.front()) };
-                        },
-                    .isServicePeer = [this](const auto&) { return sharing.empty(); } })
+                    .servicePeers = [this](const auto& upstream) { return sharing[upstream.front()]; },
+                    .isServicePeer
+                    = [this](const auto& upstream) { return own.find(upstream.front()) != own.npos; } })
         {
             REQUIRE(m_mesh.start().empty());
         }
@@ -66,7 +63,10 @@
         bool isUpToDate = true;
         int completeAnswers = 0;
         int limitNotices = 0;
-        std::vector<std::string> sharing; // Hosts of the VMs that share its upstreams.
+        // Of upstreams by the first letter of their ids: hosts of the VMs that share them, and whether it
+        // does.
+        std::map<char, std::vector<std::string>> sharing;
+        std::string own;
         std::vector<std::string> heard; // Upstreams that peers sent evidence about.
 
     private:
@@ -130,40 +130,48 @@
     CHECK(outsider.limitNotices == 1);
 }
 
-TEST_CASE("A VM that uses upstreams of others is told of those alone")
+TEST_CASE("A VM is told of the upstreams that it shares, and of all if it uses some that are not its own")
 {
-    // Guards against telling each VM of a large fleet all that its many neighbours see at upstreams it does
-    // not use.
+    // Guards against telling each of the dozens of neighbours that a VM of a large fleet has all that it
+    // sees, and against leaving a VM to find out itself which of the upstreams that it seldom uses fail.
     struct row {
         const char* name;
-        std::vector<std::string> used; // By the outsider, which tells the member about them.
-        std::vector<std::string> seen; // By the member.
-        std::vector<std::string> heard; // By the outsider.
+        std::string shared; // Letters of the upstreams that both share.
+        std::vector<std::string> used; // By the second VM, which tells the first about them.
+        std::vector<std::string> seen; // By the first VM.
+        std::vector<std::string> heard; // By the second VM.
     };
     const row rows[] = {
-        { "it uses one", { "a1" }, { "a1", "b1" }, { "a1" } },
-        { "another of the same group", { "a1" }, { "a2" }, { "a2" } },
-        { "several groups", { "a1", "c1" }, { "a2", "b1", "c2" }, { "a2", "c2" } },
-        { "it uses none", {}, { "a1" }, {} },
+        { "a neighbour", "a", { "a1" }, { "a1", "b1" }, { "a1" } },
+        { "a neighbour twice", "ac", { "a1", "c1" }, { "a2", "b1", "c2" }, { "a2", "c2" } },
+        { "a neighbour without a request", "a", {}, { "a1", "b1" }, { "a1" } },
+        { "one that uses what is not its own", "a", { "b1" }, { "a1", "b2", "c1" }, { "a1", "b2", "c1" } },
+        { "one that uses nothing", "", {}, { "a1" }, {} },
     };
     for (const auto& each : rows) {
         CAPTURE(std::string(each.name));
         asio::io_context io;
         auto port = freePort();
-        mesh_vm member(io, firstHost, secondHost, port);
-        mesh_vm outsider(io, secondHost, firstHost, port);
-        outsider.sharing = { firstHost };
+        mesh_vm first(io, firstHost, secondHost, port);
+        mesh_vm second(io, secondHost, firstHost, port);
+        second.own = each.shared;
+        for (char letter : each.shared) {
+            first.sharing[letter] = { secondHost };
+        }
+        for (char letter : { 'a', 'b', 'c' }) {
+            second.sharing[letter] = { firstHost };
+        }
         io.run_for(milliseconds(100));
         for (const auto& upstream : each.used) {
-            outsider.publishEvidence(upstream);
+            second.publishEvidence(upstream);
         }
         io.run_for(milliseconds(100));
-        CHECK(member.heard == each.used);
+        CHECK(first.heard == each.used);
         for (const auto& upstream : each.seen) {
-            member.publishEvidence(upstream);
+            first.publishEvidence(upstream);
         }
         io.run_for(milliseconds(100));
-        CHECK(outsider.heard == each.heard);
+        CHECK(second.heard == each.heard);
     }
 }
 
--- a/marlsill/cluster/peer_message.h
+++ b/marlsill/cluster/peer_message.h
@@ -54,7 +54,8 @@
     std::vector<std::string> unreachableHosts; // Hosts that the sender cannot reach.
     std::vector<placement::upstream_evidence> evidence;
     std::vector<placement::upstream_load> loads;
-    // Whether the sender uses the upstreams of `evidence` and `loads` without being told of them by right.
+    // Whether the sender uses upstreams of `evidence` or `loads` that are not of its part, and asks for the
+    // receiver's evidence.
     bool wantsEvidence = false;
     std::uint64_t crashDigest = 0; // Of the sender's crash records, in pings and pongs.
     std::vector<placement::crash_record> crashes;
--- a/marlsill/cluster/serving_cells.cc
+++ b/marlsill/cluster/serving_cells.cc
@@ -1,7 +1,5 @@
 #include "marlsill/cluster/serving_cells.h"
 
-#include "marlsill/base/hash.h"
-
 #include <algorithm>
 #include <iterator>
 #include <set>
@@ -173,16 +171,4 @@
     });
 }
 
-std::uint64_t serving_cells::groupOf(
-    std::string_view service, std::string_view upstream, steady_clock::time_point now)
-{
-    refresh(now);
-    auto group = fastHash(service);
-    for (const auto& host : m_sources.hostsOf(service)) {
-        auto cells = static_cast<int>(cellsOf(host).cells.size());
-        group = group * 31 + static_cast<std::uint64_t>(routing::cellOf(upstream, cells));
-    }
-    return group;
-}
-
 }
--- a/marlsill/cluster/serving_cells.h
+++ b/marlsill/cluster/serving_cells.h
@@ -86,9 +86,6 @@
     // Returns whether this VM is among those that peersSharing() of others names.
     bool isSharing(std::string_view service, std::string_view upstream, steady_clock::time_point now);
 
-    // Returns a number that is equal for upstreams of a service which the same VMs send requests to.
-    std::uint64_t groupOf(std::string_view service, std::string_view upstream, steady_clock::time_point now);
-
 private:
     // The cells of one host.
     struct host_cells {
