--- a/marlsill/cluster/cbor_document.h
+++ b/marlsill/cluster/cbor_document.h
@@ -10,8 +10,8 @@
 //     if (document->isMismatched())
 //         ... // Some value had another type than it was read as, or was missing.
 //
-// The values are kept in one array, in their order, which takes a fraction of the time of a tree. Values of a
-// document are valid as long as it is.
+// The values are kept in one array, in their order, without an allocation for each. Items and fields are
+// valid as long as their document.
 
 #include "marlsill/base/reason.h"
 
@@ -77,7 +77,7 @@
     // Calls `handle` with the elements of each array in an array.
     template <typename Handle> void forEachItem(std::string_view name, Handle handle) const;
 
-    // Returns one element of its own for each element of an array, to be read as one value each.
+    // Calls `handle` with each element of an array, to be read as one value.
     template <typename Handle> void forEachValue(std::string_view name, Handle handle) const;
 
 private:
--- a/marlsill/cluster/serving_cells.h
+++ b/marlsill/cluster/serving_cells.h
@@ -68,8 +68,8 @@
     // Must be called when the upstreams have changed. The results stay if the number of cells does.
     void noteUpstreamsChanged();
 
-    // Returns the VMs that serve a host, each once. Valid until the next call. VMs agree on them once they
-    // know the same members, whomever they suspect.
+    // Returns the VMs that serve a host, each once. Valid until the next call. VMs that know the same members
+    // agree on them, even if they suspect different ones.
     const std::vector<serving_vm>& servingVms(std::string_view host, steady_clock::time_point now);
 
     // Returns those of the VMs that serve a host to which callers should be sent now: without those that this
