Let VMs try a store that is away one after the other

Change: watchers send beacons also then, with the age of their last contact. Who hears that no watcher reaches the store tries it in its turn: the VMs of a domain 500 ms apart, in the order of election, the first at once. Whoever reaches it tells the watchers, once a second, which tell all; it goes on for ten seconds, so that its own success does not end it. Who hears no beacon at all, or is behind, watches at once as before.

Test: store_relay_test, "While the store is away few VMs try it".

--- a/marlsill/cluster/store_relay.cc
+++ b/marlsill/cluster/store_relay.cc
@@ -64,6 +64,12 @@
     }
     const auto& self = m_members.self();
     m_isElected = elected.contains(self.host);
+    const auto& domain = candidates[self.failureDomain];
+    std::pair<double, std::string_view> own(electionScore(self), self.host);
+    m_electionRank = static_cast<int>(
+        std::count_if(domain.begin(), domain.end(), [&](const auto& each) { return each > own; }));
+    m_electedHosts.assign(elected.begin(), elected.end());
+    std::erase(m_electedHosts, self.host);
     m_relayTargets.clear();
     for (const auto& each : records) {
         bool isTarget = each.failureDomain == self.failureDomain || elected.contains(each.host);
@@ -303,6 +309,9 @@
         m_actions.send(std::span(&message.sender, 1), request);
     }
     bool isCatchUpOverdue = m_behindSince && now - *m_behindSince > m_options.catchUpTimeout;
+    if (age > m_options.maxContactAge && !isCatchUpOverdue) {
+        m_lastOutageBeacon = now;
+    }
     if (age <= m_options.maxContactAge && !isCatchUpOverdue) {
         if (now - m_lastFreshBeacon > m_options.beaconTimeout) {
             m_beaconsFreshSince = now;
@@ -335,19 +344,38 @@
     bool isBeaconStable = isBeaconFresh && now - m_beaconsFreshSince >= m_options.stabilizationPeriod;
     refreshElection();
     bool isBeaconMissing = !isBeaconFresh && now - *m_firstElection >= m_options.firstBeaconGracePeriod;
-    if (m_isElected || isBeaconMissing) {
+    bool isOutageKnown = now - m_lastOutageBeacon <= m_options.beaconTimeout;
+    if (m_isElected || (isBeaconMissing && !isOutageKnown)) {
+        m_backupUntil.reset();
+        setWatching(true);
+    } else if (isBeaconMissing && isBackupDue(now)) {
+        m_backupUntil = m_backupUntil.value_or(now + m_options.backupDuration);
         setWatching(true);
-    } else if (isBeaconStable) {
+    } else if (isBeaconStable && (!m_backupUntil || hasPassed(*m_backupUntil, now))) {
+        m_backupUntil.reset();
         setWatching(false);
     }
-    bool hasContact = now - lastContact() <= m_options.maxContactAge;
-    if (!m_isElected || !hasContact) {
+    sendBeacon(now);
+}
+
+// Returns whether it is this VM's turn to try the store while no watcher reaches it.
+bool store_relay::isBackupDue(steady_clock::time_point now) const
+{
+    auto staleSince = m_lastFreshBeacon + m_options.beaconTimeout;
+    return now >= staleSince + std::max(0, m_electionRank - 1) * m_options.backupInterval;
+}
+
+void store_relay::sendBeacon(steady_clock::time_point now)
+{
+    bool isBackupInContact = m_backupUntil && now - m_lastContact <= m_options.maxContactAge;
+    if (!m_isElected && (!isBackupInContact || !hasPassed(m_nextBackupBeacon, now))) {
         return;
     }
+    m_nextBackupBeacon = now + m_options.backupBeaconInterval;
     peer_message beacon;
     beacon.isBeacon = true;
     beacon.summary = summary(now);
-    m_actions.send(m_relayTargets, beacon);
+    m_actions.send(m_isElected ? m_relayTargets : m_electedHosts, beacon);
 }
 
 void store_relay::setWatching(bool isWatching)
--- a/marlsill/cluster/store_relay.h
+++ b/marlsill/cluster/store_relay.h
@@ -10,10 +10,12 @@
 // In each failure domain the VM with the highest score, usually one of the largest, is elected to watch the
 // store, or two VMs if there is only one domain. Watchers send changes and beacons to each other and to the
 // VMs of their domain. A changed configuration is sent as its difference from the one before; a VM that has
-// another one requests the whole. A VM without a fresh beacon watches the store itself until fresh beacons
-// have returned. Data never goes back to an older version. An unconfirmed entry, which may only have lapsed
-// in an outage, stays in use where it was in use, and other VMs don't start to use it. Not thread safe; used
-// by one event loop.
+// another one requests the whole. A VM that hears no beacon watches the store itself until fresh beacons have
+// returned. If beacons tell that no watcher reaches the store, which then mostly is away, the others try it
+// one after the other, in the order of their scores, as each of hundreds would read the whole list when it is
+// back; whoever reaches it tells the watchers. Data never goes back to an older version. An unconfirmed
+// entry, which may only have lapsed in an outage, stays in use where it was in use, and other VMs don't start
+// to use it. Not thread safe; used by one event loop.
 
 #include "marlsill/cluster/peer_message.h"
 #include "marlsill/cluster/upstream_list.h"
@@ -41,6 +43,12 @@
     std::chrono::milliseconds beaconInterval { 250 };
     // Tolerates two lost beacons; changes must take effect within 2 s on all VMs.
     std::chrono::milliseconds beaconTimeout { 700 };
+    // Between the VMs of a failure domain that try the store while no watcher reaches it.
+    std::chrono::milliseconds backupInterval { 500 };
+    // Between beacons of such a VM once it reaches the store; below `maxContactAge`.
+    std::chrono::milliseconds backupBeaconInterval { 1'000 };
+    // How long a VM that has begun to try goes on, so that it does not end with its own success.
+    std::chrono::milliseconds backupDuration { 10'000 };
     // How long a VM may lag behind beacons before it watches the store itself; tolerates two lost answers.
     std::chrono::milliseconds catchUpTimeout { 1'000 };
     std::chrono::milliseconds requestInterval { 350 }; // Between requests for missing data.
@@ -90,6 +98,9 @@
     // Returns a digest of all upstreams, including those that are not in use.
     std::uint64_t upstreamDigest() const { return m_upstreams.digest(); }
 
+    // Returns how many VMs of this VM's failure domain have a higher score in the election.
+    int electionRank() const { return m_electionRank; }
+
     bool isWatching() const { return m_isWatching; }
     std::uint64_t storeVersion() const { return m_storeVersion; }
 
@@ -105,6 +116,8 @@
     void applyConfigurationPart(const configuration_part& part);
     void sendUpstreams(const std::string& host, steady_clock::time_point now);
     void broadcastConfiguration(std::string_view previous);
+    bool isBackupDue(steady_clock::time_point now) const;
+    void sendBeacon(steady_clock::time_point now);
     void setWatching(bool isWatching);
 
     const member_list& m_members;
@@ -112,6 +125,8 @@
     bool m_isElected = false;
     // The hosts that a watcher sends to: those of its own failure domain and the watchers of the others.
     std::vector<std::string> m_relayTargets;
+    std::vector<std::string> m_electedHosts; // Without this VM's.
+    int m_electionRank = 0;
     const store_relay_options m_options;
     const store_relay_actions m_actions;
     const steady_clock::time_point m_startedAt;
@@ -128,7 +143,10 @@
     std::uint64_t m_storeVersion = 0; // Store version that the upstream list is from.
     steady_clock::time_point m_lastContact {}; // When the store last responded to this VM.
     steady_clock::time_point m_lastRelayedContact {}; // When it last responded to another VM, by a beacon.
+    steady_clock::time_point m_lastOutageBeacon {}; // When a watcher last told that none reaches the store.
     steady_clock::time_point m_lastFreshBeacon {};
+    deadline m_nextBackupBeacon {};
+    std::optional<deadline> m_backupUntil; // Set while it watches the store as a backup.
     steady_clock::time_point m_beaconsFreshSince {};
     std::optional<steady_clock::time_point> m_behindSince; // Set while a beacon announces data this VM lacks.
     deadline m_nextRequest {};
--- a/marlsill/cluster/store_relay_test.cc
+++ b/marlsill/cluster/store_relay_test.cc
@@ -150,6 +150,19 @@
                 nodes.begin(), nodes.end(), [](const auto& each) { return each.second.isWatching; }));
         }
 
+        // Returns the hosts in the order in which they are elected.
+        std::vector<std::string> byRank() const
+        {
+            std::vector<std::string> hosts;
+            for (const auto& [host, each] : nodes) {
+                hosts.push_back(host);
+            }
+            std::sort(hosts.begin(), hosts.end(), [this](const auto& left, const auto& right) {
+                return nodes.at(left).relay->electionRank() < nodes.at(right).relay->electionRank();
+            });
+            return hosts;
+        }
+
         std::string firstWatcher() const
         {
             for (const auto& [host, each] : nodes) {
@@ -251,6 +264,56 @@
     }
 }
 
+TEST_CASE("While the store is away few VMs try it, and whoever reaches it first tells all")
+{
+    // Guards against each of hundreds of VMs reading the whole list when the store is back.
+    struct row {
+        const char* name;
+        int vms;
+        int domains;
+        milliseconds outage;
+        int reachableFrom; // The rank of the best VM of each domain that the store then answers.
+        int mostWatchers;
+        milliseconds recovery; // Until all VMs have what changed meanwhile.
+    };
+    const row rows[] = {
+        { "a few seconds", 200, 5, milliseconds(4'000), 0, 50, milliseconds(500) },
+        { "long", 200, 5, milliseconds(9'000), 0, 100, milliseconds(500) },
+        { "the watchers are turned away", 200, 5, milliseconds(1'000), 1, 30, milliseconds(2'500) },
+        { "the first VMs are turned away", 200, 5, milliseconds(1'000), 3, 40, milliseconds(4'000) },
+        { "a small fleet", 9, 3, milliseconds(4'000), 0, 9, milliseconds(500) },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        virtual_fleet fleet(each.vms, each.domains);
+        fleet.run(milliseconds(5'000));
+        REQUIRE(fleet.watcherCount() == each.domains);
+        for (auto& [host, node] : fleet.nodes) {
+            node.canReachStore = false;
+        }
+        fleet.delivered = 0;
+        fleet.run(each.outage);
+        CHECK(fleet.watcherCount() <= each.mostWatchers);
+        std::map<std::string, int> seen; // VMs of each domain, in the order of election.
+        for (const auto& host : fleet.byRank()) {
+            auto& node = fleet.nodes[host];
+            node.canReachStore = seen[node.members->self().failureDomain]++ >= each.reachableFrom;
+        }
+        fleet.changeStore();
+        fleet.delivered = 0;
+        fleet.run(each.recovery);
+        CHECK(fleet.allHave(2, 25));
+        CHECK(fleet.watcherCount() <= each.mostWatchers);
+        fleet.delivered = 0;
+        fleet.run(milliseconds(15'000));
+        fleet.delivered = 0;
+        fleet.changeStore();
+        fleet.run(milliseconds(1'500));
+        CHECK(fleet.allHave(3, 26));
+        CHECK(fleet.watcherCount() <= each.domains * (2 + each.reachableFrom));
+    }
+}
+
 TEST_CASE("A VM that returns from a partition does not spread its old list")
 {
     // An upstream leaves while a VM is partitioned. Guards against other VMs accepting the unconfirmed entry
