Let the scripted upstream name its limit in errors and refusals too

Its logs show the limit of u2 known as 2, none, 2, none (E5112): the stand-in named it in its 200 only, while its contract says that all answers do, and the new faults make upstreams fail for seconds. The VMs rightly took a 500 without the field for the end of the limit. The check and its bound stay.

--- a/testing/scripted_upstream.cc
+++ b/testing/scripted_upstream.cc
@@ -246,10 +246,12 @@
     case upstream_step::error:
         sendText(socket,
             "HTTP/1.1 500 Failed\r\n" + m_fields.requestId + ": " + request + "\r\n" + m_fields.seal
-                + ": seal\r\nContent-Length: 6\r\n\r\nfailed");
+                + ": seal\r\n" + limitField() + "Content-Length: 6\r\n\r\nfailed");
         return true;
     case upstream_step::refuse:
-        sendText(socket, "HTTP/1.1 503 Full\r\n" + m_fields.notRun + ": 1\r\nContent-Length: 0\r\n\r\n");
+        sendText(socket,
+            "HTTP/1.1 503 Full\r\n" + m_fields.notRun + ": 1\r\n" + limitField()
+                + "Content-Length: 0\r\n\r\n");
         return true;
     case upstream_step::misdirect:
         sendText(socket, "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n");
