--- a/testing/gateway_test.cc
+++ b/testing/gateway_test.cc
@@ -2,6 +2,7 @@
 // each kind of fault.
 
 #include "marlsill/gateway/gateway.h"
+#include "testing/gateway_thread.h"
 #include "testing/raw_caller.h"
 #include "testing/scripted_upstream.h"
 
@@ -54,29 +55,21 @@
                 .weightedServices = { { "s" } } });
             auto config = std::make_shared<const gateway::configuration>(5, std::move(routes), limits);
             gateway::gateway_options options;
-            options.callerEndpoint = { asio::ip::make_address_v4("127.0.0.1"), freePort() };
             options.minDrainTime = milliseconds(300);
             options.forwarding = forwarding;
             options.forwarding.retryWindow = retryWindow;
-            m_address = "127.0.0.1:" + std::to_string(options.callerEndpoint.port());
-            m_gateway = std::make_unique<gateway::gateway>(m_io, options, gateway::wire_fields());
-            REQUIRE(m_gateway->start().empty());
-            m_gateway->requestForwarder().setConfiguration(config);
-            m_gateway->requestForwarder().changeUpstreams(entries(), {});
-            m_gateway->setUpstreamsKnown();
-            // A VM may use its share of the retry slack one window after it has begun to serve.
-            m_gateway->requestForwarder().sweep();
+            m_vm = std::make_unique<gateway_thread>(options);
+            runOnEventLoop([&](gateway::gateway& gateway) {
+                gateway.requestForwarder().setConfiguration(config);
+                gateway.requestForwarder().changeUpstreams(entries(), {});
+                gateway.setUpstreamsKnown();
+                // A VM may use its share of the retry slack one window after it has begun to serve.
+                gateway.requestForwarder().sweep();
+            });
             std::this_thread::sleep_for(2 * retryWindow);
-            m_thread = std::thread([this] { m_io.run(); });
-        }
-
-        ~gateway_fixture()
-        {
-            m_io.stop();
-            m_thread.join();
         }
 
-        caller connect() { return caller(m_address); }
+        caller connect() { return caller(m_vm->address()); }
         scripted_upstream& upstream(std::size_t index) { return *m_upstreams[index]; }
 
         answer sendAndReceive(const std::string& method, const std::string& path, const std::string& id,
@@ -123,22 +116,10 @@
             return gateway::fingerprintOf(request, "127.0.0.1");
         }
 
-        // Schedules `work` on the gateway's thread.
-        void post(std::function<void(gateway::gateway&)> work)
-        {
-            asio::post(m_io, [this, work = std::move(work)] { work(*m_gateway); });
-        }
+        void post(std::function<void(gateway::gateway&)> work) { m_vm->post(std::move(work)); }
 
         // Runs `work` on the gateway's thread and waits for it.
-        template <typename Work> void runOnEventLoop(Work work)
-        {
-            std::promise<void> done;
-            asio::post(m_io, [&] {
-                work(*m_gateway);
-                done.set_value();
-            });
-            done.get_future().wait();
-        }
+        template <typename Work> void runOnEventLoop(Work work) { m_vm->run(work); }
 
         // Returns the registered upstreams.
         std::vector<placement::upstream_entry> entries() const
@@ -151,18 +132,8 @@
         }
 
     private:
-        static unsigned short freePort()
-        {
-            Poco::Net::ServerSocket probe(Poco::Net::SocketAddress("127.0.0.1", 0));
-            return probe.address().port();
-        }
-
-        asio::io_context m_io { 1 };
-        asio::executor_work_guard<asio::io_context::executor_type> m_workGuard = asio::make_work_guard(m_io);
         std::vector<std::unique_ptr<scripted_upstream>> m_upstreams;
-        std::unique_ptr<gateway::gateway> m_gateway;
-        std::string m_address;
-        std::thread m_thread;
+        std::unique_ptr<gateway_thread> m_vm; // Ends before the upstreams.
     };
 
 }
--- a/testing/traffic_split_test.cc
+++ b/testing/traffic_split_test.cc
@@ -1,74 +1,22 @@
 // Tests of a route that splits its traffic between services, over several VMs.
 
-#include "marlsill/gateway/gateway.h"
+#include "testing/gateway_thread.h"
 #include "testing/raw_caller.h"
 #include "testing/scripted_upstream.h"
 
-#include <boost/asio/executor_work_guard.hpp>
-#include <boost/asio/post.hpp>
+#include <array>
 #include <cmath>
 #include <doctest/doctest.h>
-#include <future>
 
 namespace marlsill::testing {
 
 namespace {
 
-    namespace asio = boost::asio;
-    using std::chrono::milliseconds;
-
     constexpr int vms = 3;
     constexpr int upstreamsOfService = 2;
     constexpr int requestsInWindow = 240;
     constexpr int windows = 2;
 
-    // One VM on a thread of its own.
-    class gateway_thread {
-    public:
-        gateway_thread()
-        {
-            gateway::gateway_options options;
-            options.callerEndpoint = { asio::ip::make_address_v4("127.0.0.1"), freePort() };
-            m_address = "127.0.0.1:" + std::to_string(options.callerEndpoint.port());
-            m_gateway = std::make_unique<gateway::gateway>(m_io, options, gateway::wire_fields());
-            REQUIRE(m_gateway->start().empty());
-            m_gateway->setUpstreamsKnown();
-            m_thread = std::thread([this] { m_io.run(); });
-        }
-
-        ~gateway_thread()
-        {
-            m_io.stop();
-            m_thread.join();
-        }
-
-        const std::string& address() const { return m_address; }
-
-        // Runs `work` on the VM's thread and waits for it.
-        template <typename Work> void run(Work work)
-        {
-            std::promise<void> done;
-            asio::post(m_io, [&] {
-                work(m_gateway->requestForwarder());
-                done.set_value();
-            });
-            done.get_future().wait();
-        }
-
-    private:
-        static unsigned short freePort()
-        {
-            Poco::Net::ServerSocket probe(Poco::Net::SocketAddress("127.0.0.1", 0));
-            return probe.address().port();
-        }
-
-        asio::io_context m_io { 1 };
-        asio::executor_work_guard<asio::io_context::executor_type> m_workGuard = asio::make_work_guard(m_io);
-        std::unique_ptr<gateway::gateway> m_gateway;
-        std::string m_address;
-        std::thread m_thread;
-    };
-
     using weights = std::vector<gateway::weighted_service>;
 
     // Several VMs with a route, "a", to the services "s0" and "s1".
@@ -86,7 +34,10 @@
                     .slots = 3 });
             }
             for (auto& each : m_vms) {
-                each.run([&](auto& forwarder) { forwarder.changeUpstreams(entries, {}); });
+                each.run([&](auto& vm) {
+                    vm.requestForwarder().changeUpstreams(entries, {});
+                    vm.setUpstreamsKnown();
+                });
             }
         }
 
@@ -101,7 +52,7 @@
             auto rules = std::make_shared<const gateway::configuration>(
                 ++m_version, std::vector { route }, gateway::caller_limits());
             for (auto& each : m_vms) {
-                each.run([&](auto& forwarder) { REQUIRE(forwarder.setConfiguration(rules)); });
+                each.run([&](auto& vm) { REQUIRE(vm.requestForwarder().setConfiguration(rules)); });
             }
         }
 
