Test how soon a change of the store reaches all of 444 VMs, and what it costs

No change of the product. In virtual time: a change is with 95 and 444 VMs after 100 ms, and after 2 s while 25 of 1,000 messages are lost; the busiest VM sends at most 400 datagrams for it, 2,000 with losses; a few VMs that lost too much watch the store themselves. Member lists at this size and 2,593 VMs are not played: each VM's list is held by the test.

--- a/marlsill/cluster/store_relay_test.cc
+++ b/marlsill/cluster/store_relay_test.cc
@@ -4,6 +4,7 @@
 #include <deque>
 #include <doctest/doctest.h>
 #include <memory>
+#include <random>
 
 namespace marlsill::cluster {
 
@@ -34,6 +35,9 @@
         int delivered = 0;
         int requests = 0;
         bool dropsLargeMessages = false; // All but beacons and requests.
+        unsigned lostPerThousand = 0; // Of all messages.
+        std::mt19937 lossRandom { 1 };
+        std::map<std::string, int> sent; // Messages of each VM.
         std::uint64_t storedConfiguration = 1;
         std::string storedText = "{}";
         std::size_t configurationBytes = 0; // Sent between VMs.
@@ -79,6 +83,7 @@
                              for (const auto& host : hosts) {
                                  queue.emplace_back(host, message);
                                  queue.back().second.sender = self;
+                                 ++sent[self];
                              }
                          },
                 .watchStore =
@@ -119,7 +124,8 @@
                 configurationBytes += message.configuration ? message.configuration->bytes.size() : 0;
                 requests += message.wantsUpstreams || message.wantsConfiguration ? 1 : 0;
                 bool isLarge = message.configuration || !message.upstreams.empty();
-                if (!(dropsLargeMessages && isLarge) && !nodes[host].isPartitioned
+                bool isLost = lossRandom() % 1'000 < lostPerThousand;
+                if (!isLost && !(dropsLargeMessages && isLarge) && !nodes[host].isPartitioned
                     && !nodes[message.sender].isPartitioned) {
                     nodes[host].relay->handleMessage(message, now);
                 }
@@ -314,6 +320,42 @@
     }
 }
 
+TEST_CASE("A change reaches all VMs of a large fleet in time, and costs the busiest VM little")
+{
+    struct row {
+        const char* name;
+        int vms;
+        int domains;
+        unsigned lostPerThousand;
+        milliseconds limit; // Until all VMs have the change.
+        int mostMessages; // Of any VM meanwhile.
+        int mostWatchers; // One a domain, and those that lost too much.
+    };
+    const row rows[] = {
+        { "a grown fleet", 95, 3, 0, milliseconds(100), 200, 3 },
+        { "a large fleet", 444, 5, 0, milliseconds(100), 400, 5 },
+        { "a large fleet with losses", 444, 5, 25, milliseconds(2'000), 2'000, 15 },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        virtual_fleet fleet(each.vms, each.domains);
+        fleet.run(milliseconds(5'000));
+        REQUIRE(fleet.allHave(1, 24));
+        fleet.lostPerThousand = each.lostPerThousand;
+        for (int change = 2; change <= 4; ++change) {
+            fleet.delivered = 0;
+            fleet.sent.clear();
+            fleet.changeStore();
+            fleet.run(each.limit);
+            CHECK(fleet.allHave(static_cast<std::uint64_t>(change), static_cast<std::size_t>(23 + change)));
+            CHECK(fleet.watcherCount() <= each.mostWatchers);
+            auto busiest = std::max_element(fleet.sent.begin(), fleet.sent.end(),
+                [](const auto& left, const auto& right) { return left.second < right.second; });
+            CHECK((busiest == fleet.sent.end() || busiest->second <= each.mostMessages));
+        }
+    }
+}
+
 TEST_CASE("A VM that returns from a partition does not spread its old list")
 {
     // An upstream leaves while a VM is partitioned. Guards against other VMs accepting the unconfirmed entry
