Test that a stopping VM cuts no request that it has taken late (red)

The test stops a VM with a grace of 2 s before an upstream that usually takes 100 ms, and sends requests of other lengths at other moments.

--- /dev/null
+++ b/testing/planned_stop_test.cc
@@ -0,0 +1,163 @@
+// Tests of what callers get from a VM that stops, up to the end of its process.
+
+#include "testing/gateway_thread.h"
+#include "testing/raw_caller.h"
+#include "testing/scripted_upstream.h"
+
+#include <doctest/doctest.h>
+#include <future>
+#include <memory>
+#include <thread>
+
+namespace marlsill::testing {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr milliseconds grace { 2'000 }; // From the begin of the stop to the end of the process.
+    constexpr milliseconds usualWork { 100 };
+    constexpr int warmUpRequests = 12; // Enough for the average latency to settle.
+
+    // A VM before one upstream with one slot, which ends like a process once its stop is done.
+    class stopping_vm {
+    public:
+        stopping_vm()
+            : m_upstream("u0", gateway::wire_fields())
+        {
+            std::vector<gateway::route> routes;
+            for (bool isAtMostOnce : { true, false }) {
+                routes.push_back({ .name = isAtMostOnce ? "once" : "repeat",
+                    .host = "h.example",
+                    .pathPrefix = isAtMostOnce ? "/once/" : "/repeat/",
+                    .isAtMostOnce = isAtMostOnce,
+                    .timeout = milliseconds(10'000),
+                    .latencyObjective = 2 * usualWork,
+                    .maxUpstreams = 2,
+                    .weightedServices = { { "s" } } });
+            }
+            auto config = std::make_shared<const gateway::configuration>(
+                5, std::move(routes), gateway::caller_limits());
+            m_vm = std::make_unique<gateway_thread>();
+            m_vm->run([&](gateway::gateway& entry) {
+                std::vector<placement::upstream_entry> entries {
+                    { .id = m_upstream.id(), .service = "s", .address = m_upstream.address(), .slots = 1 }
+                };
+                entry.requestForwarder().setConfiguration(config);
+                entry.requestForwarder().changeUpstreams(entries, {});
+                entry.setUpstreamsKnown();
+            });
+            m_upstream.setWorkTime(usualWork);
+            for (int index = 0; index < warmUpRequests; ++index) {
+                raw_caller caller(m_vm->address());
+                caller.sendRequest("POST", "/once/a", "w" + std::to_string(index), 2'000, "b");
+                REQUIRE(caller.receive().status == 200);
+            }
+        }
+
+        ~stopping_vm()
+        {
+            if (m_ending.joinable()) {
+                m_ending.join();
+            }
+        }
+
+        scripted_upstream& upstream() { return m_upstream; }
+        raw_caller connect() { return raw_caller(m_vm->address()); }
+
+        // Begins the planned stop; the process ends, and closes its connections, once the stop is done.
+        void beginStop()
+        {
+            m_vm->run([this](gateway::gateway& entry) {
+                entry.beginStop(deadlineAfter(grace), [this] { m_done.set_value(); });
+            });
+            m_ending = std::thread([this] {
+                m_done.get_future().wait();
+                m_vm.reset();
+            });
+        }
+
+    private:
+        scripted_upstream m_upstream;
+        std::unique_ptr<gateway_thread> m_vm;
+        std::promise<void> m_done;
+        std::thread m_ending;
+    };
+
+}
+
+TEST_CASE("A stopping VM does not take requests that it may have to cut")
+{
+    // Guards against a stop that takes requests by their average run time, and cuts those that take longer.
+    struct row {
+        const char* name;
+        const char* path;
+        milliseconds sentAfter; // The begin of the stop.
+        milliseconds work;
+    };
+    const row rows[] = {
+        { "soon, usual work", "/once/a", milliseconds(50), usualWork },
+        { "soon, ten times the usual work", "/once/a", milliseconds(50), 10 * usualWork },
+        { "in the second half, usual work", "/once/a", milliseconds(1'100), usualWork },
+        { "in the second half, ten times the usual work", "/once/a", milliseconds(1'100), 10 * usualWork },
+        { "in the second half, repeatable", "/repeat/a", milliseconds(1'100), 10 * usualWork },
+        { "late, six times the usual work", "/once/a", milliseconds(1'450), 6 * usualWork },
+        { "at the end", "/once/a", milliseconds(1'900), 3 * usualWork },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        stopping_vm vm;
+        auto busy = vm.connect(); // Keeps the VM from ending early.
+        busy.sendRequest("GET", "/repeat/a", "busy", 10'000);
+        std::this_thread::sleep_for(milliseconds(20));
+        auto late = vm.connect();
+        vm.beginStop();
+        std::this_thread::sleep_for(each.sentAfter);
+        vm.upstream().setWorkTime(each.work);
+        auto sentAt = steady_clock::now();
+        late.sendRequest("POST", each.path, "late", 10'000, "b");
+        auto answered = late.receive();
+        bool isServed = answered.status == 200 && vm.upstream().runsOf("late") == 1;
+        bool isRefused = answered.status == 503 && vm.upstream().runsOf("late") == 0;
+        CHECK((isServed || isRefused));
+        if (isRefused) {
+            CHECK(answered.has("Retry-After: "));
+            CHECK(steady_clock::now() - sentAt < milliseconds(500));
+        }
+    }
+}
+
+TEST_CASE("Requests that are still unanswered when a stop ends get an answer")
+{
+    // Guards against the end of the process closing the connections of requests that it had read.
+    struct row {
+        const char* name;
+        int status; // Of the request that came second.
+        int runs;
+        int firstRequests; // Which the upstream works on when the other one comes.
+    };
+    constexpr milliseconds longWork { 4'000 }; // Longer than the stop.
+    const row rows[] = {
+        { "at work", 504, 1, 0 },
+        { "waiting for an upstream", 503, 0, 2 },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        stopping_vm vm;
+        vm.upstream().setWorkTime(longWork);
+        std::vector<raw_caller> firsts;
+        for (int index = 0; index < each.firstRequests; ++index) {
+            firsts.push_back(vm.connect());
+            firsts.back().sendRequest("POST", "/once/a", "first" + std::to_string(index), 10'000, "b");
+            std::this_thread::sleep_for(milliseconds(50));
+        }
+        auto second = vm.connect();
+        second.sendRequest("POST", "/once/a", "second", 10'000, "b");
+        std::this_thread::sleep_for(milliseconds(50));
+        vm.beginStop();
+        CHECK(second.receive().status == each.status);
+        CHECK(vm.upstream().runsOf("second") == each.runs);
+    }
+}
+
+}
