Start no request during a planned stop that may not finish

What callers saw: requests taken 3.4 to 3.7 s after SIGTERM ran for 2 s or more and were cut without an answer when the process ended (LOST).

Cause: a stopping VM took a request if twice the service's average latency fitted into the time left. The average was checked on arrival only, so that a request could wait for an upstream and start later still; retries were not checked at all.

Callers that are refused are told at once that the request has not run. At the end of the stop, what is unanswered gets 504, or 503 if it has not run, and the process ends once these are written, instead of closing connections.

--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -20,6 +20,8 @@
 namespace {
 
     constexpr const char* permitsUsedUp = "the upstreams' limits are used up";
+    constexpr const char* vmIsStopping = "this VM is stopping";
+    constexpr std::chrono::milliseconds stopRetryDelay { 50 }; // The caller only has to choose another VM.
     // With thousands of services each is observed once in minutes, and its serving VMs are worked out then.
     constexpr std::size_t servicesPerSweep = 4;
     constexpr int latencyHeadroomFactor = 2; // Multiple of the usual latency that a request may need.
@@ -248,9 +250,9 @@
     std::shared_ptr<active_request> current)
 {
     ++m_counters.requests;
-    ++m_inFlightRequests;
+    m_inFlight.insert(current.get());
     auto response = co_await processRequest(current);
-    --m_inFlightRequests;
+    m_inFlight.erase(current.get());
     dequeue(*current);
     if (!response) {
         ++m_counters.cancelled;
@@ -628,6 +630,35 @@
     return std::nullopt;
 }
 
+void forwarder::expireRequests()
+{
+    auto now = steady_clock::now();
+    for (auto* each : m_inFlight) {
+        each->effectiveDeadline = std::min(each->effectiveDeadline, now);
+        each->wakeTimer.cancel();
+    }
+}
+
+// Returns whether the request may still be started, which during a planned stop depends on the time left.
+bool forwarder::mayStartDuringStop(active_request& current, steady_clock::time_point now)
+{
+    if (!m_stop) {
+        return true;
+    }
+    auto usualLatencyMs = m_loadBalancer.statsOf(current.service, now).latencyMs;
+    placement::stop_outlook outlook { .usualLatency = std::chrono::milliseconds(usualLatencyMs),
+        .objective = current.matchedRoute->latencyObjective };
+    bool mayStart = m_stop->mayStart(outlook, now);
+    if (!mayStart || !std::exchange(current.isStopDecisionLogged, true)) {
+        logEvent(event::requestDuringStop,
+            { { "request", current.id }, { "route", current.matchedRoute->name },
+                { "taken", mayStart ? "1" : "0" }, { "usual_ms", std::to_string(usualLatencyMs) },
+                { "needed_ms", std::to_string(m_stop->neededTime(outlook).count()) },
+                { "left_ms", std::to_string(millisecondsUntil(m_stop->exitAt(), now)) } });
+    }
+    return mayStart;
+}
+
 final_response forwarder::rejectQuarantined(active_request& current, steady_clock::time_point now)
 {
     ++m_counters.quarantined;
@@ -666,7 +697,7 @@
     if (step == next_step::tryAnother) {
         bool countsAsRetry = thisAttempt.outcome.outcome != attempt_outcome::notSent;
         bool mayTry = !m_crashMonitor.isQuarantined(current.fingerprint, now)
-            && tryTakeRetry(current, countsAsRetry, now);
+            && mayStartDuringStop(current, now) && tryTakeRetry(current, countsAsRetry, now);
         if (mayTry && current.state.isAnotherInFlight) {
             step = next_step::wait;
         } else if (mayTry) {
@@ -740,6 +771,15 @@
                 co_return rejectQuarantined(*current, now);
             }
         }
+        if (needsAttempt && !mayStartDuringStop(*current, now)) {
+            if (current->mayHaveRun()) {
+                co_return finishWithLocalReply(*current, next_step::giveUp, vmIsStopping);
+            }
+            ++m_counters.refused;
+            final_response refusal { makeServiceUnavailable(vmIsStopping, stopRetryDelay) };
+            recordCompletion(*current, refusal, vmIsStopping);
+            co_return refusal;
+        }
         auto hedgeAt = hedgeTime(*current);
         bool isHedge = !needsAttempt && hasPassed(hedgeAt, now);
         placement::choice chosen;
--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -23,11 +23,14 @@
 #include "marlsill/placement/load_balancer.h"
 #include "marlsill/placement/retry_after_gate.h"
 #include "marlsill/placement/retry_slack_share.h"
+#include "marlsill/placement/stop_admission.h"
 #include "marlsill/placement/windowed_retry_budget.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -118,6 +121,7 @@
     placement::retry_state state;
     std::uint64_t fingerprint = 0; // Of the caller and the request's content.
     bool isQueued = false; // Waits in the service's admission queue.
+    bool isStopDecisionLogged = false;
     bool isCrashProbe = false; // Quarantined, but sent once to find out whether it crashes upstreams.
 };
 
@@ -174,7 +178,13 @@
     const std::shared_ptr<const configuration>& currentConfiguration() const { return m_configuration; }
     const wire_fields& wire() const { return m_wire; }
     traffic_counters& counters() { return m_counters; }
-    int inFlightRequests() const { return m_inFlightRequests; }
+    std::size_t inFlightRequests() const { return m_inFlight.size(); }
+
+    // From now on, starts requests only as `admission` allows and refuses the others.
+    void beginStop(placement::stop_admission admission) { m_stop = admission; }
+
+    // Gives up all requests in flight: each gets its final response as if its deadline had passed.
+    void expireRequests();
 
     // Makes a plain-text response of this VM.
     http::response_message makeLocalReply(int status, std::string_view why) const;
@@ -198,6 +208,7 @@
         active_request& current, placement::next_step step, std::string_view why);
     final_response shedRequest(active_request& current, std::string_view why,
         std::chrono::milliseconds expectedWait, steady_clock::time_point now);
+    bool mayStartDuringStop(active_request& current, steady_clock::time_point now);
     std::optional<final_response> shedOrEnqueue(const std::shared_ptr<active_request>& current,
         const placement::choice& chosen, steady_clock::time_point now);
     std::chrono::milliseconds maxPermitDelay(
@@ -253,7 +264,8 @@
     std::mt19937_64 m_random { std::random_device {}() };
     std::function<service_share(const std::string&)> m_serviceShareOf
         = [](const auto&) { return service_share(); };
-    int m_inFlightRequests = 0;
+    std::set<active_request*> m_inFlight;
+    std::optional<placement::stop_admission> m_stop; // Set once a planned stop has begun.
 };
 
 }
--- a/marlsill/gateway/gateway.cc
+++ b/marlsill/gateway/gateway.cc
@@ -17,7 +17,6 @@
     constexpr std::chrono::milliseconds drainRetryDelay { 50 }; // The caller only has to choose another VM.
     constexpr std::chrono::milliseconds drainPollInterval { 50 };
     constexpr std::chrono::milliseconds finalWriteTime { 250 }; // For responses to leave the VM before exit.
-    constexpr int latencyHeadroomFactor = 2; // Multiple of the usual latency a request needs.
 
     // Parses the caller's timeout, capped at `maxTimeoutMs`. Returns std::nullopt if the field is absent.
     // Sets `isValid` to false if it is malformed.
@@ -86,23 +85,6 @@
     return message;
 }
 
-bool gateway::canFinishBeforeExit(
-    const route& matchedRoute, const std::string& requestId, steady_clock::time_point now)
-{
-    if (!m_exitDeadline || matchedRoute.weightedServices.empty()) {
-        return !m_exitDeadline;
-    }
-    auto usualLatencyMs
-        = m_forwarder.loadBalancer().statsOf(matchedRoute.weightedServices.front().service, now).latencyMs;
-    bool isTaken = now + std::chrono::milliseconds(latencyHeadroomFactor * usualLatencyMs) + finalWriteTime
-        < *m_exitDeadline;
-    logEvent(event::requestDuringStop,
-        { { "request", requestId }, { "route", matchedRoute.name }, { "taken", isTaken ? "1" : "0" },
-            { "usual_ms", std::to_string(usualLatencyMs) },
-            { "left_ms", std::to_string(millisecondsUntil(*m_exitDeadline, now)) } });
-    return isTaken;
-}
-
 asio::awaitable<std::optional<http::response_message>> gateway::serve(std::shared_ptr<served_request> request)
 {
     const auto& head = request->message.head;
@@ -120,9 +102,6 @@
     if (!isValid) {
         co_return makeUnroutedReply(*request, 400, "malformed time limit");
     }
-    if (!canFinishBeforeExit(*matchedRoute, head.get(wire.requestId, ""), steady_clock::now())) {
-        co_return makeUnroutedReply(*request, 503, "this VM is stopping");
-    }
     auto current = std::make_shared<active_request>(m_io, std::move(request->message));
     current->id = current->request.head.get(wire.requestId, "");
     current->caller = request->caller;
@@ -158,6 +137,7 @@
         return;
     }
     m_exitDeadline = exitDeadline;
+    m_forwarder.beginStop({ steady_clock::now(), exitDeadline });
     m_callerServer.beginDrain();
     asio::co_spawn(m_io, drainLoop(std::move(onDone)), asio::detached);
 }
@@ -166,7 +146,8 @@
 {
     auto earliestExit = std::min(*m_exitDeadline, deadlineAfter(m_options.minDrainTime));
     auto idleSince = steady_clock::now();
-    while (!hasPassed(*m_exitDeadline, steady_clock::now())) {
+    bool areRequestsExpired = false;
+    while (!hasPassed(*m_exitDeadline + finalWriteTime, steady_clock::now())) {
         co_await sleepFor(m_io, drainPollInterval);
         auto now = steady_clock::now();
         if (m_forwarder.inFlightRequests() > 0 || m_callerServer.isBusy()) {
@@ -175,6 +156,12 @@
         if (hasPassed(earliestExit, now) && now - idleSince > finalWriteTime) {
             break;
         }
+        if (areRequestsExpired && idleSince != now) {
+            break;
+        }
+        if (hasPassed(*m_exitDeadline, now) && !std::exchange(areRequestsExpired, true)) {
+            m_forwarder.expireRequests();
+        }
     }
     m_callerServer.stopAccepting();
     onDone();
--- a/marlsill/gateway/gateway.h
+++ b/marlsill/gateway/gateway.h
@@ -40,9 +40,9 @@
 
     bool isStopping() const { return m_exitDeadline.has_value(); }
 
-    // Begins a planned stop. Requests in flight are finished and callers' connections drained. Calls `onDone`
-    // once `minDrainTime` has passed and the VM is idle, at the latest at `exitDeadline`. Later calls do
-    // nothing.
+    // Begins a planned stop. Requests in flight are finished and callers' connections drained; those that are
+    // unanswered at `exitDeadline` are given up. Calls `onDone` once `minDrainTime` has passed and the VM is
+    // idle, at the latest 300 ms after `exitDeadline`. Later calls do nothing.
     void beginStop(deadline exitDeadline, std::function<void()> onDone);
 
     forwarder& requestForwarder() { return m_forwarder; }
@@ -53,8 +53,6 @@
     asio::awaitable<void> sweepLoop();
     asio::awaitable<void> drainLoop(std::function<void()> onDone);
     http::response_message makeUnroutedReply(const served_request& request, int status, std::string_view why);
-    bool canFinishBeforeExit(
-        const route& matchedRoute, const std::string& requestId, steady_clock::time_point now);
 
     asio::io_context& m_io;
     const gateway_options m_options;
