Crash records: a request is the same from whichever address it comes

Cause: the fingerprint that crash records go by covered the address of the connection. Each address of a caller began a record of its own, and cost two more upstreams. Upstreams never see that address, so it can't be why they crash.

Records under the former fingerprint match no request and expire (crash_quarantine_test).

--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -62,12 +62,12 @@
 
 }
 
-std::uint64_t fingerprintOf(const http::request_message& request, std::string_view caller)
+std::uint64_t fingerprintOf(const http::request_message& request, const std::string& accountField)
 {
     auto fingerprint = fastHash(request.head.getMethod());
     fingerprint = fastHash(request.head.getHost(), fingerprint);
     fingerprint = fastHash(request.head.getURI(), fingerprint);
-    fingerprint = fastHash(caller, fingerprint);
+    fingerprint = fastHash(request.head.get(accountField, ""), fingerprint);
     return fastHash(request.body, fingerprint);
 }
 
@@ -697,7 +697,7 @@
     auto now = steady_clock::now();
     current->effectiveDeadline
         = std::min(current->callerDeadline, current->arrivedAt + current->matchedRoute->timeout);
-    current->fingerprint = fingerprintOf(current->request, current->caller);
+    current->fingerprint = fingerprintOf(current->request, m_wire.clientAccount);
     current->state.isAtMostOnce = current->matchedRoute->isAtMostOnce;
     current->state.maxUpstreams = current->matchedRoute->maxUpstreams;
     const auto* target
--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -63,8 +63,9 @@
     std::chrono::milliseconds retryWindow { 10'000 }; // The sliding window of the retry budget.
 };
 
-// Returns a hash of what makes two requests copies of one another: method, host, target, body and caller.
-std::uint64_t fingerprintOf(const http::request_message& request, std::string_view caller);
+// Returns a hash of what makes two requests copies of one another: method, host, target, body and the client
+// account in the header field `accountField`, if there is one. Upstreams do not see the caller's address.
+std::uint64_t fingerprintOf(const http::request_message& request, const std::string& accountField);
 
 // A request in flight. The gateway fills in the members above cancel(); the forwarder manages those below it.
 struct active_request {
@@ -116,7 +117,7 @@
     std::vector<std::string> triedUpstreams;
     std::vector<std::shared_ptr<attempt>> attempts;
     placement::retry_state state;
-    std::uint64_t fingerprint = 0; // Of the caller and the request's content.
+    std::uint64_t fingerprint = 0; // See fingerprintOf().
     bool isQueued = false; // Waits in the service's admission queue.
     bool isCrashProbe = false; // Quarantined, but sent once to find out whether it crashes upstreams.
 };
--- a/marlsill/placement/crash_quarantine.h
+++ b/marlsill/placement/crash_quarantine.h
@@ -12,7 +12,7 @@
 // therefore the same on all VMs that have the same records, whichever VM saw which crash, and however often
 // or in which order the records arrive. A request that succeeds is cleared of its crashes so far; one that
 // succeeded shortly before is cleared of one, as popular requests are at work wherever an upstream crashes.
-// The fingerprint covers the request as the upstream receives it, and the caller. Not thread safe.
+// The fingerprint covers what copies of a request have in common as upstreams receive it. Not thread safe.
 
 #include "marlsill/placement/recent_successes.h"
 
--- a/marlsill/placement/crash_quarantine_test.cc
+++ b/marlsill/placement/crash_quarantine_test.cc
@@ -244,6 +244,38 @@
     CHECK(one.digest(now) == 0);
 }
 
+TEST_CASE("Records of a fingerprint that no request has any more do no harm and expire")
+{
+    // The store and peers of another release hold records whose fingerprints cover something else.
+    constexpr std::uint64_t otherFingerprint = 8;
+    crash_quarantine quarantine({ .retention = milliseconds(60'000) });
+    CHECK(quarantine.merge(crashOf(otherFingerprint, "a", 2), start));
+    CHECK_FALSE(quarantine.isQuarantined(fingerprint, start));
+    for (int second = 0; second < 60; ++second) {
+        auto now = start + std::chrono::seconds(second);
+        quarantine.recordArrival(fingerprint, now);
+        for (const auto& each : quarantine.nextRecords(16, now)) {
+            quarantine.merge(each, now);
+        }
+    }
+    auto later = start + milliseconds(60'000);
+    CHECK(quarantine.digest(later) == 0);
+    CHECK(quarantine.recordsOf(otherFingerprint).empty());
+}
+
+TEST_CASE("A caller that varies its crashing request does not displace quarantined ones")
+{
+    constexpr std::size_t maxEntries = 1'000;
+    constexpr std::uint64_t variants = 5'000; // Each crashed one upstream only.
+    crash_quarantine quarantine({ .maxEntries = maxEntries });
+    quarantine.merge(crashOf(1, "a", 2), start);
+    for (std::uint64_t variant = 2; variant < variants; ++variant) {
+        quarantine.merge(crashOf(variant, "a"), start);
+    }
+    CHECK(quarantine.isQuarantined(1, start));
+    CHECK(quarantine.mostImportantRecords(variants, start).size() == maxEntries);
+}
+
 TEST_CASE("A full quarantine forgets requests that are not quarantined first")
 {
     crash_quarantine quarantine({ .maxEntries = 10 });
--- a/testing/crash_containment_test.cc
+++ b/testing/crash_containment_test.cc
@@ -58,6 +58,62 @@
 
 }
 
+TEST_CASE("A crashing request is contained from whichever addresses it comes")
+{
+    constexpr std::size_t entries = 16;
+    constexpr restart_policy restart { restart_kind::newId, milliseconds(2'000) };
+    struct address_case {
+        const char* name;
+        fleet_request crashing;
+        std::vector<fleet_request> sound;
+        milliseconds interval { 300 }; // Between arrivals; about one request in 30 crashes.
+        int arrivals = 40;
+        int upstreams = 24;
+    };
+    const fleet_request listing { .method = "GET", .path = soundPath };
+    const address_case cases[] = {
+        { "no account is named", { .path = crashPath },
+            { listing, { .path = "/once/a" }, { .method = "GET", .path = soundPath, .from = "127.0.2.1" } } },
+        { "one account", { .path = crashPath, .account = "a" },
+            { { .method = "GET", .path = soundPath, .account = "a" }, { .path = "/once/a", .account = "a" },
+                { .path = "/once/a", .account = "b" } } },
+        { "sound requests have the same path and other bodies",
+            { .path = "/once/a", .body = std::string("x") + crashMark, .account = "a" },
+            { { .path = "/once/a", .body = "y", .account = "a" },
+                { .path = "/once/a", .body = "z", .account = "b" }, { .path = "/once/a", .body = "w" } } },
+        { "sound requests have the same path and body, of another account",
+            { .path = "/once/a", .body = "x", .account = std::string("a") + crashMark },
+            { { .path = "/once/a", .body = "x", .account = "b" }, { .path = "/once/a", .body = "x" } } },
+        { "one request in ten, before few upstreams", { .path = repeatableCrashPath, .account = "a" },
+            { listing, { .path = "/once/a" } }, milliseconds(90), 120, 6 },
+    };
+    for (const auto& each : cases) {
+        CAPTURE(std::string(each.name));
+        crash_fleet fleet(static_cast<int>(entries), each.upstreams);
+        for (std::size_t entry = 0; entry < entries; ++entry) {
+            REQUIRE(fleet.awaitServing(entry));
+        }
+        sound_caller sound(fleet, 3, each.sound);
+        for (int arrival = 0; arrival < each.arrivals; ++arrival) {
+            auto request = each.crashing;
+            request.from = "127.0.1." + std::to_string(arrival + 1);
+            fleet.call(static_cast<std::size_t>(arrival) % entries, request);
+            fleet.tickFor(restart, each.interval);
+        }
+        auto crashes = fleet.crashes().size();
+        MESSAGE(std::string(each.name)
+            << ": " << crashes << " runs, " << fleet.lateCrashes()
+            << " of them late; sound requests: " << sound.served() << " of " << sound.answered()
+            << " served, " << sound.quarantined() << " taken for crashing ones");
+        CHECK(crashes >= 1);
+        CHECK(crashes <= maxRuns);
+        CHECK(fleet.lateCrashes() <= maxLateRuns);
+        CHECK(sound.quarantined() == 0);
+        CHECK(sound.served() * 100 >= sound.answered() * 95);
+        CHECK(sound.unanswered() == 0);
+    }
+}
+
 TEST_CASE("A request that crashes every upstream that runs it does not go on crashing them")
 {
     constexpr std::size_t entries = 16;
--- a/testing/crash_fleet.cc
+++ b/testing/crash_fleet.cc
@@ -1,5 +1,6 @@
 #include "testing/crash_fleet.h"
 
+#include "marlsill/http/field_names.h"
 #include "platform/decode.h"
 #include "platform/platform_fields.h"
 #include "platform/testing/store_objects.h"
@@ -21,7 +22,6 @@
 
     constexpr const char* service = "s";
     constexpr const char* host = "h.example";
-    constexpr const char* crashMark = "/crash"; // In the paths of crashing requests.
     constexpr const char* crashIdPrefix = "crash-"; // Of the ids of crashing requests.
     constexpr const char* quarantineText = "upstreams crashed under this request";
     constexpr milliseconds startLimit { 10'000 };
@@ -62,11 +62,20 @@
 
 raw_answer crash_fleet::call(std::size_t entry, const std::string& method, const std::string& path)
 {
+    return call(entry, { .method = method, .path = path });
+}
+
+raw_answer crash_fleet::call(std::size_t entry, const fleet_request& request)
+{
+    auto body = request.method == "POST" ? request.body : std::string();
+    auto account = request.account.empty()
+        ? std::string()
+        : std::string(http::field::clientAccount) + ": " + request.account + "\r\n";
+    bool isCrashing = (request.path + "\n" + account + body).find(crashMark) != std::string::npos;
     try {
-        raw_caller caller(m_entries[entry]->callerAddress(), platformFields());
-        auto id = (path.find(crashMark) != std::string::npos ? crashIdPrefix : "r")
-            + std::to_string(++m_requests);
-        caller.sendRequest(method, path, id, 2'000, method == "POST" ? "body" : "");
+        raw_caller caller(m_entries[entry]->callerAddress(), request.from, platformFields());
+        auto id = (isCrashing ? crashIdPrefix : "r") + std::to_string(++m_requests);
+        caller.sendRequest(request.method, request.path, id, 2'000, body, account);
         return caller.receive();
     } catch (const Poco::Exception&) {
         return {};
@@ -146,20 +155,21 @@
         platform_adapter::upstreamObject(service, slot.server->address(), "ready", slot.starts));
 }
 
-sound_caller::sound_caller(crash_fleet& fleet, int callers)
+sound_caller::sound_caller(crash_fleet& fleet, int callers, std::vector<fleet_request> requests)
 {
     for (int caller = 0; caller < callers; ++caller) {
-        m_threads.emplace_back(
-            [this, &fleet, first = static_cast<std::size_t>(caller)](const std::stop_token& stop) {
-                for (std::size_t turn = first; !stop.stop_requested(); ++turn) {
-                    auto answer = fleet.call(turn % fleet.entries(), "GET", soundPath);
-                    m_answered += answer.status != 0 ? 1 : 0;
-                    m_unanswered += answer.status == 0 ? 1 : 0;
-                    m_served += answer.status == 200 ? 1 : 0;
-                    m_quarantined += answer.body.find(quarantineText) != std::string::npos ? 1 : 0;
-                    std::this_thread::sleep_for(milliseconds(10));
-                }
-            });
+        m_threads.emplace_back([this, &fleet, first = static_cast<std::size_t>(caller),
+                                   request = requests[static_cast<std::size_t>(caller) % requests.size()]](
+                                   const std::stop_token& stop) {
+            for (std::size_t turn = first; !stop.stop_requested(); ++turn) {
+                auto answer = fleet.call(turn % fleet.entries(), request);
+                m_answered += answer.status != 0 ? 1 : 0;
+                m_unanswered += answer.status == 0 ? 1 : 0;
+                m_served += answer.status == 200 ? 1 : 0;
+                m_quarantined += answer.body.find(quarantineText) != std::string::npos ? 1 : 0;
+                std::this_thread::sleep_for(milliseconds(10));
+            }
+        });
     }
 }
 
--- a/testing/crash_fleet.h
+++ b/testing/crash_fleet.h
@@ -23,6 +23,7 @@
 
 namespace marlsill::testing {
 
+constexpr const char* crashMark = "/crash"; // In the path, body or account of a crashing request.
 constexpr const char* crashPath = "/once/crash"; // Crashes the upstream; at most once.
 constexpr const char* repeatableCrashPath = "/repeat/crash"; // The same; may be repeated.
 constexpr const char* soundPath = "/repeat/listing";
@@ -45,6 +46,15 @@
     std::chrono::milliseconds delay {};
 };
 
+// A request to a fleet.
+struct fleet_request {
+    std::string method = "POST";
+    std::string path;
+    std::string body = "body"; // Of a POST.
+    std::string account; // Client account; empty: the request names none.
+    std::string from; // Local IP address; empty: any.
+};
+
 class crash_fleet {
 public:
     // Starts the daemons; awaitServing() waits for one. Sound requests take `workTime`.
@@ -55,6 +65,8 @@
     // Sends a request to a daemon on a connection of its own. Status 0: no answer.
     raw_answer call(std::size_t entry, const std::string& method, const std::string& path);
 
+    raw_answer call(std::size_t entry, const fleet_request& request);
+
     // Waits until a daemon serves. Returns false after a long time.
     bool awaitServing(std::size_t entry);
 
@@ -96,10 +108,12 @@
     std::vector<steady_clock::time_point> m_crashes;
 };
 
-// Sends sound requests, all alike, to the daemons in turn until it is stopped.
+// Sends sound requests to the daemons in turn until it is stopped.
 class sound_caller {
 public:
-    sound_caller(crash_fleet& fleet, int callers);
+    // Each caller sends one of the requests, over and over.
+    sound_caller(crash_fleet& fleet, int callers,
+        std::vector<fleet_request> requests = { { .method = "GET", .path = soundPath } });
 
     int answered() const { return m_answered.load(); }
     int unanswered() const { return m_unanswered.load(); }
--- a/testing/gateway_test.cc
+++ b/testing/gateway_test.cc
@@ -113,7 +113,7 @@
             request.head.setMethod(method);
             request.head.setURI(path);
             request.head.setHost("h.example");
-            return gateway::fingerprintOf(request, "127.0.0.1");
+            return gateway::fingerprintOf(request, gateway::wire_fields().clientAccount);
         }
 
         void post(std::function<void(gateway::gateway&)> work) { m_vm->post(std::move(work)); }
--- a/testing/raw_caller.cc
+++ b/testing/raw_caller.cc
@@ -2,6 +2,7 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/SocketImpl.h>
 #include <Poco/Timespan.h>
 
 namespace marlsill::testing {
@@ -29,17 +30,28 @@
     m_socket.setReceiveTimeout(Poco::Timespan(receiveLimitSeconds, 0));
 }
 
+raw_caller::raw_caller(const std::string& address, const std::string& from, gateway::wire_fields fields)
+    : m_fields(std::move(fields))
+{
+    if (!from.empty()) {
+        m_socket.impl()->bind(Poco::Net::SocketAddress(from, 0));
+    }
+    m_socket.connect(Poco::Net::SocketAddress(address));
+    m_socket.setReceiveTimeout(Poco::Timespan(receiveLimitSeconds, 0));
+}
+
 void raw_caller::send(const std::string& text)
 {
     m_socket.sendBytes(text.data(), static_cast<int>(text.size()));
 }
 
 void raw_caller::sendRequest(const std::string& method, const std::string& path, const std::string& id,
-    int timeoutMs, const std::string& body)
+    int timeoutMs, const std::string& body, const std::string& extraFields)
 {
     auto length = body.empty() ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n";
     send(method + " " + path + " HTTP/1.1\r\nHost: h.example\r\n" + m_fields.requestId + ": " + id + "\r\n"
-        + m_fields.timeoutMs + ": " + std::to_string(timeoutMs) + "\r\n" + length + "\r\n" + body);
+        + m_fields.timeoutMs + ": " + std::to_string(timeoutMs) + "\r\n" + extraFields + length + "\r\n"
+        + body);
 }
 
 raw_answer raw_caller::receive()
--- a/testing/raw_caller.h
+++ b/testing/raw_caller.h
@@ -31,9 +31,13 @@
     // Connects. Throws a Poco exception if nobody listens.
     explicit raw_caller(const std::string& address, gateway::wire_fields fields = {});
 
+    // Connects from a local IP address, any if it is empty.
+    raw_caller(const std::string& address, const std::string& from, gateway::wire_fields fields);
+
     void send(const std::string& text);
+    // `extraFields` are whole header lines, each with its line end.
     void sendRequest(const std::string& method, const std::string& path, const std::string& id,
-        int timeoutMs = 2000, const std::string& body = {});
+        int timeoutMs = 2000, const std::string& body = {}, const std::string& extraFields = {});
     raw_answer receive();
 
     // Returns whether the other side has closed the connection.
--- a/testing/scripted_upstream.cc
+++ b/testing/scripted_upstream.cc
@@ -217,13 +217,14 @@
             return false;
         }
     }
+    auto content = head + buffer.substr(0, bodySize);
     buffer.erase(0, bodySize);
     bool isCrash = false;
     {
         std::lock_guard lock(m_mutex);
         m_lastHead = head;
         m_arrivalTimes.push_back(std::chrono::steady_clock::now());
-        isCrash = !m_crashText.empty() && head.find(m_crashText) != std::string::npos;
+        isCrash = !m_crashText.empty() && content.find(m_crashText) != std::string::npos;
         bool isRun = step != upstream_step::refuse && step != upstream_step::misdirect
             && step != upstream_step::early;
         m_runs[request] += isRun ? 1 : 0;
--- a/testing/scripted_upstream.h
+++ b/testing/scripted_upstream.h
@@ -72,7 +72,8 @@
     // Returns when requests arrived, in order.
     std::vector<std::chrono::steady_clock::time_point> arrivalTimes() const;
 
-    // Makes every request whose header block contains `text` crash the upstream once it has begun to run.
+    // Makes every request whose header block or body contains `text` crash the upstream once it has begun to
+    // run.
     void crashOn(const std::string& text);
 
     bool hasCrashed() const { return m_isStopped.load(); }
