Callers that wait are told apart by client account, not only by address

What callers saw: a caller behind the same address as one that had been told to come back later was refused as "came back too early", though it had never been refused; an account with several addresses needn't wait for its own retry time, and had a turn in the queue for each address.

Cause: retry_after_gate and admission_queue were keyed by the address of the connection, which says neither how many callers there are nor which.

Evidence: gateway_test "A caller is known by its account ..." on the code before: 3 of its first 4 cases fail (another address of the refused account was served; another account, and a request without one, at its address were refused).

After: all 6 cases pass. On the platform requests name no account, so nothing changes there.

--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -71,6 +71,13 @@
     return fastHash(request.body, fingerprint);
 }
 
+std::string callerOf(
+    const http::request_message& request, const std::string& accountField, const std::string& address)
+{
+    auto account = request.head.get(accountField, "");
+    return account.empty() ? address : "account " + std::to_string(fastHash(account));
+}
+
 void active_request::cancel()
 {
     isCancelled = true;
--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -67,6 +67,11 @@
 // account in the header field `accountField`, if there is one. Upstreams do not see the caller's address.
 std::uint64_t fingerprintOf(const http::request_message& request, const std::string& accountField);
 
+// Returns what tells callers apart that compete for room: the client account in the header field
+// `accountField`, or the IP address if the request names none. Its length is bounded.
+std::string callerOf(
+    const http::request_message& request, const std::string& accountField, const std::string& address);
+
 // A request in flight. The gateway fills in the members above cancel(); the forwarder manages those below it.
 struct active_request {
     active_request(asio::io_context& io, http::request_message message)
@@ -77,7 +82,7 @@
 
     http::request_message request;
     std::string id;
-    std::string caller; // IP address.
+    std::string caller; // See callerOf().
     steady_clock::time_point arrivedAt;
     deadline callerDeadline; // When the caller stops waiting.
     std::shared_ptr<const configuration> config; // The configuration in force when the request arrived.
--- a/marlsill/gateway/gateway.cc
+++ b/marlsill/gateway/gateway.cc
@@ -119,7 +119,7 @@
     }
     auto current = std::make_shared<active_request>(m_io, std::move(request->message));
     current->id = current->request.head.get(wire.requestId, "");
-    current->caller = request->caller;
+    current->caller = callerOf(current->request, wire.clientAccount, request->caller);
     current->arrivedAt = request->arrivedAt;
     current->callerDeadline = request->arrivedAt + timeout.value_or(std::chrono::milliseconds(maxTimeoutMs));
     current->config = config;
--- a/marlsill/placement/retry_after_gate.h
+++ b/marlsill/placement/retry_after_gate.h
@@ -7,7 +7,8 @@
 //     if (gate.isTooEarly("10.0.0.7", now))
 //         return refuse(); // Not queued ahead of callers that respected their retry time.
 //
-// Protects against callers that repeat refused requests at once. Not thread safe.
+// Protects against callers that repeat refused requests at once. A caller is whatever the text says: its
+// account, or an address, which several callers may share. Not thread safe.
 
 #include "marlsill/base/time.h"
 
--- a/testing/gateway_test.cc
+++ b/testing/gateway_test.cc
@@ -69,14 +69,15 @@
             std::this_thread::sleep_for(2 * retryWindow);
         }
 
-        caller connect() { return caller(m_vm->address()); }
+        std::string address() const { return m_vm->address(); }
+        caller connect() { return caller(address()); }
         scripted_upstream& upstream(std::size_t index) { return *m_upstreams[index]; }
 
         answer sendAndReceive(const std::string& method, const std::string& path, const std::string& id,
-            int timeoutMs = 2000, const std::string& body = {})
+            int timeoutMs = 2000, const std::string& body = {}, const std::string& extraFields = {})
         {
             auto connection = connect();
-            connection.sendRequest(method, path, id, timeoutMs, body);
+            connection.sendRequest(method, path, id, timeoutMs, body, extraFields);
             return connection.receive();
         }
 
@@ -511,6 +512,51 @@
     CHECK(tested.sendAndReceive("GET", "/repeat/listing", "after").status == 200);
 }
 
+TEST_CASE("A caller is known by its account, by its address if it names none")
+{
+    // Guards against callers behind one address that wait for each other's retry times, and against one
+    // caller with several addresses that need not wait for its own.
+    constexpr milliseconds slowWork { 500 };
+    struct caller_case {
+        const char* name;
+        std::string refusedAccount; // Of the request that is refused, at 127.0.0.1; empty: it names none.
+        std::string account; // Of the next one.
+        const char* from;
+        int status;
+    };
+    const caller_case cases[] = {
+        { "the same account", "a", "a", "127.0.0.1", 503 },
+        { "the same account at another address", "a", "a", "127.0.0.2", 503 },
+        { "another account at the same address", "a", "b", "127.0.0.1", 200 },
+        { "no account", "a", "", "127.0.0.1", 200 },
+        { "the same address without accounts", "", "", "127.0.0.1", 503 },
+        { "another address without accounts", "", "", "127.0.0.2", 200 },
+    };
+    const auto accountField = [](const std::string& account) {
+        return account.empty() ? std::string() : "X-Client-Account: " + account + "\r\n";
+    };
+    for (const auto& each : cases) {
+        CAPTURE(std::string(each.name));
+        gateway_fixture tested(1, milliseconds(3'000));
+        tested.upstream(0).setWorkTime(slowWork);
+        REQUIRE(tested.sendAndReceive("GET", "/repeat/a", "first").status == 200);
+        std::vector<std::future<answer>> slow;
+        for (int request = 0; request < 4; ++request) {
+            slow.push_back(std::async(std::launch::async, [&tested, id = "slow" + std::to_string(request)] {
+                return tested.sendAndReceive("GET", "/repeat/slow", id);
+            }));
+        }
+        std::this_thread::sleep_for(milliseconds(50));
+        REQUIRE(
+            tested.sendAndReceive("GET", "/repeat/a", "refused", 300, {}, accountField(each.refusedAccount))
+                .status
+            == 503);
+        caller next(tested.address(), each.from, {});
+        next.sendRequest("GET", "/repeat/b", "next", 2'500, {}, accountField(each.account));
+        CHECK(next.receive().status == each.status);
+    }
+}
+
 TEST_CASE("A request does not wait for a permit that can be had at once")
 {
     // Guards against the VM that issues the permits noticing its own answer at the next poll of the queue.
