Send nothing to upstreams that say in their responses that they leave

What callers saw: nothing yet; an upstream that said in a response that it leaves got requests until the store's list said so, and again whenever a list, a peer or a probe said that it was back.

Cause: the product did not know the field.

Change: leaving_notices binds a notice to the process that gave it; it ends only with another process under the id. The load balancer withdraws the upstream for choices, probes and the unused ones that the capacity floor brings back; leaving_monitor reads the field when the head is parsed, closes idle connections, wakes what waits if nothing is left, and tells the VMs that share the upstream once. Permits for it are refused. Responses are forwarded unchanged. A 421 speaks for another process; values other than 1 are no notice.

--- a/marlsill/cluster/peer_mesh.cc
+++ b/marlsill/cluster/peer_mesh.cc
@@ -261,6 +261,9 @@
     for (const auto& each : message.limits) {
         m_handler.limit(each);
     }
+    for (const auto& each : message.leaving) {
+        m_handler.leaving(each);
+    }
     answerPermitRequests(message);
     for (const auto& each : message.permits) {
         m_handler.permit(each);
@@ -427,6 +430,14 @@
     scheduleBatch();
 }
 
+void peer_mesh::publish(const placement::leaving_notice& notice)
+{
+    for (const auto& host : interestedHosts(notice.upstream)) {
+        m_outbox[host].leaving.push_back(notice);
+    }
+    scheduleBatch();
+}
+
 void peer_mesh::publish(const placement::crash_record& crash)
 {
     for (const auto& host : m_members.reachableHosts()) {
@@ -458,7 +469,8 @@
     for (auto& [host, message] : batch) {
         bool isSame = previous && previous->evidence == message.evidence && previous->loads == message.loads
             && previous->wantsEvidence == message.wantsEvidence && previous->crashes.empty()
-            && message.crashes.empty() && previous->limits.empty() && message.limits.empty();
+            && message.crashes.empty() && previous->limits.empty() && message.limits.empty()
+            && previous->leaving == message.leaving;
         if (!isSame) {
             message.sender = m_members.self().host;
             bytes = encode(message);
--- a/marlsill/cluster/peer_mesh.h
+++ b/marlsill/cluster/peer_mesh.h
@@ -63,6 +63,8 @@
     std::function<void(const std::string& peer)> crashesComplete;
     // Called with what a peer knows of an upstream's limit.
     std::function<void(const placement::rate_limit_notice&)> limit;
+    // Called with what a peer knows of an upstream that leaves.
+    std::function<void(const placement::leaving_notice&)> leaving;
     // Issues a permit, or refuses one, to a peer that asks for it.
     std::function<placement::permit_answer(const permit_request&)> permitRequest;
     // Called with the answer to a request for a permit.
@@ -107,6 +109,10 @@
     // data also use VMs outside the serving set.
     void publish(const placement::rate_limit_notice& limit);
 
+    // Sends that an upstream leaves, with the next batch, to the VMs that serve the same service and to
+    // subscribers. Others learn it from the first response of the upstream.
+    void publish(const placement::leaving_notice& notice);
+
     // Asks other VMs, up to a number of them, for all of their crash records. Returns whether there are any.
     bool requestCrashes();
 
--- a/marlsill/cluster/peer_mesh_test.cc
+++ b/marlsill/cluster/peer_mesh_test.cc
@@ -41,6 +41,7 @@
                     },
                     .crashesComplete = [this](const auto&) { ++completeAnswers; },
                     .limit = [this](const auto&) { ++limitNotices; },
+                    .leaving = [this](const auto& notice) { leaving.push_back(notice); },
                     .permitRequest = [](const auto&) { return placement::permit_answer(); },
                     .permit = [](const auto&) {},
                     .changedLoads = [] { return std::vector<placement::upstream_load>(); },
@@ -62,7 +63,10 @@
         placement::crash_quarantine quarantine;
         bool isUpToDate = true;
         int completeAnswers = 0;
+        void publishLeaving(const placement::leaving_notice& notice) { m_mesh.publish(notice); }
+
         int limitNotices = 0;
+        std::vector<placement::leaving_notice> leaving; // Of which peers told.
         // Of upstreams by the first letter of their ids: hosts of the VMs that share them, and whether it
         // does.
         std::map<char, std::vector<std::string>> sharing;
@@ -130,6 +134,33 @@
     CHECK(outsider.limitNotices == 1);
 }
 
+TEST_CASE("VMs that share an upstream are told that it leaves, and others are not")
+{
+    struct row {
+        const char* name;
+        const char* upstream;
+        std::size_t told;
+    };
+    const row rows[] = { { "shared", "a1", 1 }, { "not shared", "b1", 0 } };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        asio::io_context io;
+        auto port = freePort();
+        mesh_vm observer(io, firstHost, secondHost, port);
+        mesh_vm peer(io, secondHost, firstHost, port);
+        observer.sharing['a'] = { secondHost };
+        io.run_for(milliseconds(100));
+        observer.publishLeaving({ each.upstream, 77, steady_clock::now() });
+        io.run_for(milliseconds(200));
+        REQUIRE(peer.leaving.size() == each.told);
+        for (const auto& notice : peer.leaving) {
+            CHECK(notice.upstream == each.upstream);
+            CHECK(notice.startedUnixMs == 77);
+            CHECK(steady_clock::now() - notice.observedAt < milliseconds(1'000));
+        }
+    }
+}
+
 TEST_CASE("A VM is told of the upstreams that it shares, and of all if it uses some that are not its own")
 {
     // Guards against telling each of the dozens of neighbours that a VM of a large fleet has all that it
--- a/marlsill/cluster/peer_message.cc
+++ b/marlsill/cluster/peer_message.cc
@@ -32,6 +32,7 @@
     constexpr const char* crashRequestField = "f";
     constexpr const char* crashAnswerField = "j"; // Request, number of the part, number of parts.
     constexpr const char* limitsField = "o";
+    constexpr const char* leavingField = "lv";
     constexpr const char* permitRequestsField = "t";
     constexpr const char* permitsField = "z";
     constexpr const char* summaryField = "k";
@@ -43,6 +44,8 @@
     constexpr const char* removedField = "r";
     constexpr const char* baseDigestField = "a";
 
+    constexpr std::chrono::milliseconds maxNoticeAge { 60'000 }; // Longer than any datagram takes.
+
     json encodeConfiguration(const configuration_part& part)
     {
         return json::array({ part.version, part.textDigest, part.baseDigest, part.part, part.parts,
@@ -128,6 +131,22 @@
         return notice;
     }
 
+    json encodeLeaving(const placement::leaving_notice& notice)
+    {
+        auto age
+            = std::chrono::duration_cast<std::chrono::milliseconds>(steady_clock::now() - notice.observedAt);
+        return json::array({ notice.upstream, notice.startedUnixMs, std::min(age, maxNoticeAge).count() });
+    }
+
+    placement::leaving_notice decodeLeaving(cbor_items item)
+    {
+        placement::leaving_notice notice { .upstream = item.text(),
+            .startedUnixMs = item.integer<std::int64_t>() };
+        auto age = std::clamp<std::int64_t>(item.integer<std::int64_t>(), 0, maxNoticeAge.count());
+        notice.observedAt = steady_clock::now() - std::chrono::milliseconds(age);
+        return notice;
+    }
+
     std::vector<std::uint8_t> toBytes(std::span<const std::uint32_t> digests)
     {
         std::vector<std::uint8_t> bytes;
@@ -210,6 +229,7 @@
         value[crashAnswerField] = json::array({ message.crashAnswer, message.crashPart, message.crashParts });
     }
     putList(value, limitsField, message.limits, encodeLimit);
+    putList(value, leavingField, message.leaving, encodeLeaving);
     putList(value, permitRequestsField, message.permitRequests, [](const permit_request& entry) {
         return json::array({ entry.upstream, entry.maxDelay.count() });
     });
@@ -300,6 +320,7 @@
         message.crashParts = answer->integer<int>();
     }
     fields.forEachItem(limitsField, [&](auto item) { message.limits.push_back(decodeLimit(item)); });
+    fields.forEachItem(leavingField, [&](auto item) { message.leaving.push_back(decodeLeaving(item)); });
     fields.forEachItem(permitRequestsField, [&](auto item) {
         message.permitRequests.push_back({ .upstream = item.text(),
             .maxDelay = std::chrono::milliseconds(item.template integer<std::int64_t>()) });
--- a/marlsill/cluster/peer_message.h
+++ b/marlsill/cluster/peer_message.h
@@ -10,6 +10,7 @@
 #include "marlsill/cluster/configuration_transfer.h"
 #include "marlsill/cluster/member_list.h"
 #include "marlsill/placement/crash_quarantine.h"
+#include "marlsill/placement/leaving_notices.h"
 #include "marlsill/placement/load_balancer.h"
 #include "marlsill/placement/rate_limits.h"
 
@@ -64,6 +65,7 @@
     int crashPart = 0; // Of the answer, which may take several datagrams; from 1 on.
     int crashParts = 0;
     std::vector<placement::rate_limit_notice> limits; // Of upstreams that name, or have named, one.
+    std::vector<placement::leaving_notice> leaving; // Upstreams that said in responses that they leave.
     std::vector<permit_request> permitRequests;
     std::vector<issued_permit> permits; // Answers to `permitRequests`.
     std::optional<store_summary> summary;
--- a/marlsill/cluster/peer_message_test.cc
+++ b/marlsill/cluster/peer_message_test.cc
@@ -25,6 +25,7 @@
         message.wantsEvidence = true;
         message.crashDigest = 12;
         message.crashes = { { 99, "u1", 2, 1, {} } };
+        message.leaving = { { "u3", 77, {} } };
         message.summary = store_summary { 3, 40, 50, 60 };
         message.isBeacon = true;
         message.wantsConfiguration = true;
@@ -49,6 +50,9 @@
     auto decoded = decodePeerMessage(encode(fullMessage()), why);
     REQUIRE(decoded);
     CHECK(encode(*decoded) == encode(fullMessage()));
+    REQUIRE(decoded->leaving.size() == 1);
+    CHECK(decoded->leaving.front().upstream == "u3");
+    CHECK(decoded->leaving.front().startedUnixMs == 77);
     CHECK(decoded->members == fullMessage().members);
     CHECK(decoded->upstreams == fullMessage().upstreams);
     CHECK(decoded->summary->upstreamDigest == 50);
--- a/marlsill/events/events.cc
+++ b/marlsill/events/events.cc
@@ -123,6 +123,12 @@
             "A response named another limit of requests per second than the one known, or none any more." },
         { event::permitAnswered, severity::info, "permit_answered",
             "A permit to send one request to a limited upstream was granted, from `delay_ms` on, or refused." },
+        { event::leavingNoticed, severity::info, "leaving_noticed",
+            "An upstream says in its responses that it leaves; it gets no new requests until another process is registered under its id. `source` is who has told, `age_ms` how long ago it was said." },
+        { event::leavingNoticeEnded, severity::info, "leaving_notice_ended",
+            "Another process is registered under the id of an upstream that said that it leaves." },
+        { event::leavingFieldMalformed, severity::warning, "leaving_field_malformed",
+            "The field of a response that says whether the upstream leaves has an unknown value, which is ignored; at most one line a second." },
         { event::recordGap, severity::error, "record_gap",
             "Facts were dropped before they could be stored; the gap is part of the record." },
     };
--- a/marlsill/events/events.h
+++ b/marlsill/events/events.h
@@ -72,6 +72,9 @@
     crashObjectNotWritten = 5111,
     upstreamLimitChanged = 5112,
     permitAnswered = 5113,
+    leavingNoticed = 5120,
+    leavingNoticeEnded = 5121,
+    leavingFieldMalformed = 5122,
     recordGap = 6001,
 };
 
--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -101,6 +101,8 @@
           { .connectTimeout = m_options.connectTimeout, .quarantine = m_options.quarantine })
     , m_rateLimiter(
           m_loadBalancer, m_counters, [this](const std::string& service) { wakeNextQueued(service); })
+    , m_leavingMonitor(m_loadBalancer, m_counters, m_wire.leaving,
+          [this](const placement::upstream_entry& upstream) { handleLeaving(upstream); })
     , m_absenceDetector(m_options.shortestAbsence)
 {
 }
@@ -118,6 +120,7 @@
     std::span<const placement::upstream_entry> changed, std::span<const std::string> removed)
 {
     m_loadBalancer.changeUpstreams(changed, removed, steady_clock::now());
+    m_leavingMonitor.logEnded();
     m_rateLimiter.forgetUnregistered();
     m_crashMonitor.recordCrashesOfRestarted();
     for (auto& [service, queue] : m_queues) {
@@ -204,7 +207,8 @@
             m_reportEvidence(each);
         }
     }
-    m_pool.sweep([this](const std::string& upstream) { return isAcceptingRequests(upstream); }, now);
+    m_pool.sweep(
+        [this](const std::string& upstream) { return m_loadBalancer.isAcceptingRequests(upstream); }, now);
 }
 
 http::response_message forwarder::makeLocalReply(int status, std::string_view why) const
@@ -329,10 +333,16 @@
         || response.head.getStatus() == Poco::Net::HTTPResponse::HTTP_MISDIRECTED_REQUEST;
 }
 
-bool forwarder::isAcceptingRequests(const std::string& upstream) const
+// Takes effect at once on what is idle or waits; attempts whose connect is under way look for themselves.
+void forwarder::handleLeaving(const placement::upstream_entry& upstream)
 {
-    const auto* known = m_loadBalancer.find(upstream);
-    return known && !known->isLeaving;
+    m_pool.closeIdle(upstream.id);
+    auto queue = m_queues.find(upstream.service);
+    if (queue == m_queues.end() || m_loadBalancer.hasUpstreams(upstream.service)) {
+        return;
+    }
+    // None of them can be served, so that each is refused without waiting for the one before.
+    queue->second.forEachWaiter([](active_request& waiting) { waiting.wakeTimer.cancel(); });
 }
 
 asio::awaitable<void> forwarder::runAttempt(
@@ -360,7 +370,7 @@
         }
     }
     thisAttempt->connection = connection;
-    if (connection && !isAcceptingRequests(thisAttempt->upstream)) {
+    if (connection && !m_loadBalancer.isAcceptingRequests(thisAttempt->upstream)) {
         connection->abort();
         connection = nullptr; // The upstream began to drain during the connect.
     }
@@ -372,6 +382,11 @@
         exchange_options options { .isHead = current->request.head.getMethod() == "HEAD",
             .matchesRequest
             = [this, current](const auto& response) { return isResponseTo(*current, response); },
+            .onHead =
+                [this, thisAttempt](const auto& head) {
+                    m_leavingMonitor.recordResponse(
+                        thisAttempt->upstream, thisAttempt->upstreamStartedUnixMs, head, steady_clock::now());
+                },
             .limits = { .maxBodyBytes = m_options.maxResponseBytes },
             .buffers = &m_responseBuffers };
         thisAttempt->isSent = true;
@@ -394,7 +409,8 @@
                 || thisAttempt->response.head.has("Content-Encoding"))) {
             thisAttempt->outcome.outcome = attempt_outcome::broken;
         }
-        if (connection->isReusable() && thisAttempt->outcome.outcome == attempt_outcome::answered) {
+        if (connection->isReusable() && m_loadBalancer.isAcceptingRequests(thisAttempt->upstream)
+            && thisAttempt->outcome.outcome == attempt_outcome::answered) {
             m_pool.put(thisAttempt->upstream, connection);
         } else {
             connection->abort();
--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -14,6 +14,7 @@
 #include "marlsill/gateway/configuration.h"
 #include "marlsill/gateway/connection_pool.h"
 #include "marlsill/gateway/crash_monitor.h"
+#include "marlsill/gateway/leaving_monitor.h"
 #include "marlsill/gateway/rate_limiter.h"
 #include "marlsill/gateway/traffic_counters.h"
 #include "marlsill/gateway/wire_fields.h"
@@ -171,6 +172,7 @@
     placement::load_balancer& loadBalancer() { return m_loadBalancer; }
     crash_monitor& crashMonitor() { return m_crashMonitor; }
     rate_limiter& rateLimiter() { return m_rateLimiter; }
+    leaving_monitor& leavingMonitor() { return m_leavingMonitor; }
     const std::shared_ptr<const configuration>& currentConfiguration() const { return m_configuration; }
     const wire_fields& wire() const { return m_wire; }
     traffic_counters& counters() { return m_counters; }
@@ -216,7 +218,7 @@
     placement::queue_load queueLoadOf(const std::string& service, steady_clock::time_point now) const;
     std::string serializeFor(
         const active_request& current, const attempt& thisAttempt, steady_clock::time_point now) const;
-    bool isAcceptingRequests(const std::string& upstream) const;
+    void handleLeaving(const placement::upstream_entry& upstream);
     bool isResponseTo(const active_request& current, const http::response_message& response) const;
     placement::windowed_retry_budget& retryBudgetOf(const std::string& service);
     void observeServices();
@@ -238,6 +240,7 @@
     traffic_counters m_counters;
     crash_monitor m_crashMonitor;
     rate_limiter m_rateLimiter;
+    leaving_monitor m_leavingMonitor;
     evidence_reporter m_reportEvidence;
     std::shared_ptr<const configuration> m_configuration;
     // What limits the retries to one service.
--- a/marlsill/gateway/rate_limiter.cc
+++ b/marlsill/gateway/rate_limiter.cc
@@ -9,6 +9,9 @@
 
 namespace {
 
+    // A VM that asks for a permit for a leaving upstream has not heard of it yet, but will have by then.
+    constexpr std::chrono::milliseconds leavingPermitDelay { 1'000 };
+
     // Returns a limit in requests per second; std::nullopt if the text is not a decimal number of at least 0.
     std::optional<double> parseRateLimit(const std::string& text)
     {
@@ -50,6 +53,10 @@
 placement::permit_answer rate_limiter::issuePermit(
     const std::string& upstream, std::chrono::milliseconds maxDelay)
 {
+    const auto* known = m_loadBalancer.find(upstream);
+    if (known && !m_loadBalancer.isAcceptingRequests(upstream)) {
+        return { false, leavingPermitDelay };
+    }
     auto limit = m_limits.limitOf(upstream);
     return limit ? m_issuer.request(upstream, *limit, maxDelay, steady_clock::now())
                  : placement::permit_answer { true };
--- a/marlsill/gateway/traffic_counters.cc
+++ b/marlsill/gateway/traffic_counters.cc
@@ -53,6 +53,9 @@
     appendCounter("quarantined_total", quarantined);
     appendCounter("permits_granted_total", permitsGranted);
     appendCounter("permits_refused_total", permitsRefused);
+    appendCounter("leaving_notices_total", leavingNotices);
+    appendCounter("leaving_notices_from_peers_total", leavingNoticesFromPeers);
+    appendCounter("leaving_fields_malformed_total", leavingFieldsMalformed);
     appendCounter("new_connections_total", newConnections);
     appendCounter("reused_connections_total", reusedConnections);
     appendCounter("late_answers_skipped_total", lateAnswersSkipped);
--- a/marlsill/gateway/traffic_counters.h
+++ b/marlsill/gateway/traffic_counters.h
@@ -46,6 +46,9 @@
     std::uint64_t quarantined = 0; // Requests rejected because they crash upstreams.
     std::uint64_t permitsGranted = 0; // To send one request to an upstream with a limit.
     std::uint64_t permitsRefused = 0;
+    std::uint64_t leavingNotices = 0; // Upstreams that said first to this VM that they leave.
+    std::uint64_t leavingNoticesFromPeers = 0; // Upstreams of which a peer said so first.
+    std::uint64_t leavingFieldsMalformed = 0;
     std::uint64_t newConnections = 0;
     std::uint64_t reusedConnections = 0;
     std::uint64_t lateAnswersSkipped = 0;
--- a/marlsill/gateway/upstream_connection.cc
+++ b/marlsill/gateway/upstream_connection.cc
@@ -12,6 +12,7 @@
 #include <charconv>
 #include <limits>
 #include <sys/socket.h>
+#include <utility>
 
 namespace marlsill::gateway {
 
@@ -137,10 +138,14 @@
     http::response_parser parser(options.isHead);
     auto parsed = http::parse_status::needMore;
     bool hasResponseBytes = false;
+    bool isHeadReported = false;
     buffer_budget unlimited(std::numeric_limits<std::size_t>::max());
     buffer_budget::share held(options.buffers ? *options.buffers : unlimited);
     while (true) {
         parsed = parser.parse(m_readBuffer, result.response, options.limits);
+        if (parser.hasHead() && !std::exchange(isHeadReported, true) && options.onHead) {
+            options.onHead(result.response.head);
+        }
         if (parsed == http::parse_status::complete) {
             if (options.matchesRequest(result.response)) {
                 break;
@@ -151,6 +156,7 @@
                 break;
             }
             parser = http::response_parser(options.isHead);
+            isHeadReported = false;
             result.response = {};
             continue;
         }
--- a/marlsill/gateway/upstream_connection.h
+++ b/marlsill/gateway/upstream_connection.h
@@ -39,6 +39,8 @@
     bool isHead = false; // The request is a HEAD request, so the response has no body.
     // Returns whether a response belongs to the current request. Others are skipped.
     std::function<bool(const http::response_message&)> matchesRequest;
+    // Called when the head of a response has been read, also of those that are skipped. May be empty.
+    std::function<void(const Poco::Net::HTTPResponse&)> onHead;
     http::read_limits limits;
     int maxSkippedResponses = 4; // An upstream that sends more is not answering this request.
     buffer_budget* buffers = nullptr; // Of all responses that are being read; may be null.
--- a/marlsill/gateway/wire_fields.h
+++ b/marlsill/gateway/wire_fields.h
@@ -13,6 +13,7 @@
     std::string expectedUpstream = "X-Expected-Upstream"; // Any other upstream rejects the request.
     std::string rateLimit
         = "X-Rate-Limit"; // Requests per second that the upstream takes from all VMs together.
+    std::string leaving = "X-Leaving"; // "1" in all responses of an upstream that takes no new requests.
     std::string notRun = "X-Refused"; // Present if the upstream rejected the request without executing it.
 };
 
--- a/marlsill/http/message_parser.h
+++ b/marlsill/http/message_parser.h
@@ -104,6 +104,9 @@
     // Continues parsing with the bytes in `buffer`. Skips a few 1xx responses, except that 101 is malformed.
     parse_status parse(std::string& buffer, response_message& message, const read_limits& limits);
 
+    // Returns whether the header block of the final response has been parsed.
+    bool hasHead() const { return m_hasHead; }
+
     // Returns whether an orderly close of the connection at this point completes the response.
     bool isCompleteAtClose() const { return m_hasHead && m_body.isCloseDelimited(); }
 
--- a/marlsill/placement/admission_queue.h
+++ b/marlsill/placement/admission_queue.h
@@ -72,6 +72,16 @@
             + std::count_if(own, m_entries.end(), isAhead));
     }
 
+    // Calls `visit` with each waiter.
+    template <typename Visitor> void forEachWaiter(Visitor visit) const
+    {
+        for (const auto& each : m_entries) {
+            if (auto waiting = each.waiter.lock()) {
+                visit(*waiting);
+            }
+        }
+    }
+
     std::size_t size() const { return m_entries.size(); }
 
     // Returns whether the queue has been non-empty too long for a passing burst.
--- a/marlsill/placement/load_balancer.cc
+++ b/marlsill/placement/load_balancer.cc
@@ -66,6 +66,7 @@
     steady_clock::time_point lastErrorAfterProcessing {};
     bool hasChangedLoad = false;
     bool isListed = false; // Among the upstreams of its service, as it is registered and not leaving.
+    bool isWithdrawn = false; // Registered as not leaving, but has said itself that it leaves.
 };
 
 struct load_balancer::service_state {
@@ -77,6 +78,7 @@
 
     std::vector<upstream_state*> upstreams; // Those of this VM's part that are not leaving.
     std::vector<upstream_state*> others; // Those of other VMs' parts that are not leaving.
+    std::vector<upstream_state*> withdrawn;
     std::shared_ptr<const upstream_partition> partition; // Null: this VM uses all upstreams.
     int sharingVms = 1;
     int slots = 0; // Sum over all upstreams of the service.
@@ -117,10 +119,12 @@
     std::vector<std::unique_ptr<upstream_state>> gone; // Kept until no service names them.
     auto unlist = [&](std::unique_ptr<upstream_state>& state) {
         state->isListed = false;
+        state->isWithdrawn = false;
         affected.insert(&serviceOf(state->entry.service));
         gone.push_back(std::move(state));
     };
     for (const auto& id : removed) {
+        m_leavingNotices.noteRemoved(id, now);
         if (auto found = m_upstreams.find(id); found != m_upstreams.end()) {
             unlist(found->second);
             m_upstreams.erase(found);
@@ -141,11 +145,18 @@
             current->lastUsedAt = now;
         }
         auto& service = serviceOf(entry.service);
-        bool wasListed = std::exchange(current->isListed, !entry.isLeaving);
+        m_leavingNotices.noteRegistered(entry);
+        bool hasNotice = m_leavingNotices.isLeaving(entry);
+        bool wasListed = std::exchange(current->isListed, !entry.isLeaving && !hasNotice);
+        bool wasWithdrawn = std::exchange(current->isWithdrawn, !entry.isLeaving && hasNotice);
         if (current->isListed && !wasListed) {
             service.upstreams.push_back(current.get());
         }
-        if (current->isListed != wasListed || current->entry.slots != entry.slots) {
+        if (current->isWithdrawn && !wasWithdrawn) {
+            service.withdrawn.push_back(current.get());
+        }
+        bool isMoved = current->isListed != wasListed || current->isWithdrawn != wasWithdrawn;
+        if (isMoved || current->entry.slots != entry.slots) {
             affected.insert(&service);
         }
         current->entry = entry;
@@ -155,6 +166,33 @@
     }
 }
 
+bool load_balancer::noteLeaving(const leaving_notice& notice, steady_clock::time_point now)
+{
+    auto* found = findState(notice.upstream);
+    if (!m_leavingNotices.record(notice, found ? &found->entry : nullptr, now)) {
+        return false;
+    }
+    if (found && std::exchange(found->isListed, false)) {
+        found->isWithdrawn = true;
+        auto& service = serviceOf(found->entry.service);
+        service.withdrawn.push_back(found);
+        updateService(service);
+    }
+    return true;
+}
+
+bool load_balancer::isAcceptingRequests(std::string_view upstream) const
+{
+    auto* found = findState(upstream);
+    return found && found->isListed;
+}
+
+bool load_balancer::hasUpstreams(std::string_view service) const
+{
+    auto found = m_services.find(service);
+    return found != m_services.end() && !found->second->upstreams.empty();
+}
+
 // Returns the state of a service, which need not have been known.
 load_balancer::service_state& load_balancer::serviceOf(const std::string& name)
 {
@@ -171,9 +209,10 @@
     auto isUnlisted = [](const upstream_state* each) { return !each->isListed; };
     std::erase_if(service.upstreams, isUnlisted);
     std::erase_if(service.others, isUnlisted);
+    std::erase_if(service.withdrawn, [](const upstream_state* each) { return !each->isWithdrawn; });
     divideUpstreams(service);
     service.slots = 0;
-    for (const auto* part : { &service.upstreams, &service.others }) {
+    for (const auto* part : { &service.upstreams, &service.others, &service.withdrawn }) {
         for (const auto* each : *part) {
             service.slots += each->entry.slots;
         }
--- a/marlsill/placement/load_balancer.h
+++ b/marlsill/placement/load_balancer.h
@@ -16,6 +16,7 @@
 // only; those of other VMs are a last resort for its overload, as it does not know their load. Performs no
 // I/O. Not thread safe.
 
+#include "marlsill/placement/leaving_notices.h"
 #include "marlsill/placement/rate_limits.h"
 #include "marlsill/placement/upstream_entry.h"
 #include "marlsill/placement/upstream_partition.h"
@@ -175,6 +176,19 @@
     void changeUpstreams(std::span<const upstream_entry> changed, std::span<const std::string> removed,
         steady_clock::time_point now);
 
+    // Takes requests from the process of an upstream that has said that it leaves, until another process is
+    // registered under its identifier. Returns whether that is news.
+    bool noteLeaving(const leaving_notice& notice, steady_clock::time_point now);
+
+    // Returns the notices of leaving processes that other processes have replaced since the last call.
+    std::vector<leaving_notice> takeEndedLeavingNotices() { return m_leavingNotices.takeEnded(); }
+
+    // Returns whether an upstream is registered and neither its registration nor itself says that it leaves.
+    bool isAcceptingRequests(std::string_view upstream) const;
+
+    // Returns whether any upstream of a service accepts requests.
+    bool hasUpstreams(std::string_view service) const;
+
     // Selects an upstream. The caller must call startAttempt() and finishAttempt() for it.
     choice choose(const choice_request& request, steady_clock::time_point now);
 
@@ -217,7 +231,8 @@
     // Returns the registered upstream at an address that started last, or nullptr. Searches all upstreams.
     const upstream_entry* findNewestAt(std::string_view address) const;
 
-    // Returns the sum of slots of a service's upstreams, excluded ones included, leaving ones not.
+    // Returns the sum of slots of a service's upstreams, excluded ones included, those registered as leaving
+    // not. As VMs must agree on it, it does not depend on what upstreams say in their responses.
     int slotsOf(std::string_view service) const;
 
     // Returns the aggregated state of this VM's part of a service's upstreams; all zeros for an unknown
@@ -259,6 +274,7 @@
     std::mt19937_64 m_random;
     std::map<std::string, std::unique_ptr<upstream_state>, std::less<>> m_upstreams;
     std::map<std::string, std::unique_ptr<service_state>, std::less<>> m_services;
+    leaving_notices m_leavingNotices;
     std::set<std::string, std::less<>> m_used; // Those with attempts of this VM in flight, and some that had.
     std::vector<std::string> m_changedLoads; // Since the last takeChangedLoads().
 };
--- a/testing/scripted_upstream.cc
+++ b/testing/scripted_upstream.cc
@@ -130,11 +130,22 @@
     return m_arrivalTimes;
 }
 
-// Returns the header line that names the limit, if there is one.
-std::string scripted_upstream::limitField() const
+void scripted_upstream::setLeavingField(const std::string& value)
+{
+    std::lock_guard lock(m_mutex);
+    m_leavingField = value;
+}
+
+// Returns the header lines that name the limit and that the upstream leaves, if it does.
+std::string scripted_upstream::stateFields() const
 {
     auto limit = m_rateLimit.load();
-    return limit > 0 ? m_fields.rateLimit + ": " + std::to_string(limit) + "\r\n" : std::string();
+    auto fields = limit > 0 ? m_fields.rateLimit + ": " + std::to_string(limit) + "\r\n" : std::string();
+    std::lock_guard lock(m_mutex);
+    if (!m_leavingField.empty()) {
+        fields += m_fields.leaving + ": " + m_leavingField + "\r\nX-Answered-By: " + m_id + "\r\n";
+    }
+    return fields;
 }
 
 upstream_step scripted_upstream::nextStep()
@@ -176,11 +187,12 @@
 void scripted_upstream::serve(Poco::Net::StreamSocket socket)
 {
     std::string buffer;
+    ++m_openConnections;
     try {
         while (!m_isStopped && serveOne(socket, buffer)) { }
-    } catch (const Poco::Exception&) {
-        return; // The other side has closed.
+    } catch (const Poco::Exception&) { // NOLINT(bugprone-empty-catch): the other side has closed.
     }
+    --m_openConnections;
 }
 
 bool scripted_upstream::serveOne(Poco::Net::StreamSocket& socket, std::string& buffer)
@@ -205,11 +217,11 @@
     std::size_t bodySize = length.empty() ? 0 : std::stoul(length);
     auto request = fieldOf(head, m_fields.requestId);
     const std::string start = "HTTP/1.1 200 OK\r\n" + m_fields.requestId + ": " + request + "\r\n"
-        + m_fields.seal + ": seal-" + request + "\r\n" + limitField();
+        + m_fields.seal + ": seal-" + request + "\r\n" + stateFields();
     const std::string whole = start + "Content-Length: 14\r\n\r\n" + body;
     if (step == upstream_step::early) {
         sendText(socket,
-            "HTTP/1.1 413 Too Large\r\n" + m_fields.requestId + ": " + request + "\r\n"
+            "HTTP/1.1 413 Too Large\r\n" + m_fields.requestId + ": " + request + "\r\n" + stateFields()
                 + "Content-Length: 0\r\n\r\n");
     }
     while (buffer.size() < bodySize) {
@@ -246,15 +258,15 @@
     case upstream_step::error:
         sendText(socket,
             "HTTP/1.1 500 Failed\r\n" + m_fields.requestId + ": " + request + "\r\n" + m_fields.seal
-                + ": seal\r\n" + limitField() + "Content-Length: 6\r\n\r\nfailed");
+                + ": seal\r\n" + stateFields() + "Content-Length: 6\r\n\r\nfailed");
         return true;
     case upstream_step::refuse:
         sendText(socket,
-            "HTTP/1.1 503 Full\r\n" + m_fields.notRun + ": 1\r\n" + limitField()
+            "HTTP/1.1 503 Full\r\n" + m_fields.notRun + ": 1\r\n" + stateFields()
                 + "Content-Length: 0\r\n\r\n");
         return true;
     case upstream_step::misdirect:
-        sendText(socket, "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n");
+        sendText(socket, "HTTP/1.1 421 Other\r\n" + stateFields() + "Content-Length: 0\r\n\r\n");
         return true;
     case upstream_step::reset:
         resetConnection(socket);
@@ -287,7 +299,13 @@
         return true;
     case upstream_step::unsealed:
         sendText(socket,
-            "HTTP/1.1 200 OK\r\n" + m_fields.requestId + ": " + request + "\r\nContent-Length: 2\r\n\r\nno");
+            "HTTP/1.1 200 OK\r\n" + m_fields.requestId + ": " + request + "\r\n" + stateFields()
+                + "Content-Length: 2\r\n\r\nno");
+        return true;
+    case upstream_step::slowBody:
+        sendText(socket, start + "Content-Length: 14\r\n\r\n");
+        std::this_thread::sleep_for(m_workTime.load());
+        sendText(socket, body);
         return true;
     case upstream_step::hang:
         m_sawCancel = !receive() || m_sawCancel.load();
--- a/testing/scripted_upstream.h
+++ b/testing/scripted_upstream.h
@@ -48,6 +48,7 @@
     endlessExtensions, // Runs it and sends small chunks with long extensions.
     endlessTrailers, // Runs it and sends trailers without end.
     endlessNoise, // Runs it and sends bytes that are no HTTP without end.
+    slowBody, // Sends the head of its answer at once, and the body after the work time.
     early, // Answers before it has read the body, and keeps the connection.
 };
 
@@ -69,6 +70,10 @@
     // Sets the limit in requests per second that all answers name; 0: they name none.
     void setRateLimit(double requestsPerSecond) { m_rateLimit = requestsPerSecond; }
 
+    // Sets the value of the leaving field in all answers; empty: they have none. Answers with the field also
+    // name the upstream, in X-Answered-By.
+    void setLeavingField(const std::string& value);
+
     // Returns when requests arrived, in order.
     std::vector<std::chrono::steady_clock::time_point> arrivalTimes() const;
 
@@ -89,6 +94,9 @@
     int arrivals() const { return m_arrivals.load(); }
     int connections() const { return m_connections.load(); }
 
+    // Returns how many connections are open now.
+    int openConnections() const { return m_openConnections.load(); }
+
     // Returns the header block of the last request.
     std::string lastHead() const;
 
@@ -112,7 +120,7 @@
     bool serveOne(Poco::Net::StreamSocket& socket, std::string& buffer);
     upstream_step nextStep();
     void sendEndlessly(Poco::Net::StreamSocket& socket, const std::string& first, const std::string& piece);
-    std::string limitField() const;
+    std::string stateFields() const;
 
     const std::string m_id;
     const gateway::wire_fields m_fields;
@@ -121,6 +129,7 @@
     std::atomic<bool> m_isStopped = false;
     std::atomic<int> m_arrivals = 0;
     std::atomic<int> m_connections = 0;
+    std::atomic<int> m_openConnections = 0;
     std::atomic<bool> m_sawCancel = false;
     std::atomic<std::chrono::milliseconds> m_workTime = std::chrono::milliseconds(0);
     std::atomic<double> m_rateLimit = 0;
@@ -134,6 +143,7 @@
     std::deque<upstream_step> m_steps;
     std::map<std::string, int> m_runs;
     std::string m_lastHead;
+    std::string m_leavingField; // Empty: answers have none.
     std::string m_crashText; // Empty: no request crashes the upstream.
     std::vector<Poco::Net::StreamSocket> m_open;
     std::vector<std::thread> m_threads;
