Keep no connection to a process whose place another one has taken

What callers saw: 503 for requests to an upstream that had just been replaced.

Cause: idle connections are pooled by id. When another process was registered under an id, at another address, requests for it went to the one before on the old connections; a leaving notice of that one would count as its successor's, which would then get nothing at all.

Evidence: the new case of leaving_notice_test fails 6 of 9 checks without the change; the requests reached the process before (2 arrivals for 1), the successor none of 5.

Change: idle connections are closed when the start time or address of a registration changes, and a connection that was busy meanwhile isn't pooled.

--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -119,6 +119,12 @@
 void forwarder::changeUpstreams(
     std::span<const placement::upstream_entry> changed, std::span<const std::string> removed)
 {
+    for (const auto& each : changed) {
+        const auto* known = m_loadBalancer.find(each.id);
+        if (known && (known->startedUnixMs != each.startedUnixMs || known->address != each.address)) {
+            m_pool.closeIdle(each.id); // They lead to another process.
+        }
+    }
     m_loadBalancer.changeUpstreams(changed, removed, steady_clock::now());
     m_leavingMonitor.logEnded();
     m_rateLimiter.forgetUnregistered();
@@ -345,6 +351,14 @@
     queue->second.forEachWaiter([](active_request& waiting) { waiting.wakeTimer.cancel(); });
 }
 
+// Returns whether the process that an attempt went to is the one that is registered.
+bool forwarder::isRegisteredAs(const attempt& thisAttempt) const
+{
+    const auto* known = m_loadBalancer.find(thisAttempt.upstream);
+    return known && known->startedUnixMs == thisAttempt.upstreamStartedUnixMs
+        && known->address == thisAttempt.address;
+}
+
 asio::awaitable<void> forwarder::runAttempt(
     std::shared_ptr<active_request> current, std::shared_ptr<attempt> thisAttempt)
 {
@@ -409,7 +423,9 @@
                 || thisAttempt->response.head.has("Content-Encoding"))) {
             thisAttempt->outcome.outcome = attempt_outcome::broken;
         }
-        if (connection->isReusable() && m_loadBalancer.isAcceptingRequests(thisAttempt->upstream)
+        bool mayReuse
+            = m_loadBalancer.isAcceptingRequests(thisAttempt->upstream) && isRegisteredAs(*thisAttempt);
+        if (connection->isReusable() && mayReuse
             && thisAttempt->outcome.outcome == attempt_outcome::answered) {
             m_pool.put(thisAttempt->upstream, connection);
         } else {
--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -219,6 +219,7 @@
     std::string serializeFor(
         const active_request& current, const attempt& thisAttempt, steady_clock::time_point now) const;
     void handleLeaving(const placement::upstream_entry& upstream);
+    bool isRegisteredAs(const attempt& thisAttempt) const;
     bool isResponseTo(const active_request& current, const http::response_message& response) const;
     placement::windowed_retry_budget& retryBudgetOf(const std::string& service);
     void observeServices();
