Play upstreams that say in their answers that they leave in the soak

The observer at the upstreams takes from callers which process passed on which answer, and from upstreams what reaches them. Pauses of a daemon are no excuse, as a frozen one forgets nothing; the users' rule would excuse them.

--- a/testing/soak/soak_run.cc
+++ b/testing/soak/soak_run.cc
@@ -45,6 +45,7 @@
     , m_random(m_options.seed)
     , m_limitRandom(m_options.seed + 1)
     , m_failureRandom(m_options.seed + 2)
+    , m_leavingRandom(m_options.seed + 3)
 {
 }
 
@@ -77,8 +78,9 @@
         place->upstream = std::make_unique<scripted_upstream>("u" + std::to_string(index), platformFields());
         place->upstream->setWorkTime(workTime);
         place->upstream->setEndlessPause(endlessPause);
-        place->upstream->setArrivalListener([this](const std::string& request) {
+        place->upstream->setArrivalListener([this, id = place->upstream->id()](const std::string& request) {
             m_retryObserver.noteArrival(request, steady_clock::now());
+            m_leavingObserver.noteArrival(request, id);
         });
         place->upstream->setRunListener([this, id = place->upstream->id()](const std::string& request) {
             m_checker.noteRun(request, id, steady_clock::now());
@@ -161,6 +163,7 @@
         auto sentAt = steady_clock::now();
         m_checker.noteSent(id, isAtMostOnce);
         m_retryObserver.noteRequest(sentAt);
+        m_leavingObserver.noteSent(id, life, sentAt);
         caller.sendRequest(
             isAtMostOnce ? "POST" : "GET", path + id, id, timeoutMs, isAtMostOnce ? "body " + id : "");
         auto answer = caller.receive();
@@ -169,6 +172,9 @@
             return;
         }
         auto fields = platformFields();
+        if (answer.field(fields.leaving) == "1") {
+            m_leavingObserver.notePassedOn(id, answer.field("X-Answered-By"), steady_clock::now());
+        }
         m_checker.noteAnswer(id,
             { .status = answer.status,
                 .request = answer.field(fields.requestId),
@@ -362,11 +368,54 @@
     place.limitCheckedFrom = std::max(place.limitCheckedFrom, place.troubleUntil + limitSettleTime);
 }
 
+// Returns whether enough upstreams serve without this one.
+bool soak_run::mayLeave(const upstream_place& place) const
+{
+    auto others = std::count_if(m_upstreams.begin(), m_upstreams.end(),
+        [&](const auto& each) { return each.get() != &place && !each->isDraining && !each->isLeaving; });
+    return static_cast<std::size_t>(others) >= minServing;
+}
+
+// Ends an upstream that drains or leaves, and starts another process under its id.
+void soak_run::replaceUpstream(upstream_place& place)
+{
+    place.isDraining = false;
+    place.isLeaving = false;
+    place.upstream->setLeavingField("");
+    m_leavingObserver.noteReplaced(place.upstream->id(), steady_clock::now());
+    ++place.life;
+    m_store.remove(platform_adapter::upstreamKind, place.upstream->id());
+    publishUpstream(place, "ready");
+}
+
+// Makes an upstream say in its answers that it leaves, while the store says that it is ready, or says so once
+// more. It may drain as well.
+void soak_run::sayLeaving()
+{
+    auto& place = *m_upstreams[m_leavingRandom() % m_upstreams.size()];
+    if (place.isLeaving && !place.isDraining) {
+        publishUpstream(place, "ready");
+    }
+    if (place.isLeaving || !mayLeave(place)) {
+        return;
+    }
+    place.isLeaving = true;
+    place.leavingUntil = deadlineAfter(milliseconds(4'000 + m_leavingRandom() % 4'000));
+    place.upstream->setLeavingField("1");
+}
+
+void soak_run::endLeavings()
+{
+    for (auto& each : m_upstreams) {
+        if (each->isLeaving && !each->isDraining && hasPassed(each->leavingUntil, steady_clock::now())) {
+            replaceUpstream(*each);
+        }
+    }
+}
+
 void soak_run::drainUpstream(upstream_place& place)
 {
-    auto serving = std::count_if(
-        m_upstreams.begin(), m_upstreams.end(), [](const auto& each) { return !each->isDraining; });
-    if (place.isDraining || static_cast<std::size_t>(serving) <= minServing) {
+    if (place.isDraining || !mayLeave(place)) {
         return;
     }
     publishUpstream(place, "draining");
@@ -381,6 +430,7 @@
 void soak_run::endTroubles(bool isAll)
 {
     endLimits();
+    endLeavings();
     auto now = steady_clock::now();
     for (auto& each : m_entries) {
         if (isAll || hasPassed(each->pausedUntil, now)) {
@@ -405,12 +455,9 @@
         if (isWatched || (isAll && each->isDraining)) {
             m_drainsChecked += each->isDrainChecked && isWatched ? 1 : 0;
             m_checker.forgetLeaving(each->upstream->id());
-            each->isDraining = false;
             each->limitCheckedFrom
                 = deadlineAfter(limitSettleTime); // The VMs learn the limit of the new life.
-            ++each->life;
-            m_store.remove(platform_adapter::upstreamKind, each->upstream->id());
-            publishUpstream(*each, "ready");
+            replaceUpstream(*each);
         }
     }
 }
@@ -451,11 +498,15 @@
     auto until = deadlineAfter(m_options.length);
     while (!hasPassed(until, steady_clock::now())) {
         nameLimit();
+        sayLeaving();
         if (m_failureRandom() % 2 == 0) {
             failUpstreams();
         }
         for (int left = draw(6); left >= 0; --left) {
             playFault();
+            if (m_leavingRandom() % 4 == 0) {
+                sayLeaving();
+            }
             if (m_failureRandom() % 4 == 0) {
                 answerWithoutEnd();
             }
@@ -497,6 +548,9 @@
         m_checker.noteBroken("retries: " + std::to_string(beyond) + " beyond the ratio in a window, "
             + std::to_string(retrySlack) + " allowed");
     }
+    for (auto& each : m_leavingObserver.broken()) {
+        m_checker.noteBroken(std::move(each));
+    }
     for (auto& each : m_entries) {
         each->process->signal(SIGTERM);
     }
@@ -506,7 +560,8 @@
         }
     }
     return { m_checker.broken(), m_checker.sent(), m_checker.answered(200), m_checker.answered(503), m_faults,
-        m_drainsChecked, m_limitsChecked, static_cast<int>(m_retryObserver.repeats()) };
+        m_drainsChecked, m_limitsChecked, static_cast<int>(m_leavingObserver.checked()),
+        static_cast<int>(m_retryObserver.repeats()) };
 }
 
 }
--- a/testing/soak/soak_run.h
+++ b/testing/soak/soak_run.h
@@ -11,6 +11,7 @@
 #include "platform/testing/fake_object_store.h"
 #include "testing/scripted_upstream.h"
 #include "testing/soak/entry_process.h"
+#include "testing/soak/leaving_observer.h"
 #include "testing/soak/loopback_proxy.h"
 #include "testing/soak/promise_checker.h"
 #include "testing/soak/retry_budget_observer.h"
@@ -42,6 +43,7 @@
     int faults = 0;
     int drainsChecked = 0;
     int limitsChecked = 0;
+    int leavingsChecked = 0; // Notices of upstreams that leave, one for each process that passed them on.
     int repeats = 0; // Arrivals of requests at upstreams beyond the first.
 };
 
@@ -60,6 +62,8 @@
         deadline failsUntil {}; // Set while it fails all requests.
         steady_clock::time_point drainBound {}; // In the future while it drains.
         bool isDraining = false;
+        bool isLeaving = false; // Says in its answers that it leaves, whatever the store says.
+        deadline leavingUntil {};
         int life = 1;
         bool isDrainChecked = false;
         double limit = 0; // That it names, in requests per second; 0: none.
@@ -92,6 +96,10 @@
     void troubleUpstream(upstream_place& place);
     void troubleUpstreamLink(upstream_place& place);
     void drainUpstream(upstream_place& place);
+    bool mayLeave(const upstream_place& place) const;
+    void replaceUpstream(upstream_place& place);
+    void sayLeaving();
+    void endLeavings();
     void nameLimit();
     void failUpstreams();
     void answerWithoutEnd();
@@ -107,8 +115,10 @@
     std::mt19937_64 m_random; // Of the faults' thread.
     std::mt19937_64 m_limitRandom; // Of limits; apart, so that the other faults of a seed stay the same.
     std::mt19937_64 m_failureRandom; // Of upstreams that fail for long or answer without end; apart likewise.
+    std::mt19937_64 m_leavingRandom; // Of upstreams that say in their answers that they leave; likewise.
     promise_checker m_checker;
     retry_budget_observer m_retryObserver { retryWindow, retryRatio };
+    leaving_observer m_leavingObserver { std::chrono::milliseconds(2'000) }; // The users' drain time.
     platform_adapter::fake_object_store m_store;
     steady_clock::time_point m_storeTroubleUntil {};
     std::vector<std::unique_ptr<upstream_place>> m_upstreams;
