--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -110,6 +110,8 @@
           { .connectTimeout = m_options.connectTimeout, .quarantine = m_options.quarantine })
     , m_rateLimiter(
           m_loadBalancer, m_counters, [this](const std::string& service) { wakeNextQueued(service); })
+    , m_leavingMonitor(m_loadBalancer, m_counters, m_wire.leaving,
+          [this](const placement::upstream_entry& upstream) { handleLeaving(upstream); })
     , m_absenceDetector(m_options.shortestAbsence)
 {
 }
@@ -126,7 +128,14 @@
 void forwarder::changeUpstreams(
     std::span<const placement::upstream_entry> changed, std::span<const std::string> removed)
 {
+    for (const auto& each : changed) {
+        const auto* known = m_loadBalancer.find(each.id);
+        if (known && (known->startedUnixMs != each.startedUnixMs || known->address != each.address)) {
+            m_pool.closeIdle(each.id); // They lead to another process.
+        }
+    }
     m_loadBalancer.changeUpstreams(changed, removed, steady_clock::now());
+    m_leavingMonitor.logEnded();
     m_rateLimiter.forgetUnregistered();
     m_crashMonitor.recordCrashesOfRestarted();
     for (auto& [service, queue] : m_queues) {
@@ -213,7 +222,8 @@
             m_reportEvidence(each);
         }
     }
-    m_pool.sweep([this](const std::string& upstream) { return isAcceptingRequests(upstream); }, now);
+    m_pool.sweep(
+        [this](const std::string& upstream) { return m_loadBalancer.isAcceptingRequests(upstream); }, now);
 }
 
 http::response_message forwarder::makeLocalReply(int status, std::string_view why) const
@@ -338,10 +348,24 @@
         || response.head.getStatus() == Poco::Net::HTTPResponse::HTTP_MISDIRECTED_REQUEST;
 }
 
-bool forwarder::isAcceptingRequests(const std::string& upstream) const
+// Takes effect at once on what is idle or waits; attempts whose connect is under way look for themselves.
+void forwarder::handleLeaving(const placement::upstream_entry& upstream)
+{
+    m_pool.closeIdle(upstream.id);
+    auto queue = m_queues.find(upstream.service);
+    if (queue == m_queues.end() || m_loadBalancer.hasUpstreams(upstream.service)) {
+        return;
+    }
+    // None of them can be served, so that each is refused without waiting for the one before.
+    queue->second.forEachWaiter([](active_request& waiting) { waiting.wakeTimer.cancel(); });
+}
+
+// Returns whether the process that an attempt went to is the one that is registered.
+bool forwarder::isRegisteredAs(const attempt& thisAttempt) const
 {
-    const auto* known = m_loadBalancer.find(upstream);
-    return known && !known->isLeaving;
+    const auto* known = m_loadBalancer.find(thisAttempt.upstream);
+    return known && known->startedUnixMs == thisAttempt.upstreamStartedUnixMs
+        && known->address == thisAttempt.address;
 }
 
 asio::awaitable<void> forwarder::runAttempt(
@@ -369,7 +393,7 @@
         }
     }
     thisAttempt->connection = connection;
-    if (connection && !isAcceptingRequests(thisAttempt->upstream)) {
+    if (connection && !m_loadBalancer.isAcceptingRequests(thisAttempt->upstream)) {
         connection->abort();
         connection = nullptr; // The upstream began to drain during the connect.
     }
@@ -381,6 +405,11 @@
         exchange_options options { .isHead = current->request.head.getMethod() == "HEAD",
             .matchesRequest
             = [this, current](const auto& response) { return isResponseTo(*current, response); },
+            .onHead =
+                [this, thisAttempt](const auto& head) {
+                    m_leavingMonitor.recordResponse(
+                        thisAttempt->upstream, thisAttempt->upstreamStartedUnixMs, head, steady_clock::now());
+                },
             .limits = { .maxBodyBytes = m_options.maxResponseBytes },
             .buffers = &m_responseBuffers };
         thisAttempt->isSent = true;
@@ -403,7 +432,10 @@
                 || thisAttempt->response.head.has("Content-Encoding"))) {
             thisAttempt->outcome.outcome = attempt_outcome::broken;
         }
-        if (connection->isReusable() && thisAttempt->outcome.outcome == attempt_outcome::answered) {
+        bool mayReuse
+            = m_loadBalancer.isAcceptingRequests(thisAttempt->upstream) && isRegisteredAs(*thisAttempt);
+        if (connection->isReusable() && mayReuse
+            && thisAttempt->outcome.outcome == attempt_outcome::answered) {
             m_pool.put(thisAttempt->upstream, connection);
         } else {
             connection->abort();
