Leave upstreams alone that turn requests away, until the time that they named

Callers saw requests turned away that another upstream had room for, and used up the retry budget on the way; while all upstreams turned requests away, they were told to return after 300 ms whatever these had said.

Cause: a 503 with Retry-After was a refusal like any other. It excluded its upstream for 200 ms, or not at all if a third of the service refused, and peers' evidence, the capacity floor and probes brought it back sooner.

Change: one deadline per upstream and start, kept by retry_after_holds apart from health and registration. The choice passes held upstreams by, and an attempt whose upstream is held when its connect is done is not sent. While all are held, requests are refused at once, those that wait included, and return_schedule tells callers when to return. E5120 and E5121, upstream_turn_aways_total and held_refusals_total.

--- a/marlsill/events/events.cc
+++ b/marlsill/events/events.cc
@@ -123,6 +123,10 @@
             "A response named another limit of requests per second than the one known, or none any more." },
         { event::permitAnswered, severity::info, "permit_answered",
             "A permit to send one request to a limited upstream was granted, from `delay_ms` on, or refused." },
+        { event::upstreamTurnsAway, severity::info, "upstream_turns_away",
+            "An upstream turned a request away for a time; it gets nothing from this VM until `until_unix_ms`." },
+        { event::retryAfterIgnored, severity::warning, "retry_after_ignored",
+            "An upstream's 503 named a time that cannot be read; it holds nothing back." },
         { event::recordGap, severity::error, "record_gap",
             "Facts were dropped before they could be stored; the gap is part of the record." },
     };
--- a/marlsill/events/events.h
+++ b/marlsill/events/events.h
@@ -72,6 +72,8 @@
     crashObjectNotWritten = 5111,
     upstreamLimitChanged = 5112,
     permitAnswered = 5113,
+    upstreamTurnsAway = 5120,
+    retryAfterIgnored = 5121,
     recordGap = 6001,
 };
 
--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -101,6 +101,7 @@
           { .connectTimeout = m_options.connectTimeout, .quarantine = m_options.quarantine })
     , m_rateLimiter(
           m_loadBalancer, m_counters, [this](const std::string& service) { wakeNextQueued(service); })
+    , m_turnAways(m_loadBalancer, m_counters)
     , m_absenceDetector(m_options.shortestAbsence)
 {
 }
@@ -223,6 +224,19 @@
     return placement::retryAfter(expectedWait, std::uniform_real_distribution<>()(m_random));
 }
 
+// Returns the Retry-After of a refused request: when held upstreams return if all are held back, otherwise
+// the expected wait with random jitter.
+std::chrono::milliseconds forwarder::refusalDelay(
+    const active_request& current, std::chrono::milliseconds expectedWait, steady_clock::time_point now)
+{
+    auto held = m_turnAways.returnDelay(current.service,
+        { .sharingVms = m_serviceShareOf(current.service).sharingVms,
+            .fraction = std::uniform_real_distribution<>()(m_random),
+            .isEarly = m_retryAfterGate.isTooEarly(current.caller, now) },
+        now);
+    return held ? *held : jitteredRetryAfter(expectedWait);
+}
+
 http::response_message forwarder::makeServiceUnavailableAfter(
     std::string_view why, std::chrono::milliseconds delay) const
 {
@@ -364,6 +378,11 @@
         connection->abort();
         connection = nullptr; // The upstream began to drain during the connect.
     }
+    if (connection && m_loadBalancer.isHeld(thisAttempt->upstream, steady_clock::now())) {
+        thisAttempt->outcome.isHeldBack = true;
+        connection->abort();
+        connection = nullptr; // The upstream turned another request away during the connect.
+    }
     if (!connection || thisAttempt->isFinished || current->isCancelled) {
         thisAttempt->outcome.outcome = thisAttempt->isFinished || current->isCancelled
             ? attempt_outcome::cancelled
@@ -425,6 +444,9 @@
     auto elapsed = now - thisAttempt.startedAt;
     thisAttempt.outcome.elapsed = toMilliseconds(elapsed);
     auto condition = m_loadBalancer.statsOf(current.service, now);
+    if (recordTurnAway(current, thisAttempt, now)) {
+        thisAttempt.outcome.isHeldBack = thisAttempt.outcome.outcome != attempt_outcome::broken;
+    }
     auto verdict
         = placement::healthSignalOf(thisAttempt.outcome, std::chrono::milliseconds(condition.latencyMs));
     if (thisAttempt.outcome.outcome == attempt_outcome::answered) {
@@ -464,6 +486,22 @@
     wakeNextQueued(current.service);
 }
 
+// Takes over the time for which an upstream turns requests away, also from an answer that broke off after its
+// head. Returns whether the answer names one.
+bool forwarder::recordTurnAway(
+    const active_request& current, const attempt& thisAttempt, steady_clock::time_point now)
+{
+    bool isAnswer = thisAttempt.isSent && isResponseTo(current, thisAttempt.response);
+    return isAnswer
+        && m_turnAways.recordResponse(
+            {
+                .request = current.id,
+                .upstream = thisAttempt.upstream,
+                .upstreamStartedUnixMs = thisAttempt.upstreamStartedUnixMs,
+            },
+            thisAttempt.response.head, now);
+}
+
 void forwarder::wakeNextQueued(const std::string& service)
 {
     auto found = m_queues.find(service);
@@ -579,8 +617,9 @@
     final_response response;
     if (step == next_step::refuse) {
         ++m_counters.refused;
-        response.message = makeServiceUnavailable(
-            why, placement::expectedWait(queueLoadOf(current.service, steady_clock::now())));
+        auto now = steady_clock::now();
+        response.message = makeServiceUnavailableAfter(
+            why, refusalDelay(current, placement::expectedWait(queueLoadOf(current.service, now)), now));
     } else {
         ++m_counters.unknown;
         bool isLate = hasPassed(current.effectiveDeadline, steady_clock::now());
@@ -596,7 +635,7 @@
     std::chrono::milliseconds expectedWait, steady_clock::time_point now)
 {
     ++m_counters.refused;
-    auto delay = jitteredRetryAfter(expectedWait);
+    auto delay = refusalDelay(current, expectedWait, now);
     m_retryAfterGate.recordRetryAfter(current.caller, now + delay, now);
     final_response response { makeServiceUnavailableAfter(why, delay) };
     recordCompletion(current, response, why);
@@ -636,6 +675,17 @@
         "upstreams crashed under this request");
 }
 
+// Ends a request that no upstream would take now. Waiting would end with the same answer, and those behind it
+// in the queue cannot be served either.
+final_response forwarder::rejectHeld(active_request& current, steady_clock::time_point now)
+{
+    constexpr const char* why = "every upstream turns requests away";
+    dequeue(current);
+    wakeNextQueued(current.service);
+    return current.mayHaveRun() ? finishWithLocalReply(current, next_step::giveUp, why)
+                                : shedRequest(current, why, {}, now);
+}
+
 final_response forwarder::finishTimedOut(active_request& current)
 {
     abortAttempts(current);
@@ -750,6 +800,8 @@
                 needsAttempt = false;
                 isHedge = false;
                 dequeue(*current);
+            } else if (needsAttempt && chosen.status == choice_status::allHeld) {
+                co_return rejectHeld(*current, now);
             } else if (needsAttempt && chosen.status == choice_status::noneUsable) {
                 auto step = current->mayHaveRun() ? next_step::giveUp : next_step::refuse;
                 co_return finishWithLocalReply(*current, step, "no upstream left to try");
--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -16,6 +16,7 @@
 #include "marlsill/gateway/crash_monitor.h"
 #include "marlsill/gateway/rate_limiter.h"
 #include "marlsill/gateway/traffic_counters.h"
+#include "marlsill/gateway/turn_away_monitor.h"
 #include "marlsill/gateway/wire_fields.h"
 #include "marlsill/placement/admission_queue.h"
 #include "marlsill/placement/attempt_policy.h"
@@ -205,6 +206,11 @@
     final_response rejectQuarantined(active_request& current, steady_clock::time_point now);
     final_response finishTimedOut(active_request& current);
     std::chrono::milliseconds jitteredRetryAfter(std::chrono::milliseconds expectedWait);
+    std::chrono::milliseconds refusalDelay(
+        const active_request& current, std::chrono::milliseconds expectedWait, steady_clock::time_point now);
+    final_response rejectHeld(active_request& current, steady_clock::time_point now);
+    bool recordTurnAway(
+        const active_request& current, const attempt& thisAttempt, steady_clock::time_point now);
     http::response_message makeServiceUnavailableAfter(
         std::string_view why, std::chrono::milliseconds delay) const;
     void abortAttempts(active_request& current);
@@ -238,6 +244,7 @@
     traffic_counters m_counters;
     crash_monitor m_crashMonitor;
     rate_limiter m_rateLimiter;
+    turn_away_monitor m_turnAways;
     evidence_reporter m_reportEvidence;
     std::shared_ptr<const configuration> m_configuration;
     // What limits the retries to one service.
--- a/marlsill/gateway/traffic_counters.cc
+++ b/marlsill/gateway/traffic_counters.cc
@@ -53,6 +53,8 @@
     appendCounter("quarantined_total", quarantined);
     appendCounter("permits_granted_total", permitsGranted);
     appendCounter("permits_refused_total", permitsRefused);
+    appendCounter("upstream_turn_aways_total", turnAways);
+    appendCounter("held_refusals_total", heldRefusals);
     appendCounter("new_connections_total", newConnections);
     appendCounter("reused_connections_total", reusedConnections);
     appendCounter("late_answers_skipped_total", lateAnswersSkipped);
--- a/marlsill/gateway/traffic_counters.h
+++ b/marlsill/gateway/traffic_counters.h
@@ -46,6 +46,8 @@
     std::uint64_t quarantined = 0; // Requests rejected because they crash upstreams.
     std::uint64_t permitsGranted = 0; // To send one request to an upstream with a limit.
     std::uint64_t permitsRefused = 0;
+    std::uint64_t turnAways = 0; // 503 answers of upstreams with a time in Retry-After.
+    std::uint64_t heldRefusals = 0; // Requests rejected because all upstreams turn requests away.
     std::uint64_t newConnections = 0;
     std::uint64_t reusedConnections = 0;
     std::uint64_t lateAnswersSkipped = 0;
--- a/marlsill/placement/attempt_policy.cc
+++ b/marlsill/placement/attempt_policy.cc
@@ -64,6 +64,9 @@
     bool isKnown = usual.count() > 0;
     bool isSlow = isKnown && attempt.elapsed > slowFactor * usual;
     bool wasProcessed = isKnown && attempt.elapsed >= usual / processingDivisor;
+    if (attempt.isHeldBack) {
+        return health_signal::inconclusive; // It gets nothing for the time that it named, and no longer.
+    }
     switch (attempt.outcome) {
     case attempt_outcome::answered:
         if (!isServerError(attempt.status)) {
--- a/marlsill/placement/attempt_policy.h
+++ b/marlsill/placement/attempt_policy.h
@@ -31,6 +31,7 @@
     bool wasReused = false; // The connection had served an earlier request.
     std::chrono::milliseconds idleBefore {}; // Idle time of a reused connection.
     std::chrono::milliseconds elapsed {};
+    bool isHeldBack = false; // The upstream turns requests away for a time; see retry_after_holds.
 };
 
 // The state of a request after the attempt.
--- a/marlsill/placement/load_balancer.cc
+++ b/marlsill/placement/load_balancer.cc
@@ -284,7 +284,7 @@
     for (auto* each : service.upstreams) {
         bool isUnused = each->isExcluded && each->lastUsedAt + m_options.unusedAfter + probeDelay(*each) < now
             && hasPassed(each->probeUntil, now);
-        if (!isUnused) {
+        if (!isUnused || m_holds.isHeld(each->entry, now)) {
             continue;
         }
         ++unused;
@@ -398,12 +398,17 @@
     // The excluded upstream with free slots whose exclusion ends first.
     upstream_state* excludedFallback = nullptr;
     bool hasUsable = false;
+    bool hasHeld = false;
     bool hasHealthy = false;
     std::shuffle(service.upstreams.begin(), service.upstreams.end(), m_random);
     for (auto* each : service.upstreams) {
         if (std::find(request.tried.begin(), request.tried.end(), each->entry.id) != request.tried.end()) {
             continue;
         }
+        if (m_holds.isHeld(each->entry, now)) {
+            hasHeld = true;
+            continue;
+        }
         hasUsable = true;
         int inFlight = inFlightAt(*each, now);
         bool isLimited = request.limits && request.limits->limitOf(each->entry.id);
@@ -429,7 +434,8 @@
         hasHealthy = hasHealthy || !needsPermit;
         hasUnlimited = hasUnlimited || !isLimited;
         double slots = std::max(1, each->entry.slots);
-        if (inFlight >= slots + overcommit) {
+        auto rampUpLimit = m_holds.maxInFlight(each->entry, now);
+        if (inFlight >= slots + overcommit || (rampUpLimit && each->inFlight >= *rampUpLimit)) {
             continue;
         }
         candidate current { each, tierOf(*each, service, inFlight, now),
@@ -462,7 +468,7 @@
         return { choice_status::chosen, &best->upstream->entry, false, inFlightAt(*best->upstream, now),
             std::move(permitWanted) };
     }
-    if (auto* outside = chooseOutsidePart(service, request)) {
+    if (auto* outside = chooseOutsidePart(service, request, now)) {
         return { choice_status::chosen, &outside->entry, false, outside->inFlight };
     }
     bool isExcludedAllowed = !hasHealthy || request.mayUseExcluded;
@@ -470,7 +476,8 @@
         return { choice_status::chosen, &excludedFallback->entry, true, inFlightAt(*excludedFallback, now),
             std::move(permitWanted) };
     }
-    return { .status = hasUsable ? choice_status::allBusy : choice_status::noneUsable,
+    auto withoutUsable = hasHeld ? choice_status::allHeld : choice_status::noneUsable;
+    return { .status = hasUsable ? choice_status::allBusy : withoutUsable,
         .permitWanted = std::move(permitWanted),
         .nextPermitAt = hasUnlimited ? std::nullopt : nextPermitAt,
         .expectedPermits = expectedPermits };
@@ -479,7 +486,7 @@
 // Returns an upstream of another VM's part, or nullptr. As its load is unknown, the one with the fewest
 // requests of this VM is taken out of a few random ones.
 load_balancer::upstream_state* load_balancer::chooseOutsidePart(
-    const service_state& service, const choice_request& request)
+    const service_state& service, const choice_request& request, steady_clock::time_point now)
 {
     upstream_state* best = nullptr;
     for (int sample = 0; sample < samplesOutsidePart && !service.others.empty(); ++sample) {
@@ -489,7 +496,9 @@
         bool isTried
             = std::find(request.tried.begin(), request.tried.end(), each->entry.id) != request.tried.end();
         bool isLimited = request.limits && request.limits->limitOf(each->entry.id);
-        bool isUsable = !isTried && !isLimited && !each->isExcluded && each->inFlight < each->entry.slots;
+        auto maxInFlight = m_holds.maxInFlight(each->entry, now).value_or(each->entry.slots);
+        bool isUsable = !isTried && !isLimited && !each->isExcluded && each->inFlight < maxInFlight
+            && !m_holds.isHeld(each->entry, now);
         if (isUsable && (!best || each->inFlight < best->inFlight)) {
             best = each;
         }
@@ -725,6 +734,38 @@
     return stalled;
 }
 
+std::optional<deadline> load_balancer::recordTurnAway(std::string_view upstream, std::int64_t startedUnixMs,
+    std::chrono::milliseconds delay, steady_clock::time_point now)
+{
+    return m_holds.hold(upstream, startedUnixMs, delay, std::uniform_real_distribution<>()(m_random), now);
+}
+
+bool load_balancer::isHeld(std::string_view upstream, steady_clock::time_point now) const
+{
+    const auto* known = findState(upstream);
+    return known && m_holds.isHeld(known->entry, now);
+}
+
+std::vector<returning_capacity> load_balancer::heldCapacity(
+    std::string_view service, steady_clock::time_point now) const
+{
+    std::vector<returning_capacity> capacity;
+    auto found = m_services.find(service);
+    if (found == m_services.end()) {
+        return capacity;
+    }
+    for (const auto* each : found->second->upstreams) {
+        auto until = m_holds.heldUntil(each->entry, now);
+        if (!until) {
+            return {};
+        }
+        capacity.push_back({ *until, each->entry.slots });
+    }
+    std::sort(capacity.begin(), capacity.end(),
+        [](const auto& left, const auto& right) { return left.at < right.at; });
+    return capacity;
+}
+
 void load_balancer::noteChangedLoad(upstream_state& each)
 {
     if (!std::exchange(each.hasChangedLoad, true)) {
@@ -766,7 +807,7 @@
         auto limit = limits ? limits->limitOf(each->entry.id) : std::nullopt;
         if (each->isExcluded) {
             ++condition.excluded;
-        } else if (!limit) {
+        } else if (!limit && !m_holds.isHeld(each->entry, now)) {
             condition.slots += each->entry.slots;
         }
     }
--- a/marlsill/placement/load_balancer.h
+++ b/marlsill/placement/load_balancer.h
@@ -17,6 +17,8 @@
 // I/O. Not thread safe.
 
 #include "marlsill/placement/rate_limits.h"
+#include "marlsill/placement/retry_after_holds.h"
+#include "marlsill/placement/return_schedule.h"
 #include "marlsill/placement/upstream_entry.h"
 #include "marlsill/placement/upstream_partition.h"
 
@@ -132,6 +134,7 @@
 enum class choice_status {
     chosen,
     allBusy, // Every eligible upstream is at its concurrency limit or excluded.
+    allHeld, // Every upstream that the request has not tried turns requests away for a time.
     noneUsable, // The service has no upstream that the request has not tried.
 };
 
@@ -154,7 +157,7 @@
 struct service_stats {
     int upstreams = 0; // Registered and not leaving.
     int excluded = 0; // Those of `upstreams` that are excluded.
-    int slots = 0; // Sum over the upstreams that are not excluded and have no limit.
+    int slots = 0; // Sum over the upstreams that are neither excluded nor held and have no limit.
     int inFlight = 0; // From all VMs, as far as known.
     int latencyMs = 0; // Moving average; 0 if unknown.
 };
@@ -203,6 +206,20 @@
     // changes. The cost grows with the changes only.
     std::vector<upstream_load> takeChangedLoads();
 
+    // Records that an answer of the upstream that started at `startedUnixMs` turned a request away for
+    // `delay`. Until then it is not chosen, not even for a probe; see retry_after_holds. Returns the end if
+    // it is new or noticeably later than the one known.
+    std::optional<deadline> recordTurnAway(std::string_view upstream, std::int64_t startedUnixMs,
+        std::chrono::milliseconds delay, steady_clock::time_point now);
+
+    // Returns whether a registered upstream turns requests away at present.
+    bool isHeld(std::string_view upstream, steady_clock::time_point now) const;
+
+    // Returns when the slots of a service can be used again, in the order of time, if all upstreams of this
+    // VM's part turn requests away; otherwise nothing.
+    std::vector<returning_capacity> heldCapacity(
+        std::string_view service, steady_clock::time_point now) const;
+
     // Records whether a request of this VM succeeded; feeds the service's loss share.
     void recordOutcome(std::string_view service, bool isServed, steady_clock::time_point now);
 
@@ -237,7 +254,8 @@
     bool isProbeDue(const upstream_state& each, steady_clock::time_point now) const;
     std::chrono::milliseconds probeDelay(const upstream_state& each) const;
     int inFlightAt(const upstream_state& each, steady_clock::time_point now) const;
-    upstream_state* chooseOutsidePart(const service_state& service, const choice_request& request);
+    upstream_state* chooseOutsidePart(
+        const service_state& service, const choice_request& request, steady_clock::time_point now);
     service_state& serviceOf(const std::string& name);
     void updateService(service_state& service);
     void divideUpstreams(service_state& service);
@@ -257,6 +275,7 @@
 
     const load_balancer_options m_options;
     std::mt19937_64 m_random;
+    retry_after_holds m_holds;
     std::map<std::string, std::unique_ptr<upstream_state>, std::less<>> m_upstreams;
     std::map<std::string, std::unique_ptr<service_state>, std::less<>> m_services;
     std::set<std::string, std::less<>> m_used; // Those with attempts of this VM in flight, and some that had.
--- a/testing/scripted_upstream.cc
+++ b/testing/scripted_upstream.cc
@@ -85,6 +85,19 @@
     m_arrivalListener = std::move(listener);
 }
 
+void scripted_upstream::setRetryAfter(std::string value)
+{
+    std::lock_guard lock(m_mutex);
+    m_retryAfter = std::move(value);
+}
+
+void scripted_upstream::setTurnAwayListener(
+    std::function<void(const std::string&, const std::string&)> listener)
+{
+    std::lock_guard lock(m_mutex);
+    m_turnAwayListener = std::move(listener);
+}
+
 int scripted_upstream::runsOf(const std::string& request) const
 {
     std::lock_guard lock(m_mutex);
@@ -173,6 +186,22 @@
     --m_endlessSenders;
 }
 
+void scripted_upstream::turnAway(Poco::Net::StreamSocket& socket, const std::string& request, bool saysNotRun)
+{
+    std::string retryAfter;
+    {
+        std::lock_guard lock(m_mutex);
+        retryAfter = m_retryAfter;
+        if (m_turnAwayListener) {
+            m_turnAwayListener(request, retryAfter);
+        }
+    }
+    sendText(socket,
+        "HTTP/1.1 503 Later\r\n" + m_fields.requestId + ": " + request + "\r\nRetry-After: " + retryAfter
+            + "\r\n" + (saysNotRun ? m_fields.notRun + ": 1\r\n" : std::string()) + limitField()
+            + "Content-Length: 0\r\n\r\n");
+}
+
 void scripted_upstream::serve(Poco::Net::StreamSocket socket)
 {
     std::string buffer;
@@ -225,7 +254,8 @@
         m_arrivalTimes.push_back(std::chrono::steady_clock::now());
         isCrash = !m_crashText.empty() && head.find(m_crashText) != std::string::npos;
         bool isRun = step != upstream_step::refuse && step != upstream_step::misdirect
-            && step != upstream_step::early;
+            && step != upstream_step::early && step != upstream_step::turnAway
+            && step != upstream_step::turnAwayUnstated;
         m_runs[request] += isRun ? 1 : 0;
         if (isRun && m_listener) {
             m_listener(request);
@@ -253,6 +283,10 @@
             "HTTP/1.1 503 Full\r\n" + m_fields.notRun + ": 1\r\n" + limitField()
                 + "Content-Length: 0\r\n\r\n");
         return true;
+    case upstream_step::turnAway:
+    case upstream_step::turnAwayUnstated:
+        turnAway(socket, request, step == upstream_step::turnAway);
+        return true;
     case upstream_step::misdirect:
         sendText(socket, "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n");
         return true;
--- a/testing/scripted_upstream.h
+++ b/testing/scripted_upstream.h
@@ -49,6 +49,8 @@
     endlessTrailers, // Runs it and sends trailers without end.
     endlessNoise, // Runs it and sends bytes that are no HTTP without end.
     early, // Answers before it has read the body, and keeps the connection.
+    turnAway, // Says that it has not run it, with 503 and a Retry-After field.
+    turnAwayUnstated, // Likewise, without saying that it has not run it.
 };
 
 class scripted_upstream {
@@ -63,6 +65,14 @@
     // Sets what happens to the next requests, in order; after them all are answered.
     void plan(std::vector<upstream_step> steps);
 
+    // Sets the value of the Retry-After field of the steps that turn requests away.
+    void setRetryAfter(std::string value);
+
+    // Sets who is told of each request that is turned away, on the upstream's threads, before the answer is
+    // sent; with the value of the Retry-After field.
+    void setTurnAwayListener(
+        std::function<void(const std::string& request, const std::string& retryAfter)> listener);
+
     // Sets how long each request that is answered takes.
     void setWorkTime(std::chrono::milliseconds length) { m_workTime = length; }
 
@@ -111,6 +121,7 @@
     void serve(Poco::Net::StreamSocket socket);
     bool serveOne(Poco::Net::StreamSocket& socket, std::string& buffer);
     upstream_step nextStep();
+    void turnAway(Poco::Net::StreamSocket& socket, const std::string& request, bool saysNotRun);
     void sendEndlessly(Poco::Net::StreamSocket& socket, const std::string& first, const std::string& piece);
     std::string limitField() const;
 
@@ -131,6 +142,8 @@
     std::vector<std::chrono::steady_clock::time_point> m_arrivalTimes;
     std::function<void(const std::string&)> m_listener;
     std::function<void(const std::string&)> m_arrivalListener;
+    std::function<void(const std::string&, const std::string&)> m_turnAwayListener;
+    std::string m_retryAfter = "1";
     std::deque<upstream_step> m_steps;
     std::map<std::string, int> m_runs;
     std::string m_lastHead;
