Soak: upstreams turn requests away, and what each VM sends them meanwhile is checked

A third of the upstreams, or now and then all, answer 503 with Retry-After of 1 to 4 s, with and without saying that the request has not run. The checker knows which daemon carried a request and counts for each daemon and upstream; a restart or pause of the daemon, a trouble of the upstream's link and its new life excuse.

--- a/marlsill/model/compare_main.cc
+++ b/marlsill/model/compare_main.cc
@@ -16,6 +16,7 @@
     double compliantServed = 0;
     double repeatingServed = 0;
     int duplicateExecutions = 0;
+    int turnedAway = 0;
 };
 
 template <placement_policy Policy> summary summarize(const model_options& options, int seeds)
@@ -27,6 +28,7 @@
         total.compliantServed += result.compliant.servedFraction() / seeds;
         total.repeatingServed += result.repeating.servedFraction() / seeds;
         total.duplicateExecutions += result.duplicateExecutions;
+        total.turnedAway += result.turnedAway / seeds;
     }
     return total;
 }
@@ -34,8 +36,9 @@
 void print(const char* policy, double load, const summary& total)
 {
     char line[160];
-    std::snprintf(line, sizeof line, "%5.1f  %-6s  %7.3f  %9.3f  %9.3f  %5d  ", load, policy, total.utility,
-        total.compliantServed, total.repeatingServed, total.duplicateExecutions);
+    std::snprintf(line, sizeof line, "%5.1f  %-6s  %7.3f  %9.3f  %9.3f  %5d  %6d  ", load, policy,
+        total.utility, total.compliantServed, total.repeatingServed, total.duplicateExecutions,
+        total.turnedAway);
     constexpr double barLength = 40;
     std::cout << line << std::string(static_cast<std::size_t>(barLength * total.utility), '#') << '\n';
 }
@@ -47,6 +50,7 @@
     model_options options;
     int seeds = 0;
     int holdMs = 0;
+    int turnAwayMs = 0;
     bool isRepeatable = false;
     po::options_description description("Options");
     description.add_options()("help", "print this help");
@@ -55,6 +59,10 @@
         "fraction of the upstreams that are down");
     description.add_options()("gray", po::value(&options.grayTimeFraction)->default_value(0.0),
         "fraction of time that upstreams spend in gray failure");
+    description.add_options()("turning-away", po::value(&options.turnAwayFraction)->default_value(0.0),
+        "fraction of the upstreams that turn requests away and serve in turn");
+    description.add_options()(
+        "turn-away-ms", po::value(&turnAwayMs)->default_value(5'000), "how long they do either, in ms");
     description.add_options()("repeating", po::value(&options.repeatingFraction)->default_value(0.1),
         "fraction of requests from callers that ignore Retry-After");
     description.add_options()(
@@ -74,11 +82,17 @@
         return 0;
     }
     options.isAtMostOnce = !isRepeatable;
+    options.turnAwayTime = std::chrono::milliseconds(turnAwayMs);
     options.loadBalancer.exclusionAtMostOnce = std::chrono::milliseconds(holdMs);
-    std::cout << " load  policy  utility  compliant  repeating  twice\n";
+    std::cout << " load  policy  utility  compliant  repeating  twice  turned away\n";
     for (double offeredLoad : { 0.5, 1.0, 1.4, 2.0, 3.0 }) {
         options.load = offeredLoad;
         print("fleet", offeredLoad, summarize<fleet_policy>(options, seeds));
+        if (options.turnAwayFraction > 0) {
+            auto heedless = options;
+            heedless.heedsTurnAways = false;
+            print("heedl.", offeredLoad, summarize<fleet_policy>(heedless, seeds));
+        }
         print("plain", offeredLoad, summarize<baseline_policy>(options, seeds));
     }
     return 0;
--- a/marlsill/model/fleet_model.h
+++ b/marlsill/model/fleet_model.h
@@ -17,6 +17,7 @@
 #include "marlsill/model/virtual_clock.h"
 
 #include <array>
+#include <map>
 #include <random>
 #include <utility>
 
@@ -43,6 +44,10 @@
     int duplicateExecutions = 0; // At-most-once requests that were executed more than once.
     int extraAttempts = 0; // Attempts beyond the first of each request.
     int arrivals = 0; // Requests that arrived at the fleet, including repeats by callers.
+    int turnedAway = 0; // Attempts at upstreams that turned requests away.
+    // Most requests from one VM to an upstream from half a second after it has turned one away until the time
+    // ends that it named.
+    int mostWhileTurningAway = 0;
     std::chrono::milliseconds maxWaitBeforeRefusal {}; // Longest wait of any refused request.
 
     // Returns the mean utility per call: 1 for a response within the latency objective, 0.5 for a later one,
@@ -76,6 +81,7 @@
     {
         for (auto& each : m_upstreams) {
             startGrayPeriods(each);
+            startTurningAway(each);
         }
         scheduleArrival();
         for (std::size_t index = 0; index < m_vms.size(); ++index) {
@@ -86,12 +92,20 @@
     }
 
 private:
+    struct turn_away_window {
+        steady_clock::time_point from {};
+        deadline until {};
+        int arrivals = 0;
+    };
+
     struct upstream {
         std::string id;
         bool isDown = false;
         bool isGray = false;
         int busySlots = 0;
         std::vector<std::function<void()>> queue {};
+        deadline turnsAwayUntil {};
+        std::map<std::size_t, turn_away_window> windows {}; // By VM; the last one that it was told of.
     };
 
     // A call by a caller; each repeat of a refused call is a new request.
@@ -163,6 +177,41 @@
             });
     }
 
+    // Lets the first upstreams turn requests away and serve in turn, each from a random moment on.
+    void startTurningAway(upstream& each)
+    {
+        auto count = static_cast<std::ptrdiff_t>(m_options.turnAwayFraction * m_options.upstreams);
+        if (&each - m_upstreams.data() < count) {
+            auto start = randomFraction() * std::min(m_options.turnAwayTime, maxTurnAwayStart);
+            m_clock.runAfter(std::chrono::duration_cast<std::chrono::microseconds>(start),
+                [this, &each] { turnAwayAndServe(each); });
+        }
+    }
+
+    void turnAwayAndServe(upstream& each)
+    {
+        each.turnsAwayUntil = m_clock.now() + m_options.turnAwayTime;
+        m_clock.runAfter(2 * m_options.turnAwayTime, [this, &each] { turnAwayAndServe(each); });
+    }
+
+    // Turns a request of a VM away if the upstream does so now. Returns for how long; 0 if it does not.
+    std::chrono::milliseconds turnAway(upstream& target, std::size_t vm)
+    {
+        auto now = m_clock.now();
+        auto& window = target.windows[vm];
+        if (now >= window.from && now < window.until) {
+            m_result.mostWhileTurningAway = std::max(m_result.mostWhileTurningAway, ++window.arrivals);
+        }
+        if (hasPassed(target.turnsAwayUntil, now)) {
+            return {};
+        }
+        ++m_result.turnedAway;
+        if (window.until != target.turnsAwayUntil) {
+            window = { now + turnAwaySettleTime, target.turnsAwayUntil, 0 };
+        }
+        return std::chrono::milliseconds(millisecondsUntil(target.turnsAwayUntil, now));
+    }
+
     void scheduleArrival()
     {
         double arrivalsPerMs = m_options.load * m_options.upstreams * m_options.slots
@@ -217,7 +266,8 @@
             startAttempt(current, chosen.upstream->id, chosen.isProbe);
             return;
         }
-        bool isNoneUsable = chosen.status == placement::choice_status::noneUsable;
+        bool isNoneUsable = chosen.status == placement::choice_status::noneUsable
+            || chosen.status == placement::choice_status::allHeld;
         if (isNoneUsable
             || local.policy.shouldRefuse(
                 queueStateOf(local, now), deadlinesOf(*current), current->origin.caller, now)) {
@@ -270,6 +320,13 @@
             respond(placement::attempt_outcome::notSent, 0);
             return;
         }
+        if (auto delay = turnAway(target, current->vm); delay.count() > 0) {
+            bool isHeeded = m_vms[current->vm]->policy.recordTurnAway(target.id, delay, m_clock.now());
+            finishAttempt(current, target.id,
+                { .outcome = placement::attempt_outcome::refused, .status = 503, .isHeldBack = isHeeded },
+                startedAt);
+            return;
+        }
         if (target.isGray && randomFraction() < m_options.grayFailureRate) {
             ++current->executions;
             respond(placement::attempt_outcome::answered, 500);
@@ -396,6 +453,9 @@
         });
     }
 
+    static constexpr std::chrono::milliseconds maxTurnAwayStart { 5'000 };
+    static constexpr std::chrono::milliseconds turnAwaySettleTime { 500 }; // Of requests on their way.
+
     const model_options m_options;
     std::mt19937_64 m_random;
     virtual_clock m_clock;
--- a/marlsill/model/policies.cc
+++ b/marlsill/model/policies.cc
@@ -65,6 +65,15 @@
         now - startedAt, startedAt, m_options.isAtMostOnce, now);
 }
 
+bool fleet_policy::recordTurnAway(
+    const std::string& upstream, std::chrono::milliseconds delay, steady_clock::time_point now)
+{
+    if (m_options.heedsTurnAways) {
+        m_loadBalancer.recordTurnAway(upstream, 0, delay, now);
+    }
+    return m_options.heedsTurnAways;
+}
+
 placement::queue_load fleet_policy::queueLoadOf(const queue_state& queue, steady_clock::time_point now) const
 {
     auto stats = m_loadBalancer.statsOf(service, now);
@@ -89,6 +98,14 @@
 {
     auto jitterFraction = std::uniform_real_distribution<>()(m_random);
     auto pause = placement::retryAfter(placement::expectedWait(queueLoadOf(queue, now)), jitterFraction);
+    if (auto capacity = m_loadBalancer.heldCapacity(service, now); !capacity.empty()) {
+        auto returnAt = m_returnSchedule.nextReturn(capacity,
+            { .usual = std::chrono::milliseconds(m_loadBalancer.statsOf(service, now).latencyMs),
+                .sharingVms = m_options.vms,
+                .fraction = jitterFraction,
+                .isEarly = m_retryAfterGate.isTooEarly(caller, now) });
+        pause = std::chrono::milliseconds(millisecondsUntil(returnAt, now));
+    }
     m_retryAfterGate.recordRetryAfter(caller, now + pause, now);
     return pause;
 }
--- a/marlsill/model/policies.h
+++ b/marlsill/model/policies.h
@@ -7,6 +7,7 @@
 #include "marlsill/placement/attempt_policy.h"
 #include "marlsill/placement/load_balancer.h"
 #include "marlsill/placement/retry_after_gate.h"
+#include "marlsill/placement/return_schedule.h"
 #include "marlsill/placement/windowed_retry_budget.h"
 
 #include <concepts>
@@ -31,6 +32,9 @@
     double grayTimeFraction = 0; // Fraction of time that each upstream spends in gray failure.
     std::chrono::milliseconds meanGrayPeriod { 7'000 };
     double grayFailureRate = 0.85; // Fraction of requests that fail immediately in gray failure.
+    double turnAwayFraction = 0; // Fraction of the upstreams that turn requests away again and again.
+    std::chrono::milliseconds turnAwayTime { 0 }; // How long each time, and how long they serve in between.
+    bool heedsTurnAways = true; // Used by fleet_policy only; otherwise they are refusals like any other.
     int compliantCallers = 120;
     double repeatingFraction = 0; // Fraction of requests from callers that ignore Retry-After.
     int repeatingCallers = 4;
@@ -66,6 +70,9 @@
     {
         policy.finishAttempt(upstream, attempt, now, now)
         } -> std::same_as<std::optional<placement::upstream_evidence>>;
+    {
+        policy.recordTurnAway(upstream, std::chrono::milliseconds(1), now)
+        } -> std::same_as<bool>;
     {
         policy.shouldRefuse(queue, limits, upstream, now)
         } -> std::same_as<bool>;
@@ -99,6 +106,9 @@
     std::optional<placement::upstream_evidence> finishAttempt(const std::string& upstream,
         const placement::completed_attempt& attempt, steady_clock::time_point startedAt,
         steady_clock::time_point now);
+    // Takes over for how long an upstream turns requests away. Returns whether it is heeded.
+    bool recordTurnAway(
+        const std::string& upstream, std::chrono::milliseconds delay, steady_clock::time_point now);
     bool shouldRefuse(const queue_state& queue, const placement::answer_deadlines& limits,
         const std::string& caller, steady_clock::time_point now) const;
     placement::queue_key queueKeyOf(
@@ -120,6 +130,7 @@
     placement::load_balancer m_loadBalancer;
     placement::windowed_retry_budget m_retryBudget;
     placement::retry_after_gate m_retryAfterGate;
+    placement::return_schedule m_returnSchedule;
     std::mt19937_64 m_random;
 };
 
@@ -135,6 +146,10 @@
     std::optional<placement::upstream_evidence> finishAttempt(const std::string& upstream,
         const placement::completed_attempt& attempt, steady_clock::time_point startedAt,
         steady_clock::time_point now);
+    bool recordTurnAway(const std::string&, std::chrono::milliseconds, steady_clock::time_point)
+    {
+        return false;
+    }
     bool shouldRefuse(const queue_state&, const placement::answer_deadlines&, const std::string&,
         steady_clock::time_point) const
     {
--- /dev/null
+++ b/marlsill/model/turn_away_model_test.cc
@@ -0,0 +1,92 @@
+// Plays upstreams that turn requests away for a time, against the product's way before it heeded them.
+
+#include "marlsill/model/fleet_model.h"
+
+#include <doctest/doctest.h>
+
+namespace marlsill::model {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr std::uint64_t seeds[] = { 1, 2, 3 };
+    constexpr int allowedWhileTurningAway = 2; // By the users' rule.
+
+    // What became of the calls of all seeds.
+    struct totals {
+        double utility = 0; // Mean.
+        double served = 0; // Fraction of the calls of compliant callers.
+        int refused = 0;
+        int turnedAway = 0;
+        int mostWhileTurningAway = 0;
+        int duplicateExecutions = 0;
+        milliseconds maxWaitBeforeRefusal {};
+    };
+
+    totals simulateAllSeeds(model_options options, bool heedsTurnAways)
+    {
+        options.heedsTurnAways = heedsTurnAways;
+        totals sum;
+        for (auto seed : seeds) {
+            auto result = simulate<fleet_policy>(options, seed);
+            sum.utility += result.utility() / std::size(seeds);
+            sum.served += result.compliant.servedFraction() / std::size(seeds);
+            sum.refused += result.compliant.refused;
+            sum.turnedAway += result.turnedAway;
+            sum.mostWhileTurningAway = std::max(sum.mostWhileTurningAway, result.mostWhileTurningAway);
+            sum.duplicateExecutions += result.duplicateExecutions;
+            sum.maxWaitBeforeRefusal = std::max(sum.maxWaitBeforeRefusal, result.maxWaitBeforeRefusal);
+        }
+        return sum;
+    }
+
+}
+
+TEST_CASE("Upstreams that turn requests away get what they asked for, and callers get no less than before")
+{
+    struct row {
+        const char* name;
+        double fraction;
+        milliseconds turnAwayTime;
+        double load;
+        bool isAtMostOnce = true;
+    };
+    const row rows[] = {
+        { "a third for 1 s, calm", 1.0 / 3, milliseconds(1'000), 0.5 },
+        { "a third for 5 s, calm", 1.0 / 3, milliseconds(5'000), 0.5 },
+        { "a third for 30 s, calm", 1.0 / 3, milliseconds(30'000), 0.5 },
+        { "a third for 1 s, overload", 1.0 / 3, milliseconds(1'000), 1.4 },
+        { "a third for 5 s, overload", 1.0 / 3, milliseconds(5'000), 1.4 },
+        { "a third for 30 s, overload", 1.0 / 3, milliseconds(30'000), 1.4 },
+        { "a third for 5 s, repeatable", 1.0 / 3, milliseconds(5'000), 1.4, false },
+        { "all for 1 s, calm", 1.0, milliseconds(1'000), 0.5 },
+        { "all for 5 s, calm", 1.0, milliseconds(5'000), 0.5 },
+        { "all for 5 s, overload", 1.0, milliseconds(5'000), 1.4 },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        model_options options { .load = each.load,
+            .isAtMostOnce = each.isAtMostOnce,
+            .turnAwayFraction = each.fraction,
+            .turnAwayTime = each.turnAwayTime,
+            .repeatingFraction = 0.1 };
+        auto heeding = simulateAllSeeds(options, true);
+        auto before = simulateAllSeeds(options, false);
+        MESSAGE(std::string(each.name)
+            << ": utility " << heeding.utility << ", before " << before.utility << "; served "
+            << heeding.served << ", before " << before.served << "; turned away " << heeding.turnedAway
+            << ", before " << before.turnedAway << "; most from a VM " << heeding.mostWhileTurningAway
+            << ", before " << before.mostWhileTurningAway << "; refused " << heeding.refused << ", before "
+            << before.refused << "; longest wait " << heeding.maxWaitBeforeRefusal.count() << ", before "
+            << before.maxWaitBeforeRefusal.count());
+        CHECK(heeding.mostWhileTurningAway <= allowedWhileTurningAway);
+        CHECK(heeding.utility >= before.utility - 0.01);
+        CHECK(heeding.served >= before.served - 0.01);
+        CHECK(heeding.turnedAway <= before.turnedAway);
+        CHECK(heeding.maxWaitBeforeRefusal <= before.maxWaitBeforeRefusal);
+        CHECK(heeding.duplicateExecutions == 0);
+    }
+}
+
+}
--- a/testing/soak/promise_checker.cc
+++ b/testing/soak/promise_checker.cc
@@ -9,6 +9,9 @@
     constexpr std::size_t maxRunsOfRepeatable = 2; // The attempts of the soak's route.
     constexpr int servedStatus = 200;
     constexpr int refusedStatus = 503;
+    // The users' rule on upstreams that turn requests away.
+    constexpr std::chrono::milliseconds turnAwaySettleTime { 500 };
+    constexpr int maxArrivalsWhileTurningAway = 2;
 
 }
 
@@ -81,6 +84,61 @@
     m_disturbed.insert(process);
 }
 
+void promise_checker::noteCarrier(const std::string& request, const std::string& process)
+{
+    std::lock_guard lock(m_mutex);
+    m_carriers[request] = process;
+}
+
+void promise_checker::noteArrival(
+    const std::string& request, const std::string& upstream, steady_clock::time_point at)
+{
+    std::lock_guard lock(m_mutex);
+    const auto& process = m_carriers[request];
+    auto found = m_turnAways.find({ upstream, process });
+    if (found == m_turnAways.end()) {
+        return;
+    }
+    std::erase_if(found->second, [&](const auto& window) { return at >= window.until; });
+    bool isBroken = false;
+    for (auto& window : found->second) {
+        window.arrivals += at >= window.from ? 1 : 0;
+        isBroken = isBroken || window.arrivals > maxArrivalsWhileTurningAway;
+    }
+    if (isBroken) {
+        m_broken.push_back("turned away: " + request + " reached " + upstream + " from " + process
+            + " within the time that it had named");
+        m_turnAways.erase(found); // One line for each breach.
+    }
+}
+
+void promise_checker::noteTurnedAway(const std::string& request, const std::string& upstream,
+    steady_clock::time_point at, steady_clock::time_point until)
+{
+    std::lock_guard lock(m_mutex);
+    const auto& process = m_carriers[request];
+    bool isExcused = m_turnAwaysExcused[upstream] > at || m_turnAwaysExcused[process] > at;
+    if (!process.empty() && !isExcused) {
+        ++m_turnAwaysWatched;
+        m_turnAways[{ upstream, process }].push_back({ at + turnAwaySettleTime, until });
+    }
+}
+
+void promise_checker::excuseTurnAways(const std::string& upstreamOrProcess, steady_clock::time_point until)
+{
+    std::lock_guard lock(m_mutex);
+    m_turnAwaysExcused[upstreamOrProcess] = until;
+    std::erase_if(m_turnAways, [&](const auto& each) {
+        return each.first.first == upstreamOrProcess || each.first.second == upstreamOrProcess;
+    });
+}
+
+int promise_checker::turnAwaysWatched() const
+{
+    std::lock_guard lock(m_mutex);
+    return m_turnAwaysWatched;
+}
+
 void promise_checker::noteBroken(std::string what)
 {
     std::lock_guard lock(m_mutex);
--- a/testing/soak/promise_checker.h
+++ b/testing/soak/promise_checker.h
@@ -53,6 +53,22 @@
     void notePlannedStop(const std::string& process);
     void noteDisturbed(const std::string& process);
 
+    // Notes which process has read a request from its caller.
+    void noteCarrier(const std::string& request, const std::string& process);
+
+    // Notes that a request has reached an upstream, also if it is not run, and that it was turned away with a
+    // time that ends at `until`. From half a second later until then the upstream may get two requests of the
+    // same process.
+    void noteArrival(const std::string& request, const std::string& upstream, steady_clock::time_point at);
+    void noteTurnedAway(const std::string& request, const std::string& upstream, steady_clock::time_point at,
+        steady_clock::time_point until);
+
+    // Forgets the times that an upstream named, or a process was told, and ignores those named until `until`.
+    void excuseTurnAways(const std::string& upstreamOrProcess, steady_clock::time_point until);
+
+    // Returns how many times that were named have been watched.
+    int turnAwaysWatched() const;
+
     // Notes anything else that is wrong.
     void noteBroken(std::string what);
 
@@ -68,6 +84,12 @@
         steady_clock::time_point at;
     };
 
+    struct turn_away_window {
+        steady_clock::time_point from {};
+        steady_clock::time_point until {};
+        int arrivals = 0;
+    };
+
     struct version_record {
         int highest = 0;
         steady_clock::time_point at {};
@@ -84,6 +106,11 @@
     std::map<std::string, request_record> m_requests;
     std::map<std::string, steady_clock::time_point> m_leaving;
     std::map<std::string, version_record> m_versions;
+    std::map<std::string, std::string> m_carriers; // Processes by request.
+    // By upstream and process.
+    std::map<std::pair<std::string, std::string>, std::vector<turn_away_window>> m_turnAways;
+    std::map<std::string, steady_clock::time_point> m_turnAwaysExcused; // By upstream or process.
+    int m_turnAwaysWatched = 0;
     std::set<std::string> m_plannedStops;
     std::set<std::string> m_disturbed;
     std::vector<std::string> m_broken;
--- a/testing/soak/promise_checker_test.cc
+++ b/testing/soak/promise_checker_test.cc
@@ -16,6 +16,24 @@
         return { .status = 200, .request = request, .seal = "seal-" + request };
     }
 
+    // A request of `process` that `upstream` turns away for two seconds.
+    void turnAway(promise_checker& checker, const std::string& process)
+    {
+        checker.noteCarrier("first", process);
+        checker.noteArrival("first", "u", start);
+        checker.noteTurnedAway("first", "u", start, start + milliseconds(2'000));
+    }
+
+    // Requests of `process` that reach the upstream at `atMs` after it has turned the first one away.
+    void arrive(promise_checker& checker, const std::string& process, std::initializer_list<int> atMs)
+    {
+        for (auto at : atMs) {
+            auto request = process + "-" + std::to_string(at);
+            checker.noteCarrier(request, process);
+            checker.noteArrival(request, "u", start + milliseconds(at));
+        }
+    }
+
     struct planted_case {
         const char* name;
         std::function<void(promise_checker&)> plant;
@@ -128,6 +146,48 @@
                 checker.noteDisturbed("entry-1#1");
             },
             "" },
+        { "three requests while it turns them away",
+            [](auto& checker) {
+                turnAway(checker, "entry-1#1");
+                arrive(checker, "entry-1#1", { 500, 1'000, 1'999 });
+            },
+            "turned away" },
+        { "two requests while it turns them away, and others before and after",
+            [](auto& checker) {
+                turnAway(checker, "entry-1#1");
+                arrive(checker, "entry-1#1", { 1, 2, 499, 500, 1'999, 2'000, 2'001 });
+            },
+            "" },
+        { "a second time that ends later",
+            [](auto& checker) {
+                turnAway(checker, "entry-1#1");
+                arrive(checker, "entry-1#1", { 100 });
+                checker.noteTurnedAway(
+                    "entry-1#1-100", "u", start + milliseconds(100), start + milliseconds(4'000));
+                arrive(checker, "entry-1#1", { 2'100, 3'000, 3'900 });
+            },
+            "turned away" },
+        { "requests of processes that were not turned away",
+            [](auto& checker) {
+                turnAway(checker, "entry-1#1");
+                arrive(checker, "entry-1#2", { 600, 700, 800 });
+                arrive(checker, "entry-2#1", { 600, 700, 800 });
+            },
+            "" },
+        { "a process that was paused after it was turned away",
+            [](auto& checker) {
+                turnAway(checker, "entry-1#1");
+                checker.excuseTurnAways("entry-1#1", start + milliseconds(300));
+                arrive(checker, "entry-1#1", { 600, 700, 800 });
+            },
+            "" },
+        { "a process that is turned away after a pause",
+            [](auto& checker) {
+                checker.excuseTurnAways("entry-1#1", start);
+                turnAway(checker, "entry-1#1");
+                arrive(checker, "entry-1#1", { 600, 700, 800 });
+            },
+            "turned away" },
         { "not read before a planned stop",
             [](auto& checker) {
                 checker.noteSent("r", true);
--- a/testing/soak/soak_main.cc
+++ b/testing/soak/soak_main.cc
@@ -34,8 +34,9 @@
     auto report = marlsill::testing::soak_run(soak).run();
     std::cout << "seed " << soak.seed << ": " << report.faults << " faults, " << report.sent << " requests, "
               << report.served << " served, " << report.refused << " refused, " << report.drainsChecked
-              << " drains and " << report.limitsChecked << " limits checked, " << report.repeats
-              << " repeats, " << report.broken.size() << " promises broken\n";
+              << " drains, " << report.limitsChecked << " limits and " << report.turnAwaysChecked
+              << " times of turning away checked, " << report.repeats << " repeats, " << report.broken.size()
+              << " promises broken\n";
     for (const auto& each : report.broken) {
         std::cout << "  " << each << '\n';
     }
--- a/testing/soak/soak_run.cc
+++ b/testing/soak/soak_run.cc
@@ -34,6 +34,7 @@
     constexpr int callsPerConnection = 20;
     constexpr int timeoutMs = 2'000;
     constexpr milliseconds pauseAfterRefusal { 50 };
+    constexpr milliseconds turnAwayExcuse { 1'000 }; // After a pause or a trouble of a link.
     constexpr std::size_t minServing = 3; // Upstreams that do not drain.
 
     std::string versionPrefix(int version) { return "/version-" + std::to_string(version) + "/"; }
@@ -45,6 +46,7 @@
     , m_random(m_options.seed)
     , m_limitRandom(m_options.seed + 1)
     , m_failureRandom(m_options.seed + 2)
+    , m_turnAwayRandom(m_options.seed + 3)
 {
 }
 
@@ -77,9 +79,14 @@
         place->upstream = std::make_unique<scripted_upstream>("u" + std::to_string(index), platformFields());
         place->upstream->setWorkTime(workTime);
         place->upstream->setEndlessPause(endlessPause);
-        place->upstream->setArrivalListener([this](const std::string& request) {
+        place->upstream->setArrivalListener([this, id = place->upstream->id()](const std::string& request) {
             m_retryObserver.noteArrival(request, steady_clock::now());
+            m_checker.noteArrival(request, id, steady_clock::now());
         });
+        place->upstream->setTurnAwayListener(
+            [this, id = place->upstream->id()](const std::string& request, const std::string& retryAfter) {
+                noteTurnedAway(request, id, retryAfter);
+            });
         place->upstream->setRunListener([this, id = place->upstream->id()](const std::string& request) {
             m_checker.noteRun(request, id, steady_clock::now());
         });
@@ -111,6 +118,7 @@
             raw_caller caller(entry.process->callerAddress(), platformFields());
             auto id = "serving-" + std::to_string(++m_probes);
             m_retryObserver.noteRequest(steady_clock::now());
+            m_checker.noteCarrier(id, entry.process->life());
             caller.sendRequest("GET", "/repeat/" + id, id, timeoutMs);
             if (caller.receive().status == 200) {
                 return true;
@@ -160,6 +168,7 @@
             = isVersionCall ? versionPrefix(version) : std::string(isAtMostOnce ? "/once/" : "/repeat/");
         auto sentAt = steady_clock::now();
         m_checker.noteSent(id, isAtMostOnce);
+        m_checker.noteCarrier(id, life);
         m_retryObserver.noteRequest(sentAt);
         caller.sendRequest(
             isAtMostOnce ? "POST" : "GET", path + id, id, timeoutMs, isAtMostOnce ? "body " + id : "");
@@ -230,6 +239,30 @@
     }
 }
 
+// Makes a third of the upstreams, or now and then all, turn requests away for 1 to 4 s.
+void soak_run::turnRequestsAway()
+{
+    constexpr const char* times[] = { "1", "1.5", "2", "3", "4" };
+    bool areAll = m_turnAwayRandom() % 4 == 0;
+    for (auto& each : m_upstreams) {
+        const std::string time = times[m_turnAwayRandom() % std::size(times)];
+        auto step = m_turnAwayRandom() % 4 == 0 ? upstream_step::turnAwayUnstated : upstream_step::turnAway;
+        if (areAll || m_turnAwayRandom() % 3 == 0) {
+            each->upstream->setRetryAfter(time);
+            each->upstream->plan(std::vector(failedRequests, step));
+            each->turnsAwayUntil = deadlineAfter(milliseconds(static_cast<int>(1'000 * std::stod(time))));
+        }
+    }
+}
+
+void soak_run::noteTurnedAway(
+    const std::string& request, const std::string& upstream, const std::string& retryAfter)
+{
+    auto now = steady_clock::now();
+    m_checker.noteTurnedAway(
+        request, upstream, now, now + milliseconds(static_cast<int>(1'000 * std::stod(retryAfter))));
+}
+
 // Makes an upstream answer a few requests with bytes that are no answer and have no end.
 void soak_run::answerWithoutEnd()
 {
@@ -312,7 +345,9 @@
 {
     spoilDrains();
     m_checker.noteDisturbed(entry.process->life());
+    m_checker.excuseTurnAways(entry.process->life(), steady_clock::time_point::max());
     entry.process->signal(SIGSTOP);
+    entry.isPaused = true;
     entry.pausedUntil = deadlineAfter(drawLength(200, 2'000));
     delayLimitChecks(entry.pausedUntil);
 }
@@ -358,6 +393,7 @@
         = { link_trouble::delayed, link_trouble::silent, link_trouble::cutOneWay, link_trouble::reset };
     place.link->setTrouble(troubles[draw(4)]);
     place.troubleUntil = deadlineAfter(drawLength(200, 2'000));
+    m_checker.excuseTurnAways(place.upstream->id(), steady_clock::time_point::max());
     // Requests may be held up and arrive together.
     place.limitCheckedFrom = std::max(place.limitCheckedFrom, place.troubleUntil + limitSettleTime);
 }
@@ -385,6 +421,9 @@
     for (auto& each : m_entries) {
         if (isAll || hasPassed(each->pausedUntil, now)) {
             each->process->signal(SIGCONT);
+            if (std::exchange(each->isPaused, false)) {
+                m_checker.excuseTurnAways(each->process->life(), now + turnAwayExcuse);
+            }
         }
         if (isAll || hasPassed(each->linkTroubleUntil, now)) {
             each->storeLink->setTrouble(link_trouble::none);
@@ -396,6 +435,13 @@
     for (auto& each : m_upstreams) {
         if (isAll || hasPassed(each->troubleUntil, now)) {
             each->link->setTrouble(link_trouble::none);
+            if (std::exchange(each->troubleUntil, {}) != deadline()) {
+                m_checker.excuseTurnAways(each->upstream->id(), now + turnAwayExcuse);
+            }
+        }
+        if (each->turnsAwayUntil != deadline() && (isAll || hasPassed(each->turnsAwayUntil, now))) {
+            each->turnsAwayUntil = {};
+            each->upstream->plan({});
         }
         if (each->failsUntil != deadline() && (isAll || hasPassed(each->failsUntil, now))) {
             each->failsUntil = {};
@@ -408,6 +454,8 @@
             each->isDraining = false;
             each->limitCheckedFrom
                 = deadlineAfter(limitSettleTime); // The VMs learn the limit of the new life.
+            // A VM may know the life before for a while, and does not hold the new one back for its answers.
+            m_checker.excuseTurnAways(each->upstream->id(), now + limitSettleTime);
             ++each->life;
             m_store.remove(platform_adapter::upstreamKind, each->upstream->id());
             publishUpstream(*each, "ready");
@@ -454,6 +502,9 @@
         if (m_failureRandom() % 2 == 0) {
             failUpstreams();
         }
+        if (m_turnAwayRandom() % 2 == 0) {
+            turnRequestsAway();
+        }
         for (int left = draw(6); left >= 0; --left) {
             playFault();
             if (m_failureRandom() % 4 == 0) {
@@ -506,7 +557,8 @@
         }
     }
     return { m_checker.broken(), m_checker.sent(), m_checker.answered(200), m_checker.answered(503), m_faults,
-        m_drainsChecked, m_limitsChecked, static_cast<int>(m_retryObserver.repeats()) };
+        m_drainsChecked, m_limitsChecked, m_checker.turnAwaysWatched(),
+        static_cast<int>(m_retryObserver.repeats()) };
 }
 
 }
--- a/testing/soak/soak_run.h
+++ b/testing/soak/soak_run.h
@@ -42,6 +42,7 @@
     int faults = 0;
     int drainsChecked = 0;
     int limitsChecked = 0;
+    int turnAwaysChecked = 0;
     int repeats = 0; // Arrivals of requests at upstreams beyond the first.
 };
 
@@ -58,6 +59,7 @@
         std::unique_ptr<loopback_proxy> link;
         steady_clock::time_point troubleUntil {};
         deadline failsUntil {}; // Set while it fails all requests.
+        deadline turnsAwayUntil {}; // Set while it turns all requests away.
         steady_clock::time_point drainBound {}; // In the future while it drains.
         bool isDraining = false;
         int life = 1;
@@ -72,6 +74,7 @@
         std::unique_ptr<loopback_proxy> storeLink;
         steady_clock::time_point linkTroubleUntil {};
         steady_clock::time_point pausedUntil {};
+        bool isPaused = false;
         std::mutex mutex; // Guards the process's life against callers that ask for its name.
     };
 
@@ -95,6 +98,9 @@
     void nameLimit();
     void failUpstreams();
     void answerWithoutEnd();
+    void turnRequestsAway();
+    void noteTurnedAway(
+        const std::string& request, const std::string& upstream, const std::string& retryAfter);
     void endLimits();
     void delayLimitChecks(steady_clock::time_point troubleUntil);
     void endTroubles(bool isAll);
@@ -107,6 +113,7 @@
     std::mt19937_64 m_random; // Of the faults' thread.
     std::mt19937_64 m_limitRandom; // Of limits; apart, so that the other faults of a seed stay the same.
     std::mt19937_64 m_failureRandom; // Of upstreams that fail for long or answer without end; apart likewise.
+    std::mt19937_64 m_turnAwayRandom; // Of upstreams that turn requests away; apart likewise.
     promise_checker m_checker;
     retry_budget_observer m_retryObserver { retryWindow, retryRatio };
     platform_adapter::fake_object_store m_store;
