--- a/marlsill/events/events.cc
+++ b/marlsill/events/events.cc
@@ -131,6 +131,10 @@
             "Another process is registered under the id of an upstream that said that it leaves." },
         { event::leavingFieldMalformed, severity::warning, "leaving_field_malformed",
             "The field of a response that says whether the upstream leaves has an unknown value, which is ignored; at most one line a second." },
+        { event::upstreamTurnsAway, severity::info, "upstream_turns_away",
+            "An upstream turned a request away for a time; it gets nothing from this VM until `until_unix_ms`." },
+        { event::retryAfterIgnored, severity::warning, "retry_after_ignored",
+            "An upstream's 503 named a time that cannot be read; it holds nothing back." },
         { event::recordGap, severity::error, "record_gap",
             "Facts were dropped before they could be stored; the gap is part of the record." },
     };
--- a/marlsill/events/events.h
+++ b/marlsill/events/events.h
@@ -76,6 +76,8 @@
     leavingNoticed = 5120,
     leavingNoticeEnded = 5121,
     leavingFieldMalformed = 5122,
+    upstreamTurnsAway = 5130,
+    retryAfterIgnored = 5131,
     recordGap = 6001,
 };
 
--- a/marlsill/gateway/traffic_counters.cc
+++ b/marlsill/gateway/traffic_counters.cc
@@ -56,6 +56,8 @@
     appendCounter("leaving_notices_total", leavingNotices);
     appendCounter("leaving_notices_from_peers_total", leavingNoticesFromPeers);
     appendCounter("leaving_fields_malformed_total", leavingFieldsMalformed);
+    appendCounter("upstream_turn_aways_total", turnAways);
+    appendCounter("held_refusals_total", heldRefusals);
     appendCounter("new_connections_total", newConnections);
     appendCounter("reused_connections_total", reusedConnections);
     appendCounter("late_answers_skipped_total", lateAnswersSkipped);
--- a/marlsill/gateway/traffic_counters.h
+++ b/marlsill/gateway/traffic_counters.h
@@ -49,6 +49,8 @@
     std::uint64_t leavingNotices = 0; // Upstreams that said first to this VM that they leave.
     std::uint64_t leavingNoticesFromPeers = 0; // Upstreams of which a peer said so first.
     std::uint64_t leavingFieldsMalformed = 0;
+    std::uint64_t turnAways = 0; // 503 answers of upstreams with a time in Retry-After.
+    std::uint64_t heldRefusals = 0; // Requests rejected because all upstreams turn requests away.
     std::uint64_t newConnections = 0;
     std::uint64_t reusedConnections = 0;
     std::uint64_t lateAnswersSkipped = 0;
--- a/testing/soak/soak_run.cc
+++ b/testing/soak/soak_run.cc
@@ -34,6 +34,7 @@
     constexpr int callsPerConnection = 20;
     constexpr int timeoutMs = 2'000;
     constexpr milliseconds pauseAfterRefusal { 50 };
+    constexpr milliseconds turnAwayExcuse { 1'000 }; // After a pause or a trouble of a link.
     constexpr std::size_t minServing = 3; // Upstreams that do not drain.
 
     std::string versionPrefix(int version) { return "/version-" + std::to_string(version) + "/"; }
@@ -46,6 +47,7 @@
     , m_limitRandom(m_options.seed + 1)
     , m_failureRandom(m_options.seed + 2)
     , m_leavingRandom(m_options.seed + 3)
+    , m_turnAwayRandom(m_options.seed + 4)
 {
 }
 
@@ -81,7 +83,12 @@
         place->upstream->setArrivalListener([this, id = place->upstream->id()](const std::string& request) {
             m_retryObserver.noteArrival(request, steady_clock::now());
             m_leavingObserver.noteArrival(request, id);
+            m_checker.noteArrival(request, id, steady_clock::now());
         });
+        place->upstream->setTurnAwayListener(
+            [this, id = place->upstream->id()](const std::string& request, const std::string& retryAfter) {
+                noteTurnedAway(request, id, retryAfter);
+            });
         place->upstream->setRunListener([this, id = place->upstream->id()](const std::string& request) {
             m_checker.noteRun(request, id, steady_clock::now());
         });
@@ -113,6 +120,7 @@
             raw_caller caller(entry.process->callerAddress(), platformFields());
             auto id = "serving-" + std::to_string(++m_probes);
             m_retryObserver.noteRequest(steady_clock::now());
+            m_checker.noteCarrier(id, entry.process->life());
             caller.sendRequest("GET", "/repeat/" + id, id, timeoutMs);
             if (caller.receive().status == 200) {
                 return true;
@@ -162,6 +170,7 @@
             = isVersionCall ? versionPrefix(version) : std::string(isAtMostOnce ? "/once/" : "/repeat/");
         auto sentAt = steady_clock::now();
         m_checker.noteSent(id, isAtMostOnce);
+        m_checker.noteCarrier(id, life);
         m_retryObserver.noteRequest(sentAt);
         m_leavingObserver.noteSent(id, life, sentAt);
         caller.sendRequest(
@@ -236,6 +245,30 @@
     }
 }
 
+// Makes a third of the upstreams, or now and then all, turn requests away for 1 to 4 s.
+void soak_run::turnRequestsAway()
+{
+    constexpr const char* times[] = { "1", "1.5", "2", "3", "4" };
+    bool areAll = m_turnAwayRandom() % 4 == 0;
+    for (auto& each : m_upstreams) {
+        const std::string time = times[m_turnAwayRandom() % std::size(times)];
+        auto step = m_turnAwayRandom() % 4 == 0 ? upstream_step::turnAwayUnstated : upstream_step::turnAway;
+        if (areAll || m_turnAwayRandom() % 3 == 0) {
+            each->upstream->setRetryAfter(time);
+            each->upstream->plan(std::vector(failedRequests, step));
+            each->turnsAwayUntil = deadlineAfter(milliseconds(static_cast<int>(1'000 * std::stod(time))));
+        }
+    }
+}
+
+void soak_run::noteTurnedAway(
+    const std::string& request, const std::string& upstream, const std::string& retryAfter)
+{
+    auto now = steady_clock::now();
+    m_checker.noteTurnedAway(
+        request, upstream, now, now + milliseconds(static_cast<int>(1'000 * std::stod(retryAfter))));
+}
+
 // Makes an upstream answer a few requests with bytes that are no answer and have no end.
 void soak_run::answerWithoutEnd()
 {
@@ -318,7 +351,9 @@
 {
     spoilDrains();
     m_checker.noteDisturbed(entry.process->life());
+    m_checker.excuseTurnAways(entry.process->life(), steady_clock::time_point::max());
     entry.process->signal(SIGSTOP);
+    entry.isPaused = true;
     entry.pausedUntil = deadlineAfter(drawLength(200, 2'000));
     delayLimitChecks(entry.pausedUntil);
 }
@@ -364,6 +399,7 @@
         = { link_trouble::delayed, link_trouble::silent, link_trouble::cutOneWay, link_trouble::reset };
     place.link->setTrouble(troubles[draw(4)]);
     place.troubleUntil = deadlineAfter(drawLength(200, 2'000));
+    m_checker.excuseTurnAways(place.upstream->id(), steady_clock::time_point::max());
     // Requests may be held up and arrive together.
     place.limitCheckedFrom = std::max(place.limitCheckedFrom, place.troubleUntil + limitSettleTime);
 }
@@ -382,7 +418,12 @@
     place.isDraining = false;
     place.isLeaving = false;
     place.upstream->setLeavingField("");
-    m_leavingObserver.noteReplaced(place.upstream->id(), steady_clock::now());
+    auto now = steady_clock::now();
+    m_leavingObserver.noteReplaced(place.upstream->id(), now);
+    // The VMs learn the limit of the new life, and may know the life before for a while, whose times of
+    // turning away do not hold the new one back.
+    place.limitCheckedFrom = now + limitSettleTime;
+    m_checker.excuseTurnAways(place.upstream->id(), now + limitSettleTime);
     ++place.life;
     m_store.remove(platform_adapter::upstreamKind, place.upstream->id());
     publishUpstream(place, "ready");
@@ -435,6 +476,9 @@
     for (auto& each : m_entries) {
         if (isAll || hasPassed(each->pausedUntil, now)) {
             each->process->signal(SIGCONT);
+            if (std::exchange(each->isPaused, false)) {
+                m_checker.excuseTurnAways(each->process->life(), now + turnAwayExcuse);
+            }
         }
         if (isAll || hasPassed(each->linkTroubleUntil, now)) {
             each->storeLink->setTrouble(link_trouble::none);
@@ -446,6 +490,13 @@
     for (auto& each : m_upstreams) {
         if (isAll || hasPassed(each->troubleUntil, now)) {
             each->link->setTrouble(link_trouble::none);
+            if (std::exchange(each->troubleUntil, {}) != deadline()) {
+                m_checker.excuseTurnAways(each->upstream->id(), now + turnAwayExcuse);
+            }
+        }
+        if (each->turnsAwayUntil != deadline() && (isAll || hasPassed(each->turnsAwayUntil, now))) {
+            each->turnsAwayUntil = {};
+            each->upstream->plan({});
         }
         if (each->failsUntil != deadline() && (isAll || hasPassed(each->failsUntil, now))) {
             each->failsUntil = {};
@@ -455,8 +506,6 @@
         if (isWatched || (isAll && each->isDraining)) {
             m_drainsChecked += each->isDrainChecked && isWatched ? 1 : 0;
             m_checker.forgetLeaving(each->upstream->id());
-            each->limitCheckedFrom
-                = deadlineAfter(limitSettleTime); // The VMs learn the limit of the new life.
             replaceUpstream(*each);
         }
     }
@@ -502,6 +551,9 @@
         if (m_failureRandom() % 2 == 0) {
             failUpstreams();
         }
+        if (m_turnAwayRandom() % 2 == 0) {
+            turnRequestsAway();
+        }
         for (int left = draw(6); left >= 0; --left) {
             playFault();
             if (m_leavingRandom() % 4 == 0) {
@@ -561,7 +613,7 @@
     }
     return { m_checker.broken(), m_checker.sent(), m_checker.answered(200), m_checker.answered(503), m_faults,
         m_drainsChecked, m_limitsChecked, static_cast<int>(m_leavingObserver.checked()),
-        static_cast<int>(m_retryObserver.repeats()) };
+        m_checker.turnAwaysWatched(), static_cast<int>(m_retryObserver.repeats()) };
 }
 
 }
--- a/testing/soak/soak_run.h
+++ b/testing/soak/soak_run.h
@@ -44,6 +44,7 @@
     int drainsChecked = 0;
     int limitsChecked = 0;
     int leavingsChecked = 0; // Notices of upstreams that leave, one for each process that passed them on.
+    int turnAwaysChecked = 0;
     int repeats = 0; // Arrivals of requests at upstreams beyond the first.
 };
 
@@ -60,6 +61,7 @@
         std::unique_ptr<loopback_proxy> link;
         steady_clock::time_point troubleUntil {};
         deadline failsUntil {}; // Set while it fails all requests.
+        deadline turnsAwayUntil {}; // Set while it turns all requests away.
         steady_clock::time_point drainBound {}; // In the future while it drains.
         bool isDraining = false;
         bool isLeaving = false; // Says in its answers that it leaves, whatever the store says.
@@ -76,6 +78,7 @@
         std::unique_ptr<loopback_proxy> storeLink;
         steady_clock::time_point linkTroubleUntil {};
         steady_clock::time_point pausedUntil {};
+        bool isPaused = false;
         std::mutex mutex; // Guards the process's life against callers that ask for its name.
     };
 
@@ -103,6 +106,9 @@
     void nameLimit();
     void failUpstreams();
     void answerWithoutEnd();
+    void turnRequestsAway();
+    void noteTurnedAway(
+        const std::string& request, const std::string& upstream, const std::string& retryAfter);
     void endLimits();
     void delayLimitChecks(steady_clock::time_point troubleUntil);
     void endTroubles(bool isAll);
@@ -116,6 +122,7 @@
     std::mt19937_64 m_limitRandom; // Of limits; apart, so that the other faults of a seed stay the same.
     std::mt19937_64 m_failureRandom; // Of upstreams that fail for long or answer without end; apart likewise.
     std::mt19937_64 m_leavingRandom; // Of upstreams that say in their answers that they leave; likewise.
+    std::mt19937_64 m_turnAwayRandom; // Of upstreams that turn requests away; apart likewise.
     promise_checker m_checker;
     retry_budget_observer m_retryObserver { retryWindow, retryRatio };
     leaving_observer m_leavingObserver { std::chrono::milliseconds(2'000) }; // The users' drain time.
