entry: end a drain at its limit and turn newcomers away meanwhile

A drain that was limited to 1 s took 2.8 s, as it joined workers that were still serving; the idempotency keys were handed over only then. Callers that connected meanwhile waited 2.6 s for the listener to close.

Evidence: connection_server_drain_test failed in both checks before.

Change: drain() joins its workers only if none serves a request; the others are joined by the destructor. New connections are closed unread at once, so that their callers go to another VM.

After: connection_server_drain_test passes.

--- a/marlsill/entry/connection_server.cc
+++ b/marlsill/entry/connection_server.cc
@@ -28,9 +28,9 @@
 {
     m_socket.setBlocking(false);
     m_pollSet.add(m_socket, Poco::Net::PollSet::POLL_READ);
-    m_threads.emplace_back([this](const std::stop_token& stop) { runPoller(stop); });
+    m_poller = std::jthread([this](const std::stop_token& stop) { runPoller(stop); });
     for (int index = 0; index < m_options.workers; ++index) {
-        m_threads.emplace_back([this](const std::stop_token& stop) { runWorker(stop); });
+        m_workers.emplace_back([this](const std::stop_token& stop) { runWorker(stop); });
     }
 }
 
@@ -54,11 +54,11 @@
 
 void connection_server::acceptPending()
 {
-    if (m_isDraining) {
-        return;
-    }
     try {
         auto accepted = m_socket.acceptConnection();
+        if (m_isDraining) {
+            return; // Closed unread, so that the caller goes elsewhere at once.
+        }
         accepted.setBlocking(true);
         if (m_openConnections.load() >= m_options.maxConnections) {
             return;
@@ -150,10 +150,13 @@
     while (m_activeConnections.load() > 0 && !hasPassed(limit, steady_clock::now())) {
         std::this_thread::sleep_for(std::chrono::milliseconds(5));
     }
-    for (auto& each : m_threads) {
+    m_poller = {};
+    for (auto& each : m_workers) {
         each.request_stop();
     }
-    m_threads.clear();
+    if (m_activeConnections.load() == 0) {
+        m_workers.clear(); // Others are joined when they have finished their requests, see the destructor.
+    }
     closeExpired(deadline::max());
     m_socket.close();
 }
--- a/marlsill/entry/connection_server.h
+++ b/marlsill/entry/connection_server.h
@@ -49,8 +49,8 @@
     // Returns the bound address, with the actual port if port 0 was requested.
     Poco::Net::SocketAddress address() const { return m_address; }
 
-    // Stops accepting connections, waits until `limit` for the requests in flight, stops the threads and
-    // closes the idle connections.
+    // Closes new connections unread and idle ones, and waits until `limit` for the requests in flight. Those
+    // that are then unanswered go on until they have ended, which the destructor waits for.
     void drain(deadline limit);
 
     // Returns whether drain() was called. Responses should then ask callers to close the connection.
@@ -95,7 +95,8 @@
     std::map<int, std::shared_ptr<connection>> m_idle; // By file descriptor.
     std::deque<std::shared_ptr<connection>> m_readable;
 
-    std::vector<std::jthread> m_threads;
+    std::jthread m_poller;
+    std::vector<std::jthread> m_workers; // Last, as they use the other members until they are joined.
 };
 
 }
