--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -298,7 +298,7 @@
 {
     auto now = steady_clock::now();
     bool canHedge = !current.state.isAtMostOnce && current.state.possibleRuns < current.state.maxUpstreams
-        && current.attempts.size() == 1 && !m_crashMonitor.isQuarantined(current.fingerprint, now);
+        && current.attempts.size() == 1 && !m_stop && !m_crashMonitor.isQuarantined(current.fingerprint, now);
     if (!canHedge) {
         return deadline::max();
     }
@@ -763,14 +763,6 @@
             co_return finishTimedOut(*current);
         }
         m_crashMonitor.noteRunning();
-        if (needsAttempt && !current->isCrashProbe
-            && m_crashMonitor.isQuarantined(current->fingerprint, now)) {
-            current->isCrashProbe = current->attempts.empty()
-                && m_crashMonitor.tryStartProbe(current->fingerprint, current->service, now);
-            if (!current->isCrashProbe) {
-                co_return rejectQuarantined(*current, now);
-            }
-        }
         if (needsAttempt && !mayStartDuringStop(*current, now)) {
             if (current->mayHaveRun()) {
                 co_return finishWithLocalReply(*current, next_step::giveUp, vmIsStopping);
@@ -780,6 +772,14 @@
             recordCompletion(*current, refusal, vmIsStopping);
             co_return refusal;
         }
+        if (needsAttempt && !current->isCrashProbe
+            && m_crashMonitor.isQuarantined(current->fingerprint, now)) {
+            current->isCrashProbe = current->attempts.empty()
+                && m_crashMonitor.tryStartProbe(current->fingerprint, current->service, now);
+            if (!current->isCrashProbe) {
+                co_return rejectQuarantined(*current, now);
+            }
+        }
         auto hedgeAt = hedgeTime(*current);
         bool isHedge = !needsAttempt && hasPassed(hedgeAt, now);
         placement::choice chosen;
