--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -125,6 +125,9 @@
             m_pool.closeIdle(each.id); // They lead to another process.
         }
     }
+    for (const auto& id : removed) {
+        m_pool.closeIdle(id);
+    }
     m_loadBalancer.changeUpstreams(changed, removed, steady_clock::now());
     m_leavingMonitor.logEnded();
     m_rateLimiter.forgetUnregistered();
--- a/testing/leaving_notice_test.cc
+++ b/testing/leaving_notice_test.cc
@@ -457,19 +457,25 @@
 TEST_CASE("A connection to the process before is not used for the one that took its place")
 {
     // Otherwise the notice of the process that leaves would count as one of its successor.
-    leaving_fixture tested;
-    CHECK(tested.call("/repeat/a").status == 200);
-    auto successor = tested.entry(0);
-    successor.startedUnixMs = 2'000;
-    successor.version = 2;
-    successor.address = tested.upstream(1).address();
-    tested.change({ successor });
-    tested.upstream(0).setLeavingField("1");
-    for (int count = 0; count < 5; ++count) {
+    for (bool isRemovedFirst : { false, true }) {
+        CAPTURE(isRemovedFirst);
+        leaving_fixture tested;
         CHECK(tested.call("/repeat/a").status == 200);
+        if (isRemovedFirst) {
+            tested.change({}, { "u0" });
+        }
+        auto successor = tested.entry(0);
+        successor.startedUnixMs = 2'000;
+        successor.version = 2;
+        successor.address = tested.upstream(1).address();
+        tested.change({ successor });
+        tested.upstream(0).setLeavingField("1");
+        for (int count = 0; count < 5; ++count) {
+            CHECK(tested.call("/repeat/a").status == 200);
+        }
+        CHECK(tested.upstream(0).arrivals() == 1);
+        CHECK(tested.upstream(1).arrivals() == 5);
     }
-    CHECK(tested.upstream(0).arrivals() == 1);
-    CHECK(tested.upstream(1).arrivals() == 5);
 }
 
 TEST_CASE("Idle connections to an upstream that leaves are closed")
