Play upstreams that turn requests away in virtual time, and shed late requests while slots are missing

Cause: the retries that were wasted on such upstreams had shed load by accident. Without them all requests waited, as a queue counts as a passing burst for 1.5 s, and most of its answers came late.

Change: while some upstreams are held, a queue with others in it counts as standing.

--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -255,7 +255,9 @@
     if (queue == m_queues.end()) {
         return { 0, condition.slots, usualLatency };
     }
-    return { queue->second.size(), condition.slots, usualLatency, queue->second.isStanding(now) };
+    auto waiting = queue->second.size();
+    bool isStanding = queue->second.isStanding(now) || (condition.hasHeld && waiting > 0);
+    return { waiting, condition.slots, usualLatency, isStanding };
 }
 
 asio::awaitable<std::optional<final_response>> forwarder::forwardRequest(
--- a/marlsill/model/fleet_model.h
+++ b/marlsill/model/fleet_model.h
@@ -48,6 +48,9 @@
     // Most requests from one VM to an upstream from half a second after it has turned one away until the time
     // ends that it named.
     int mostWhileTurningAway = 0;
+    // Most requests that reach an upstream within 100 ms after such a time, from all VMs that were told of
+    // it.
+    int mostAtReturn = 0;
     std::chrono::milliseconds maxWaitBeforeRefusal {}; // Longest wait of any refused request.
 
     // Returns the mean utility per call: 1 for a response within the latency objective, 0.5 for a later one,
@@ -105,6 +108,7 @@
         int busySlots = 0;
         std::vector<std::function<void()>> queue {};
         deadline turnsAwayUntil {};
+        int arrivalsAtReturn = 0;
         std::map<std::size_t, turn_away_window> windows {}; // By VM; the last one that it was told of.
     };
 
@@ -191,6 +195,7 @@
     void turnAwayAndServe(upstream& each)
     {
         each.turnsAwayUntil = m_clock.now() + m_options.turnAwayTime;
+        each.arrivalsAtReturn = 0;
         m_clock.runAfter(2 * m_options.turnAwayTime, [this, &each] { turnAwayAndServe(each); });
     }
 
@@ -203,6 +208,10 @@
             m_result.mostWhileTurningAway = std::max(m_result.mostWhileTurningAway, ++window.arrivals);
         }
         if (hasPassed(target.turnsAwayUntil, now)) {
+            bool isReturning
+                = now < target.turnsAwayUntil + returnTime && window.until == target.turnsAwayUntil;
+            target.arrivalsAtReturn += isReturning ? 1 : 0;
+            m_result.mostAtReturn = std::max(m_result.mostAtReturn, target.arrivalsAtReturn);
             return {};
         }
         ++m_result.turnedAway;
@@ -454,6 +463,7 @@
     }
 
     static constexpr std::chrono::milliseconds maxTurnAwayStart { 5'000 };
+    static constexpr std::chrono::milliseconds returnTime { 100 };
     static constexpr std::chrono::milliseconds turnAwaySettleTime { 500 }; // Of requests on their way.
 
     const model_options m_options;
--- a/marlsill/model/policies.cc
+++ b/marlsill/model/policies.cc
@@ -77,7 +77,8 @@
 placement::queue_load fleet_policy::queueLoadOf(const queue_state& queue, steady_clock::time_point now) const
 {
     auto stats = m_loadBalancer.statsOf(service, now);
-    return { queue.waiting, stats.slots, std::chrono::milliseconds(stats.latencyMs), queue.isStanding };
+    bool isStanding = queue.isStanding || (stats.hasHeld && queue.waiting > 0);
+    return { queue.waiting, stats.slots, std::chrono::milliseconds(stats.latencyMs), isStanding };
 }
 
 bool fleet_policy::shouldRefuse(const queue_state& queue, const placement::answer_deadlines& limits,
--- a/marlsill/placement/admission_queue.h
+++ b/marlsill/placement/admission_queue.h
@@ -109,7 +109,9 @@
     std::size_t waiting = 0; // Requests queued on this VM.
     int slots = 0; // Sum over the service's upstreams that are not excluded.
     std::chrono::milliseconds usual {}; // Average latency of the service; 0 if unknown.
-    bool isStanding = false; // See admission_queue::isStanding().
+    // See admission_queue::isStanding(). Also set while upstreams turn requests away and others wait: slots
+    // are missing for a known time, so the queue is no passing burst.
+    bool isStanding = false;
 };
 
 // When the response to a request is due.
--- a/marlsill/placement/load_balancer.cc
+++ b/marlsill/placement/load_balancer.cc
@@ -805,9 +805,11 @@
         ++condition.upstreams;
         condition.inFlight += inFlightAt(*each, now);
         auto limit = limits ? limits->limitOf(each->entry.id) : std::nullopt;
+        bool isHeld = m_holds.isHeld(each->entry, now);
+        condition.hasHeld = condition.hasHeld || isHeld;
         if (each->isExcluded) {
             ++condition.excluded;
-        } else if (!limit && !m_holds.isHeld(each->entry, now)) {
+        } else if (!limit && !isHeld) {
             condition.slots += each->entry.slots;
         }
     }
--- a/marlsill/placement/load_balancer.h
+++ b/marlsill/placement/load_balancer.h
@@ -157,6 +157,7 @@
 struct service_stats {
     int upstreams = 0; // Registered and not leaving.
     int excluded = 0; // Those of `upstreams` that are excluded.
+    bool hasHeld = false; // Some of `upstreams` turn requests away for a time.
     int slots = 0; // Sum over the upstreams that are neither excluded nor held and have no limit.
     int inFlight = 0; // From all VMs, as far as known.
     int latencyMs = 0; // Moving average; 0 if unknown.
