Do not hand on an upstream's 503, 429 or 408 that does not say that the request was not run

Callers take these statuses for a promise that the request has not run and never will, and send a request that may run once again. The gateway handed an upstream's own one on, also after another upstream may have run it.

Its lines: attempt at u5 end=broken status=200, attempt at u0 end=answered status=503 (value=1), request_answered status=503 why=upstream_answer. Before the change retry_after_test gives 503 in place of 502 in 4 rows (turned away by both, answer cut and then turned away, at most once).

Change: only a field of its own states that a request was not run. Without it these statuses count as possibly run: what may be repeated goes elsewhere as after any 5xx, the rest is answered 502.

--- a/marlsill/placement/attempt_policy.cc
+++ b/marlsill/placement/attempt_policy.cc
@@ -20,18 +20,30 @@
 
     bool isServerError(int status) { return status >= firstServerError; }
 
+    // Returns whether callers take the status for a promise that the request was not executed. An upstream
+    // that means it says so in a field of its own; then the outcome is not `answered`.
+    bool isTakenForNotRun(int status)
+    {
+        constexpr int requestTimeout = 408;
+        constexpr int tooManyRequests = 429;
+        constexpr int serviceUnavailable = 503;
+        return status == requestTimeout || status == tooManyRequests || status == serviceUnavailable;
+    }
+
 }
 
 step_decision decideNextStep(const completed_attempt& attempt, const retry_state& request)
 {
-    if (attempt.outcome == attempt_outcome::answered && !isServerError(attempt.status)) {
+    bool isFinal = !isServerError(attempt.status) && !isTakenForNotRun(attempt.status);
+    if (attempt.outcome == attempt_outcome::answered && isFinal) {
         return { next_step::deliver, next_step::deliver };
     }
     bool hasUpstreamsLeft = request.possibleRuns < request.maxUpstreams;
     switch (attempt.outcome) {
     case attempt_outcome::answered: {
         bool mayRetry = !request.isAtMostOnce && hasUpstreamsLeft;
-        auto fallback = request.isAnotherInFlight ? next_step::wait : next_step::deliver;
+        auto last = isTakenForNotRun(attempt.status) ? next_step::giveUp : next_step::deliver;
+        auto fallback = request.isAnotherInFlight ? next_step::wait : last;
         return { mayRetry ? next_step::tryAnother : fallback, fallback };
     }
     case attempt_outcome::refused:
