entry: a request that crashes upstreams for one account is served for the others

What callers saw: 422 for a sound request, for good, after the same method, path and body of another account had crashed two upstreams.

Cause: the quarantine's fingerprint left out the client account, though a request may crash by the data of its account.

Evidence: request_path_test, the new case on the code before: the crashing account kills two upstreams and is quarantined, and requests of another account and of none are refused until the test gives up.

Change: quarantineFingerprintOf() covers the account if the request names one. The hash that the key ledger compares stays, as VMs of two releases exchange it.

--- a/marlsill/entry/dispatcher.cc
+++ b/marlsill/entry/dispatcher.cc
@@ -106,7 +106,7 @@
         : m_owner(owner)
         , m_job(job)
         , m_admission(owner.admissionControllerFor(job.service.name))
-        , m_fingerprint(fingerprintOf(job.request))
+        , m_fingerprint(quarantineFingerprintOf(job.request))
         , m_exchange(owner.m_pool)
     {
     }
--- a/marlsill/entry/quarantine.cc
+++ b/marlsill/entry/quarantine.cc
@@ -2,6 +2,7 @@
 
 #include "marlsill/base/hash.h"
 #include "marlsill/events/events.h"
+#include "marlsill/http/field_names.h"
 
 #include <algorithm>
 
@@ -13,6 +14,13 @@
     return fastHash(request.body, seed);
 }
 
+request_fingerprint quarantineFingerprintOf(const http::request_message& request)
+{
+    auto fingerprint = fingerprintOf(request);
+    auto account = request.head.get(http::field::clientAccount, "");
+    return account.empty() ? fingerprint : fastHash(account, fingerprint);
+}
+
 quarantine_list::quarantine_list(quarantine_options options)
     : m_options(options)
 {
--- a/marlsill/entry/quarantine.h
+++ b/marlsill/entry/quarantine.h
@@ -6,11 +6,11 @@
 //     if (decision == quarantine_decision::quarantined)
 //         return notRun();
 //
-// Requests are identified by a fingerprint of method, target and body. After the first crash the request is
-// suspected: the VM that saw the crash notifies the other VMs before it does anything else, and from then on
-// only that VM may send the request, one probe at a time. A second crash on another upstream, or during a
-// probe, quarantines the request on every VM. VMs tell each other which upstream crashed, as several of them
-// may see the same crash.
+// Requests are identified by a fingerprint of method, target, body and client account. After the first crash
+// the request is suspected: the VM that saw the crash notifies the other VMs before it does anything else,
+// and from then on only that VM may send the request, one probe at a time. A second crash on another
+// upstream, or during a probe, quarantines the request on every VM. VMs tell each other which upstream
+// crashed, as several of them may see the same crash.
 
 #include "marlsill/base/time.h"
 #include "marlsill/http/message_reader.h"
@@ -30,6 +30,10 @@
 // Computes the fingerprint of a request.
 request_fingerprint fingerprintOf(const http::request_message& request);
 
+// Computes the fingerprint by which the quarantine knows a request: it covers the client account too, if the
+// request names one, as a request may crash upstreams by the data of its account.
+request_fingerprint quarantineFingerprintOf(const http::request_message& request);
+
 // What is known about a fingerprint. The numeric values are sent to peers.
 enum class suspicion_level {
     suspectedLocally, // An upstream crashed while it ran the request for this VM.
--- a/testing/request_path_test.cc
+++ b/testing/request_path_test.cc
@@ -221,6 +221,28 @@
     CHECK(eventually([&] { return isOwn(fleet.call(0, get("/jobs/1", "well")), "well"); }));
 }
 
+TEST_CASE("a request that crashes upstreams for one account is served for the others")
+{
+    loopback_fleet fleet({ .entries = 3, .upstreams = 5 });
+    auto poison = get("/jobs/1", "poison");
+    poison.head.set(http::field::clientAccount, std::string(crashWord) + "-a");
+    std::string last;
+    for (int sending = 0; sending < 12; ++sending) {
+        last = fleet.call(static_cast<std::size_t>(sending) % 3, poison).outcomeReason;
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    CHECK(fleet.crashes() == 2);
+    CHECK(last == "quarantined");
+    for (const auto* account : { "", "b" }) {
+        CAPTURE(std::string(account));
+        auto sound = get("/jobs/1", "well");
+        if (*account != 0) {
+            sound.head.set(http::field::clientAccount, account);
+        }
+        CHECK(eventually([&] { return isOwn(fleet.call(0, sound), "well"); }));
+    }
+}
+
 TEST_CASE("a path whose answers were lost is served again, by every daemon")
 {
     // Guards against sound requests that are quarantined although no upstream has crashed under them.
--- a/testing/upstream_stand_in.cc
+++ b/testing/upstream_stand_in.cc
@@ -143,7 +143,8 @@
         ++m_runs[request.head.get("X-Request-Id", "")];
     }
     bool isCrash = request.body.find(crashWord) != std::string::npos
-        || request.head.getURI().find(crashWord) != std::string::npos;
+        || request.head.getURI().find(crashWord) != std::string::npos
+        || request.head.get(http::field::clientAccount, "").find(crashWord) != std::string::npos;
     bool isSpoilt = std::uniform_real_distribution<double>(0, 1)(threadRandom()) < faults.share;
     bool isCancelled = !work(connection, faults);
     --m_busy;
--- a/testing/upstream_stand_in.h
+++ b/testing/upstream_stand_in.h
@@ -52,7 +52,7 @@
     int restartMilliseconds = 200; // After a crash.
 };
 
-// A request whose body or target holds this word crashes the upstream.
+// A request whose body, target or client account holds this word crashes the upstream.
 inline constexpr const char* crashWord = "crash-upstream";
 
 // Serves on its own threads. Every request to /health is answered well, whatever the faults. Thread safe.
