Tests of crashing requests: each from another address than the one before

The fleets of crash_containment_test and crash_recovery_test sent from one loopback address, so that they couldn't show a record that goes by the address. Now every request to them comes from another one. Not run on the code before.

--- a/testing/crash_fleet.cc
+++ b/testing/crash_fleet.cc
@@ -24,6 +24,7 @@
     constexpr const char* host = "h.example";
     constexpr const char* crashIdPrefix = "crash-"; // Of the ids of crashing requests.
     constexpr const char* quarantineText = "upstreams crashed under this request";
+    constexpr int callerAddresses = 250;
     constexpr milliseconds startLimit { 10'000 };
     constexpr milliseconds tickInterval { 10 };
 
@@ -62,7 +63,8 @@
 
 raw_answer crash_fleet::call(std::size_t entry, const std::string& method, const std::string& path)
 {
-    return call(entry, { .method = method, .path = path });
+    auto from = "127.0.1." + std::to_string(1 + m_requests % callerAddresses);
+    return call(entry, { .method = method, .path = path, .from = std::move(from) });
 }
 
 raw_answer crash_fleet::call(std::size_t entry, const fleet_request& request)
--- a/testing/crash_fleet.h
+++ b/testing/crash_fleet.h
@@ -62,9 +62,12 @@
         int entries, int upstreams, std::chrono::milliseconds workTime = std::chrono::milliseconds(20));
     ~crash_fleet();
 
-    // Sends a request to a daemon on a connection of its own. Status 0: no answer.
+    // Sends a request to a daemon on a connection of its own, from another address than the request before.
+    // Status 0: no answer.
     raw_answer call(std::size_t entry, const std::string& method, const std::string& path);
 
+    // The same from the address that the request names.
+
     raw_answer call(std::size_t entry, const fleet_request& request);
 
     // Waits until a daemon serves. Returns false after a long time.
