--- a/testing/crash_fleet.h
+++ b/testing/crash_fleet.h
@@ -67,7 +67,6 @@
     raw_answer call(std::size_t entry, const std::string& method, const std::string& path);
 
     // The same from the address that the request names.
-
     raw_answer call(std::size_t entry, const fleet_request& request);
 
     // Waits until a daemon serves. Returns false after a long time.
--- a/testing/raw_caller.h
+++ b/testing/raw_caller.h
@@ -35,6 +35,7 @@
     raw_caller(const std::string& address, const std::string& from, gateway::wire_fields fields);
 
     void send(const std::string& text);
+
     // `extraFields` are whole header lines, each with its line end.
     void sendRequest(const std::string& method, const std::string& path, const std::string& id,
         int timeoutMs = 2000, const std::string& body = {}, const std::string& extraFields = {});
