--- a/marlsill/model/turn_away_model_test.cc
+++ b/marlsill/model/turn_away_model_test.cc
@@ -98,7 +98,8 @@
             << before.served << "; turned away " << heeding.turnedAway << ", before " << before.turnedAway
             << "; most from a VM " << heeding.mostWhileTurningAway << ", before "
             << before.mostWhileTurningAway << "; refused " << heeding.refused << ", before " << before.refused
-            << "; most at a return " << heeding.mostAtReturn << ", before " << before.mostAtReturn << "; longest wait " << heeding.maxWaitBeforeRefusal.count() << ", before "
+            << "; most at a return " << heeding.mostAtReturn << ", before " << before.mostAtReturn
+            << "; longest wait " << heeding.maxWaitBeforeRefusal.count() << ", before "
             << before.maxWaitBeforeRefusal.count());
         CHECK(heeding.mostWhileTurningAway <= allowedWhileTurningAway);
         CHECK(heeding.utility >= before.utility - 0.01);
