--- a/marlsill/base/socket_options.cc
+++ b/marlsill/base/socket_options.cc
@@ -20,6 +20,8 @@
 
 void setNoDelay(int descriptor) { set(descriptor, IPPROTO_TCP, TCP_NODELAY, 1); }
 
+void bindToAnyPort(int descriptor) { set(descriptor, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, 1); }
+
 void detectDeadPeer(int descriptor, std::chrono::milliseconds limit)
 {
     int seconds = std::max(1, static_cast<int>(limit.count() / 1000));
--- a/marlsill/base/socket_options.h
+++ b/marlsill/base/socket_options.h
@@ -12,6 +12,10 @@
 // Sends small writes at once.
 void setNoDelay(int descriptor);
 
+// Makes a bind to port 0 leave the choice of the port to the connect, so that connections to different peers
+// may share a port and none is kept from a listener.
+void bindToAnyPort(int descriptor);
+
 // Ends the connection when the other side has acknowledged nothing for about `limit`, both while data is in
 // flight and while the connection is idle.
 void detectDeadPeer(int descriptor, std::chrono::milliseconds limit);
--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -351,7 +351,7 @@
         ++m_counters.reusedConnections;
     } else if (address) {
         ++m_counters.newConnections;
-        connection = std::make_shared<upstream_connection>(m_io, *address);
+        connection = std::make_shared<upstream_connection>(m_io, *address, m_options.upstreamSource);
         thisAttempt->connection = connection;
         auto connectUntil
             = std::min(current->effectiveDeadline, steady_clock::now() + m_options.connectTimeout);
--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -38,6 +38,7 @@
 // Settings of a forwarder.
 struct forwarder_options {
     std::string failureDomain; // Of this VM; upstreams in it are preferred.
+    asio::ip::address_v4 upstreamSource; // Of connections to upstreams; unspecified: the system chooses.
     std::uint64_t maxResponseBytes = 8 * 1024 * 1024;
     // Of all responses that are being read; they may take twice as much, see buffer_budget. A fifth of the
     // memory of a small VM.
--- a/marlsill/gateway/upstream_connection.cc
+++ b/marlsill/gateway/upstream_connection.cc
@@ -37,9 +37,11 @@
 
 }
 
-upstream_connection::upstream_connection(asio::io_context& io, const asio::ip::tcp::endpoint& upstream)
+upstream_connection::upstream_connection(
+    asio::io_context& io, const asio::ip::tcp::endpoint& upstream, asio::ip::address_v4 source)
     : m_io(io)
     , m_upstream(upstream)
+    , m_source(source)
     , m_socket(io)
     , m_timer(io)
 {
@@ -65,6 +67,15 @@
     if (error) {
         co_return false;
     }
+    if (!m_source.is_unspecified()) {
+        bindToAnyPort(m_socket.native_handle()); // A port is chosen with the connect.
+        m_socket.set_option(asio::socket_base::reuse_address(true), error);
+        m_socket.bind({ m_source, 0 }, error);
+        if (error) {
+            abort();
+            co_return false;
+        }
+    }
     armTimer(limit);
     co_await m_socket.async_connect(m_upstream, asio::redirect_error(asio::use_awaitable, error));
     m_timer.cancel();
--- a/marlsill/gateway/upstream_connection.h
+++ b/marlsill/gateway/upstream_connection.h
@@ -55,7 +55,9 @@
 // See the file comment.
 class upstream_connection : public std::enable_shared_from_this<upstream_connection> {
 public:
-    upstream_connection(asio::io_context& io, const asio::ip::tcp::endpoint& upstream);
+    // The system chooses the source address unless `source` names one.
+    upstream_connection(
+        asio::io_context& io, const asio::ip::tcp::endpoint& upstream, asio::ip::address_v4 source = {});
 
     // Connects. Returns false on refusal, at the deadline, or after abort().
     asio::awaitable<bool> open(deadline limit);
@@ -93,6 +95,7 @@
 
     asio::io_context& m_io;
     asio::ip::tcp::endpoint m_upstream;
+    asio::ip::address_v4 m_source; // Unspecified: the system chooses.
     asio::ip::tcp::socket m_socket;
     asio::steady_timer m_timer;
     std::string m_writeBuffer;
--- a/testing/soak/entry_process.cc
+++ b/testing/soak/entry_process.cc
@@ -97,7 +97,8 @@
     std::ofstream file(m_options.folder + "/" + m_options.name + ".conf");
     auto at = [&](int port) { return m_options.host + ":" + std::to_string(port); };
     file << "name = " << m_options.name << "\nregion = r\nfailure-domain = " << m_options.domain
-         << "\nhost = " << m_options.host << "\ncaller-address = " << at(m_options.callerPort)
+         << "\nhost = " << m_options.host << "\nupstream-source-address = " << m_options.host
+         << "\ncaller-address = " << at(m_options.callerPort)
          << "\nreadiness-address = " << at(m_options.readinessPort)
          << "\ndirectory-address = " << at(m_options.directoryPort) << "\npeer-port = " << m_options.peerPort
          << "\nseeds = " << m_options.seeds << "\nstore-address = " << m_options.store
