A VM that is cut off from all upstreams serves its callers through its peers

What callers saw: VMs that had lost their links to all upstreams for 12 s served 27 of 199 and 32 of 153 first tries, the others 177 of 193 and 284 of 301; many callers got 503 after 2 s.

Cause: nobody concluded from the failed connects of many requests that it is the VM that is cut off. Each request found out anew, 400 ms for each of its five attempts; the directory went on to offer the VM; and its evidence excluded sound upstreams at its peers.

Requests that still come, and those that wait for an upstream, take one hop through a peer, over TCP on the peer port: it gets the caller's address, the time left and the version of the configuration, and declines unprocessed if it is stopping, cut off itself or behind. Requests that may have run are sent again only if they can be repeated, from the retry budget. Without such a peer they are refused at once. Evidence that an upstream cannot be reached is kept back while the VM suspects itself.

--- a/marlsill/cluster/member_list.cc
+++ b/marlsill/cluster/member_list.cc
@@ -41,6 +41,15 @@
     }
 }
 
+void member_list::setCutOff(bool isCutOff)
+{
+    if (m_self.isCutOff != isCutOff) {
+        m_self.isCutOff = isCutOff;
+        ++m_self.version;
+        ++m_generation;
+    }
+}
+
 bool member_list::merge(const member& record, steady_clock::time_point now)
 {
     if (record.host == m_self.host) {
@@ -199,6 +208,20 @@
     return eligible;
 }
 
+bool member_list::isKnown(std::string_view host) const
+{
+    return host == m_self.host || m_others.contains(host);
+}
+
+bool member_list::isCutOff(std::string_view host) const
+{
+    if (host == m_self.host) {
+        return m_self.isCutOff;
+    }
+    auto found = m_others.find(host);
+    return found != m_others.end() && found->second.record.isCutOff;
+}
+
 bool member_list::isSuspect(std::string_view host) const
 {
     auto found = m_others.find(host);
--- a/marlsill/cluster/member_list.h
+++ b/marlsill/cluster/member_list.h
@@ -42,6 +42,7 @@
     std::uint64_t version = 0; // Number of changes in this incarnation.
     member_state state = member_state::joining;
     double capacity = 1; // Relative weight in the selection of serving VMs and of watchers.
+    bool isCutOff = false; // From all upstreams; callers should use others.
 
     bool operator==(const member&) const = default;
 };
@@ -63,6 +64,9 @@
     // Sets this VM's own state and increments its version if the state differs.
     void setState(member_state state);
 
+    // Sets whether this VM is cut off, and increments its version if that differs.
+    void setCutOff(bool isCutOff);
+
     const member& self() const { return m_self; }
 
     // Merges a record received from another VM. Returns whether it was newer than the known one.
@@ -114,6 +118,12 @@
     // changes.
     std::vector<const member*> eligibleMembers() const;
 
+    // Returns whether `host` is this VM or another that is known.
+    bool isKnown(std::string_view host) const;
+
+    // Returns whether a host has declared itself cut off from all upstreams.
+    bool isCutOff(std::string_view host) const;
+
     // Returns whether a host has not answered its last ping. In a fleet of hundreds there nearly always is
     // one, mostly a slow VM, and each VM suspects others.
     bool isSuspect(std::string_view host) const;
--- a/marlsill/cluster/peer_mesh.cc
+++ b/marlsill/cluster/peer_mesh.cc
@@ -70,6 +70,14 @@
     }
 }
 
+void peer_mesh::setCutOff(bool isCutOff)
+{
+    if (m_members.self().isCutOff != isCutOff) {
+        m_members.setCutOff(isCutOff);
+        announceSelf();
+    }
+}
+
 void peer_mesh::announceSelf()
 {
     peer_message message;
@@ -245,7 +253,7 @@
         }
         logEvent(event::memberListed,
             { { "host", each.host }, { "state", std::string(toText(each.state)) },
-                { "incarnation", std::to_string(each.incarnation) },
+                { "cut_off", each.isCutOff ? "1" : "0" }, { "incarnation", std::to_string(each.incarnation) },
                 { "version", std::to_string(each.version) } });
     }
 }
--- a/marlsill/cluster/peer_mesh.h
+++ b/marlsill/cluster/peer_mesh.h
@@ -96,6 +96,9 @@
     // Sets this VM's state and announces it to all reachable VMs; `leaving` at the start of a planned stop.
     void setState(member_state state);
 
+    // Sets whether this VM is cut off from all upstreams, and announces that to all reachable VMs.
+    void setCutOff(bool isCutOff);
+
     // Sends evidence about an upstream, with the next batch, to the VMs that serve the same service and to
     // subscribers.
     void publish(const placement::upstream_evidence& evidence);
--- a/marlsill/cluster/peer_message.cc
+++ b/marlsill/cluster/peer_message.cc
@@ -185,8 +185,12 @@
     }
     putList(value, wantedBucketsField, message.wantedBuckets, [](std::size_t entry) { return json(entry); });
     putList(value, membersField, message.members, [](const member& entry) {
-        return json::array({ entry.host, entry.failureDomain, entry.callerAddress, entry.incarnation,
+        auto record = json::array({ entry.host, entry.failureDomain, entry.callerAddress, entry.incarnation,
             entry.version, static_cast<int>(entry.state), entry.capacity });
+        if (entry.isCutOff) {
+            record.push_back(true); // Earlier versions ignore it.
+        }
+        return record;
     });
     putList(value, unreachableField, message.unreachableHosts,
         [](const std::string& entry) { return json(entry); });
@@ -274,6 +278,7 @@
         hasUnknownState = hasUnknownState || state > static_cast<unsigned>(member_state::leaving);
         record.state = static_cast<member_state>(state);
         record.capacity = item.number();
+        record.isCutOff = item.hasNext() && item.boolean();
         message.members.push_back(std::move(record));
     });
     fields.forEachValue(
--- a/marlsill/cluster/peer_message_test.cc
+++ b/marlsill/cluster/peer_message_test.cc
@@ -18,7 +18,8 @@
         message.wantsMembers = true;
         message.memberDigests = { 1, 0xfedcba98 };
         message.wantedBuckets = { 0, 255 };
-        message.members = { { "10.0.0.2", "a", "10.0.0.2:80", 5, 6, member_state::leaving, 2.5 } };
+        message.members = { { "10.0.0.2", "a", "10.0.0.2:80", 5, 6, member_state::leaving, 2.5 },
+            { "10.0.0.3", "a", "10.0.0.3:80", 5, 6, member_state::ready, 1, true } };
         message.unreachableHosts = { "10.0.0.3" };
         message.evidence = { { "u1", placement::lastEvidenceKind } };
         message.loads = { { "u1", 2, 340 } };
--- a/marlsill/cluster/serving_cells.cc
+++ b/marlsill/cluster/serving_cells.cc
@@ -101,8 +101,9 @@
 {
     const auto& all = servingVms(host, now);
     std::vector<serving_vm> offered;
-    std::copy_if(all.begin(), all.end(), std::back_inserter(offered),
-        [this](const auto& each) { return !m_members.isSuspect(each.host); });
+    std::copy_if(all.begin(), all.end(), std::back_inserter(offered), [this](const auto& each) {
+        return !m_members.isSuspect(each.host) && !m_members.isCutOff(each.host);
+    });
     return offered.empty() ? all : offered;
 }
 
--- a/marlsill/cluster/serving_cells_test.cc
+++ b/marlsill/cluster/serving_cells_test.cc
@@ -267,6 +267,36 @@
     }
 }
 
+TEST_CASE("VMs that are cut off from all upstreams keep their places but are not offered, unless all are")
+{
+    struct row {
+        const char* name;
+        std::size_t cutOff; // Of the serving VMs, the first ones.
+    };
+    const row rows[] = { { "none", 0 }, { "one", 1 }, { "all but one", 8 }, { "all", 9 } };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        fleet_view view(0, 9, 3, 72);
+        auto expected = hostsOf(view.cells.servingVms(hosts.front(), start));
+        REQUIRE(expected.size() == 9);
+        for (std::size_t index = 0; index < each.cutOff; ++index) {
+            if (expected[index] == view.members.self().host) {
+                view.members.setCutOff(true);
+                continue;
+            }
+            auto changed = record(0, 3);
+            changed.host = expected[index];
+            changed.version = 2;
+            changed.isCutOff = true;
+            view.members.merge(changed, start);
+        }
+        auto now = start + milliseconds(200);
+        CHECK(hostsOf(view.cells.servingVms(hosts.front(), now)).size() == expected.size());
+        auto offered = hostsOf(view.cells.offeredVms(hosts.front(), now));
+        CHECK(offered.size() == (each.cutOff == 9 ? 9 : 9 - each.cutOff));
+    }
+}
+
 TEST_CASE("Many changes of members cause few recalculations, and none is left out")
 {
     fleet_view view(0, 36, 3, 72);
--- a/marlsill/events/events.cc
+++ b/marlsill/events/events.cc
@@ -53,6 +53,8 @@
         { event::requestCancelled, severity::info, "request_cancelled", "A caller left before its answer." },
         { event::requestNotRouted, severity::info, "request_not_routed",
             "A request was answered without a route: none fits, or no configuration is known yet." },
+        { event::requestRelayed, severity::info, "request_relayed",
+            "This VM is cut off from all upstreams and sent a request through a peer; status 0: no answer." },
         { event::configurationInForce, severity::info, "configuration_in_force",
             "A generation of the configuration was applied." },
         { event::configurationAccepted, severity::info, "configuration_accepted",
@@ -123,6 +125,8 @@
             "A response named another limit of requests per second than the one known, or none any more." },
         { event::permitAnswered, severity::info, "permit_answered",
             "A permit to send one request to a limited upstream was granted, from `delay_ms` on, or refused." },
+        { event::cutOffChanged, severity::warning, "cut_off_changed",
+            "This VM cannot reach any upstream, or can again; while it cannot, peers serve its callers' requests." },
         { event::recordGap, severity::error, "record_gap",
             "Facts were dropped before they could be stored; the gap is part of the record." },
     };
--- a/marlsill/events/events.h
+++ b/marlsill/events/events.h
@@ -34,6 +34,7 @@
     requestAnswered = 2102,
     requestCancelled = 2103,
     requestNotRouted = 2104,
+    requestRelayed = 2105,
     outcomesHandedOver = 2031,
     configurationInForce = 3001,
     configurationAccepted = 3002,
@@ -72,6 +73,7 @@
     crashObjectNotWritten = 5111,
     upstreamLimitChanged = 5112,
     permitAnswered = 5113,
+    cutOffChanged = 5114,
     recordGap = 6001,
 };
 
--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -19,6 +19,9 @@
 
 namespace {
 
+    // Waiting callers come back when others may have told them of VMs that are not cut off.
+    constexpr std::chrono::milliseconds cutOffRetryDelay { 300 };
+    constexpr const char* connectFailed = "cannot connect";
     constexpr const char* permitsUsedUp = "the upstreams' limits are used up";
     // With thousands of services each is observed once in minutes, and its serving VMs are worked out then.
     constexpr std::size_t servicesPerSweep = 4;
@@ -75,6 +78,9 @@
 {
     isCancelled = true;
     wakeTimer.cancel();
+    if (relayConnection) {
+        relayConnection->abort();
+    }
 }
 
 bool active_request::mayHaveRun() const
@@ -101,6 +107,7 @@
           { .connectTimeout = m_options.connectTimeout, .quarantine = m_options.quarantine })
     , m_rateLimiter(
           m_loadBalancer, m_counters, [this](const std::string& service) { wakeNextQueued(service); })
+    , m_reachability(io, m_loadBalancer, { .source = m_options.upstreamSource })
     , m_absenceDetector(m_options.shortestAbsence)
 {
 }
@@ -198,6 +205,7 @@
     m_crashMonitor.noteRunning();
     observeServices();
     auto now = steady_clock::now();
+    m_reachability.tick(now);
     for (const auto& each : m_loadBalancer.excludeStalled(now)) {
         logEvent(event::upstreamEvidence, { { "upstream", each.upstream }, { "source", "stall" } });
         if (m_reportEvidence) {
@@ -357,6 +365,7 @@
             = std::min(current->effectiveDeadline, steady_clock::now() + m_options.connectTimeout);
         if (!co_await connection->open(connectUntil)) {
             connection = nullptr;
+            thisAttempt->failure = connectFailed;
         }
     }
     thisAttempt->connection = connection;
@@ -449,7 +458,10 @@
             { "trial", thisAttempt.isProbe ? "1" : "0" }, { "elapsed_ms", std::to_string(toMs(elapsed)) } });
     auto evidence = m_loadBalancer.finishAttempt(
         thisAttempt.upstream, verdict, elapsed, thisAttempt.startedAt, current.state.isAtMostOnce, now);
-    if (evidence && m_reportEvidence) {
+    recordReachability(thisAttempt, now);
+    bool isOwnFault = evidence && evidence->kind == placement::evidence_kind::unreachable
+        && m_reachability.isSuspicious();
+    if (evidence && m_reportEvidence && !isOwnFault) {
         m_reportEvidence(*evidence);
     }
     if (placement::isKeepAliveRace(thisAttempt.outcome)) {
@@ -464,6 +476,41 @@
     wakeNextQueued(current.service);
 }
 
+// Feeds the detection of lost links with what an attempt says about them.
+void forwarder::recordReachability(const attempt& thisAttempt, steady_clock::time_point now)
+{
+    const auto& outcome = thisAttempt.outcome;
+    bool isLost = outcome.outcome == attempt_outcome::noAnswer && !placement::isKeepAliveRace(outcome);
+    if (isLost || thisAttempt.failure == connectFailed) {
+        m_reachability.recordAttempt(thisAttempt.upstream, false, thisAttempt.startedAt, now);
+    } else if (!outcome.wasReused && outcome.status > 0) {
+        m_reachability.recordAttempt(thisAttempt.upstream, true, thisAttempt.startedAt, now);
+    }
+}
+
+// Returns whether a peer should serve the request, as this VM is cut off. Requests that may have run are sent
+// again only if they can be repeated and their response is overdue.
+bool forwarder::shouldRelay(active_request& current, bool needsAttempt, steady_clock::time_point now)
+{
+    if (current.isRelayed || !m_reachability.isCutOff() || current.isCrashProbe) {
+        return false;
+    }
+    if (!current.mayHaveRun()) {
+        return needsAttempt;
+    }
+    return !current.state.isAtMostOnce && (needsAttempt || hasPassed(hedgeTime(current), now))
+        && current.state.possibleRuns < current.state.maxUpstreams
+        && (needsAttempt || tryTakeRetry(current, true, now));
+}
+
+final_response forwarder::finishUnrelayed(active_request& current, bool mayHaveRun)
+{
+    if (mayHaveRun || current.mayHaveRun()) {
+        return finishWithLocalReply(current, next_step::giveUp, "the relayed request got no answer");
+    }
+    return shedRequest(current, "no upstream can be reached", cutOffRetryDelay, steady_clock::now());
+}
+
 void forwarder::wakeNextQueued(const std::string& service)
 {
     auto found = m_queues.find(service);
@@ -706,7 +753,10 @@
         co_return finishWithLocalReply(*current, next_step::refuse, "the route leads to no service");
     }
     current->service = target->service;
-    retryBudgetOf(current->service).countRequest(now);
+    auto& budget = retryBudgetOf(current->service);
+    if (!std::exchange(current->isCounted, true)) {
+        budget.countRequest(now);
+    }
     bool needsAttempt = true;
     std::size_t evaluatedCount = 0;
     while (true) {
@@ -732,6 +782,10 @@
             co_return finishTimedOut(*current);
         }
         m_crashMonitor.noteRunning();
+        if (shouldRelay(*current, needsAttempt, now)) {
+            abortAttempts(*current);
+            co_return final_response { .mustRelay = true };
+        }
         if (needsAttempt && !current->isCrashProbe
             && m_crashMonitor.isQuarantined(current->fingerprint, now)) {
             current->isCrashProbe = current->attempts.empty()
--- a/marlsill/gateway/gateway.cc
+++ b/marlsill/gateway/gateway.cc
@@ -122,11 +122,14 @@
     current->caller = request->caller;
     current->arrivedAt = request->arrivedAt;
     current->callerDeadline = request->arrivedAt + timeout.value_or(std::chrono::milliseconds(maxTimeoutMs));
+    current->isRelayed = request->isRelayed;
+    current->isCounted = request->isCounted;
+    current->state.possibleRuns = request->earlierArrivals;
     current->config = config;
     current->matchedRoute = matchedRoute;
     request->message.head.setMethod(current->request.head.getMethod());
     request->cancel = [current] { current->cancel(); };
-    auto response = co_await m_forwarder.forwardRequest(current);
+    auto response = co_await forwardOrRelay(current);
     request->cancel = {};
     if (!response) {
         co_return std::nullopt;
@@ -137,12 +140,51 @@
     co_return std::move(response->message);
 }
 
+// Forwards a request to an upstream, or to a peer if this VM cannot reach any.
+asio::awaitable<std::optional<final_response>> gateway::forwardOrRelay(
+    std::shared_ptr<active_request> current)
+{
+    auto response = co_await m_forwarder.forwardRequest(current);
+    if (!response || !response->mustRelay) {
+        co_return response;
+    }
+    auto peers
+        = m_relayPeersFor ? m_relayPeersFor(current->request.head.getHost()) : std::vector<std::string>();
+    relay_outcome outcome;
+    if (!peers.empty()) {
+        outcome = co_await m_relay->send(current, std::move(peers));
+    }
+    if (current->isCancelled) {
+        co_return std::nullopt;
+    }
+    if (outcome.status == relay_status::answered) {
+        co_return final_response { std::move(outcome.response), true };
+    }
+    co_return m_forwarder.finishUnrelayed(*current, outcome.status == relay_status::unknown);
+}
+
+asio::awaitable<std::optional<http::response_message>> gateway::serveRelayed(
+    std::shared_ptr<served_request> request)
+{
+    auto version = takeRelayField(*request);
+    const auto& config = m_forwarder.currentConfiguration();
+    bool canServe
+        = version && isReady() && config->version() >= *version && !m_forwarder.reachability().isCutOff();
+    if (!canServe) {
+        co_return makeDecliningReply("this VM does not take relayed requests now");
+    }
+    co_return co_await serve(std::move(request));
+}
+
 asio::awaitable<void> gateway::sweepLoop()
 {
     while (true) {
         co_await sleepFor(m_io, m_options.sweepInterval);
         m_forwarder.sweep();
         m_callerServer.sweep();
+        if (m_relay) {
+            m_relay->sweep();
+        }
     }
 }
 
--- a/marlsill/gateway/gateway.h
+++ b/marlsill/gateway/gateway.h
@@ -12,6 +12,7 @@
 // Not thread safe; used from a single event loop.
 
 #include "marlsill/gateway/forwarder.h"
+#include "marlsill/gateway/request_relay.h"
 #include "marlsill/gateway/session_server.h"
 
 namespace marlsill::gateway {
@@ -45,11 +46,25 @@
     // nothing.
     void beginStop(deadline exitDeadline, std::function<void()> onDone);
 
+    // Sets how requests are relayed while this VM is cut off, and which peers may serve a host, in the order
+    // of preference.
+    void setRelay(
+        request_relay& relay, std::function<std::vector<std::string>(const std::string& host)> peersFor)
+    {
+        m_relay = &relay;
+        m_relayPeersFor = std::move(peersFor);
+    }
+
+    // Serves a request that a peer relays, or declines it unprocessed.
+    asio::awaitable<std::optional<http::response_message>> serveRelayed(
+        std::shared_ptr<served_request> request);
+
     forwarder& requestForwarder() { return m_forwarder; }
     session_server& callerServer() { return m_callerServer; }
 
 private:
     asio::awaitable<std::optional<http::response_message>> serve(std::shared_ptr<served_request> request);
+    asio::awaitable<std::optional<final_response>> forwardOrRelay(std::shared_ptr<active_request> current);
     asio::awaitable<void> sweepLoop();
     asio::awaitable<void> drainLoop(std::function<void()> onDone);
     http::response_message makeUnroutedReply(const served_request& request, int status, std::string_view why);
@@ -59,6 +74,8 @@
     const gateway_options m_options;
     forwarder m_forwarder;
     session_server m_callerServer;
+    request_relay* m_relay = nullptr;
+    std::function<std::vector<std::string>(const std::string&)> m_relayPeersFor;
     std::optional<deadline> m_exitDeadline;
     bool m_knowsUpstreams = false;
 };
--- /dev/null
+++ b/marlsill/gateway/request_relay.cc
@@ -0,0 +1,132 @@
+#include "marlsill/gateway/request_relay.h"
+
+#include "marlsill/events/events.h"
+#include "marlsill/http/message_writer.h"
+
+#include <sstream>
+
+namespace marlsill::gateway {
+
+namespace {
+
+    constexpr const char* relayField = "Marlsill-Relay"; // Caller, configuration, arrivals so far, counted.
+    constexpr const char* declinedField = "Marlsill-Relay-Declined";
+
+}
+
+bool isDeclined(const http::response_message& response) { return response.head.has(declinedField); }
+
+http::response_message makeDecliningReply(std::string_view why)
+{
+    auto message = http::makeResponse(
+        Poco::Net::HTTPResponse::HTTP_MISDIRECTED_REQUEST, "text/plain", std::string(why) + "\n");
+    message.head.set(declinedField, "1");
+    return message;
+}
+
+std::optional<std::uint64_t> takeRelayField(served_request& request)
+{
+    std::istringstream field(request.message.head.get(relayField, ""));
+    request.message.head.erase(relayField);
+    std::uint64_t version = 0;
+    bool isCounted = false;
+    if (!(field >> request.caller >> version >> request.earlierArrivals >> isCounted)
+        || request.earlierArrivals < 0) {
+        return std::nullopt;
+    }
+    request.isCounted = isCounted;
+    request.isRelayed = true;
+    return version;
+}
+
+std::string request_relay::serialize(const active_request& current, steady_clock::time_point now) const
+{
+    auto relayed = current.request;
+    http::removeHopByHopFields(relayed.head);
+    auto left = std::max<std::int64_t>(
+        1, millisecondsUntil(current.effectiveDeadline - m_options.transitTime, now));
+    relayed.head.set(m_wire.timeoutMs, std::to_string(left));
+    std::ostringstream field;
+    field << current.caller << ' ' << current.config->version() << ' ' << current.state.possibleRuns << ' '
+          << current.isCounted;
+    relayed.head.set(relayField, field.str());
+    return http::serialize(relayed);
+}
+
+asio::awaitable<std::shared_ptr<upstream_connection>> request_relay::connectTo(
+    std::string peer, std::shared_ptr<active_request> current)
+{
+    auto now = steady_clock::now();
+    auto connection = m_pool.take(peer, { m_options.maxIdle }, now);
+    if (connection) {
+        co_return connection;
+    }
+    boost::system::error_code invalid;
+    asio::ip::tcp::endpoint endpoint(asio::ip::make_address_v4(peer, invalid), m_options.port);
+    if (invalid) {
+        co_return nullptr;
+    }
+    connection = std::make_shared<upstream_connection>(m_io, endpoint, m_options.source);
+    current->relayConnection = connection;
+    bool isOpen
+        = co_await connection->open(std::min(current->effectiveDeadline, now + m_options.connectTimeout));
+    co_return isOpen ? connection : nullptr;
+}
+
+asio::awaitable<relay_outcome> request_relay::send(
+    std::shared_ptr<active_request> current, std::vector<std::string> peers)
+{
+    relay_outcome outcome;
+    if (m_inFlight >= m_options.maxInFlight) {
+        co_return outcome;
+    }
+    ++m_inFlight;
+    int tried = 0;
+    for (const auto& peer : peers) {
+        if (tried++ >= m_options.maxPeersTried || current->isCancelled
+            || hasPassed(current->effectiveDeadline, steady_clock::now())) {
+            break;
+        }
+        auto connection = co_await connectTo(peer, current);
+        if (!connection || current->isCancelled) {
+            continue;
+        }
+        current->relayConnection = connection;
+        exchange_options options { .isHead = current->request.head.getMethod() == "HEAD",
+            .matchesRequest =
+                [this, current](const auto& response) {
+                    return response.head.get(m_wire.requestId, current->id) == current->id;
+                },
+            .limits = { .maxBodyBytes = m_options.maxResponseBytes },
+            .buffers = &m_buffers };
+        auto result = co_await connection->exchange(
+            serialize(*current, steady_clock::now()), std::move(options), current->effectiveDeadline);
+        bool isAnswered = result.status == exchange_status::completed;
+        bool isRefusedByPeer = isAnswered && isDeclined(result.response);
+        logEvent(event::requestRelayed,
+            { { "request", current->id }, { "peer", peer },
+                { "status", std::to_string(isAnswered ? result.response.head.getStatus() : 0) },
+                { "declined", isRefusedByPeer ? "1" : "0" } });
+        if (isAnswered && connection->isReusable()) {
+            m_pool.put(peer, connection);
+        } else {
+            connection->abort();
+        }
+        if (isRefusedByPeer) {
+            continue;
+        }
+        outcome.status = isAnswered ? relay_status::answered : relay_status::unknown;
+        outcome.response = std::move(result.response);
+        break;
+    }
+    current->relayConnection = nullptr;
+    --m_inFlight;
+    co_return outcome;
+}
+
+void request_relay::sweep()
+{
+    m_pool.sweep([](const std::string&) { return true; }, steady_clock::now());
+}
+
+}
--- /dev/null
+++ b/marlsill/gateway/request_relay.h
@@ -0,0 +1,91 @@
+#pragma once
+
+// Sends requests through another entry VM, for a VM that has lost its own links to upstreams.
+//
+//     request_relay relay(io, { .port = peerPort, .source = ownAddress }, fields);
+//     auto outcome = co_await relay.send(request, peers);
+//     if (outcome.status == relay_status::answered)
+//         deliver(std::move(outcome.response));
+//
+// A request takes one hop at most, as a VM relays only what its own callers sent. The VM that receives it
+// either takes it over and returns its final response, or declines it unprocessed. Not thread safe; used from
+// a single event loop.
+
+#include "marlsill/gateway/connection_pool.h"
+#include "marlsill/gateway/forwarder.h"
+#include "marlsill/gateway/session_server.h"
+
+#include <span>
+#include <string>
+
+namespace marlsill::gateway {
+
+// Settings of a request_relay.
+struct request_relay_options {
+    unsigned short port = 0; // TCP; the same on all VMs.
+    asio::ip::address_v4 source; // This VM, by which peers know it.
+    std::chrono::milliseconds connectTimeout { 300 }; // Far above a round trip between failure domains.
+    std::chrono::milliseconds transitTime { 10 }; // Deducted from the timeout that the peer is given.
+    std::chrono::milliseconds maxIdle { 1'500 }; // Of connections between VMs; far below the peer's limit.
+    int maxPeersTried = 3; // Peers that cannot be reached or decline.
+    int maxInFlight = 500;
+    std::uint64_t maxResponseBytes = 8 * 1024 * 1024;
+};
+
+// What became of a relayed request.
+enum class relay_status {
+    answered, // `response` is the peer's final response.
+    notSent, // No peer has taken it; it has not run.
+    unknown, // It was sent, and may have run.
+};
+
+struct relay_outcome {
+    relay_status status = relay_status::notSent;
+    http::response_message response;
+};
+
+// Returns whether a VM that has received a relayed request has declined it.
+bool isDeclined(const http::response_message& response);
+
+// Makes the response that declines a relayed request.
+http::response_message makeDecliningReply(std::string_view why);
+
+// Takes the relay's own header field off a request that a peer has sent, and fills in what the field says.
+// Returns std::nullopt if it is missing or malformed, or the oldest configuration version that may route it.
+std::optional<std::uint64_t> takeRelayField(served_request& request);
+
+// See the file comment.
+class request_relay {
+public:
+    request_relay(asio::io_context& io, request_relay_options options, wire_fields wire)
+        : m_io(io)
+        , m_options(options)
+        , m_wire(std::move(wire))
+        , m_buffers(maxResponseBuffers)
+    {
+    }
+
+    // Sends a request to the first of `peers` that takes it. Ends early if the request is cancelled through
+    // `current.relayConnection`.
+    asio::awaitable<relay_outcome> send(
+        std::shared_ptr<active_request> current, std::vector<std::string> peers);
+
+    // Closes connections that have been idle for long. Call a few times a second.
+    void sweep();
+
+private:
+    static constexpr std::size_t maxResponseBuffers = 32 * 1024 * 1024;
+
+    std::string serialize(const active_request& current, steady_clock::time_point now) const;
+    asio::awaitable<std::shared_ptr<upstream_connection>> connectTo(
+        std::string peer, std::shared_ptr<active_request> current);
+
+    asio::io_context& m_io;
+    const request_relay_options m_options;
+    const wire_fields m_wire;
+    buffer_budget m_buffers;
+    connection_pool m_pool;
+    int m_inFlight = 0;
+};
+
+}
--- a/marlsill/placement/load_balancer.cc
+++ b/marlsill/placement/load_balancer.cc
@@ -745,6 +745,34 @@
     return changed;
 }
 
+std::vector<std::string> load_balancer::sampleAddresses(std::size_t count)
+{
+    std::vector<std::string> sampled;
+    if (m_services.empty()) {
+        return sampled;
+    }
+    auto first = m_random() % m_services.size();
+    auto offset = m_random();
+    auto next = std::next(m_services.begin(), static_cast<std::ptrdiff_t>(first));
+    for (bool isExcluded : { false, true }) {
+        for (std::size_t turn = 0; turn < m_services.size() * count && sampled.size() < count; ++turn) {
+            const auto& service = *next->second;
+            const auto& all = service.upstreams.empty() ? service.others : service.upstreams;
+            auto rank = turn / m_services.size(); // Of this service's upstreams.
+            if (rank < all.size()) {
+                const auto& each = *all[(offset + rank) % all.size()];
+                if (each.isExcluded == isExcluded) {
+                    sampled.push_back(each.entry.address);
+                }
+            }
+            if (++next == m_services.end()) {
+                next = m_services.begin();
+            }
+        }
+    }
+    return sampled;
+}
+
 int load_balancer::slotsOf(std::string_view service) const
 {
     auto found = m_services.find(service);
--- a/marlsill/placement/load_balancer.h
+++ b/marlsill/placement/load_balancer.h
@@ -217,6 +217,10 @@
     // Returns the registered upstream at an address that started last, or nullptr. Searches all upstreams.
     const upstream_entry* findNewestAt(std::string_view address) const;
 
+    // Returns the addresses of up to `count` distinct upstreams, of as many services as possible; excluded
+    // ones come last. The cost grows with the number of services.
+    std::vector<std::string> sampleAddresses(std::size_t count);
+
     // Returns the sum of slots of a service's upstreams, excluded ones included, leaving ones not.
     int slotsOf(std::string_view service) const;
 
