--- a/marlsill/gateway/request_relay.h
+++ b/marlsill/gateway/request_relay.h
@@ -59,7 +59,7 @@
 public:
     request_relay(asio::io_context& io, request_relay_options options, wire_fields wire)
         : m_io(io)
-        , m_options(options)
+        , m_options(std::move(options))
         , m_wire(std::move(wire))
         , m_buffers(maxResponseBuffers)
     {
--- a/marlsill/gateway/upstream_reachability.h
+++ b/marlsill/gateway/upstream_reachability.h
@@ -37,8 +37,8 @@
 // See the file comment.
 class upstream_reachability {
 public:
-    upstream_reachability(
-        asio::io_context& io, placement::load_balancer& balancer, upstream_reachability_options options)
+    upstream_reachability(asio::io_context& io, placement::load_balancer& balancer,
+        const upstream_reachability_options& options)
         : m_io(io)
         , m_loadBalancer(balancer)
         , m_options(options)
--- /dev/null
+++ b/testing/request_relay_test.cc
@@ -0,0 +1,217 @@
+// Tests of requests that one VM sends through another.
+
+#include "marlsill/gateway/gateway.h"
+#include "testing/raw_caller.h"
+#include "testing/scripted_upstream.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_future.hpp>
+#include <charconv>
+#include <doctest/doctest.h>
+#include <future>
+#include <thread>
+
+namespace marlsill::testing {
+
+namespace {
+
+    namespace asio = boost::asio;
+    using std::chrono::milliseconds;
+
+    constexpr int serving = 1; // Last number of the host at which the VM serves.
+    constexpr int declining = 2;
+    constexpr int breaking = 3; // Ends connections without an answer.
+    constexpr int missing = 4; // Nobody listens.
+
+    std::string hostOf(int number) { return "127.0.0." + std::to_string(number); }
+
+    std::shared_ptr<const gateway::configuration> makeConfiguration()
+    {
+        std::vector<gateway::route> routes;
+        routes.push_back({ .name = "once",
+            .host = "h.example",
+            .pathPrefix = "/once/",
+            .timeout = milliseconds(3'000),
+            .weightedServices = { { "s" } } });
+        return std::make_shared<const gateway::configuration>(5, std::move(routes));
+    }
+
+    // A VM that takes relayed requests, and its peers, all on one thread and one port of several hosts.
+    class relay_fixture {
+    public:
+        relay_fixture()
+            : m_upstream("u0", gateway::wire_fields())
+            , m_port(freePort())
+            , m_vm(m_io, { .callerEndpoint = { asio::ip::make_address_v4(hostOf(serving)), 0 } }, {})
+            , m_relay(m_io, { .port = m_port }, {})
+            , m_config(makeConfiguration())
+        {
+            m_vm.requestForwarder().setConfiguration(m_config);
+            placement::upstream_entry entry {
+                .id = "u0", .service = "s", .address = m_upstream.address(), .slots = 3
+            };
+            m_vm.requestForwarder().changeUpstreams(std::span(&entry, 1), {});
+            m_vm.setUpstreamsKnown();
+            addServer(serving, [this](auto request) { return m_vm.serveRelayed(std::move(request)); });
+            addServer(declining, [](auto) -> asio::awaitable<std::optional<http::response_message>> {
+                co_return gateway::makeDecliningReply("stopping");
+            });
+            addServer(breaking, [](auto) -> asio::awaitable<std::optional<http::response_message>> {
+                co_return std::nullopt;
+            });
+            m_thread = std::thread([this] { m_io.run(); });
+        }
+
+        ~relay_fixture()
+        {
+            m_io.stop();
+            m_thread.join();
+        }
+
+        scripted_upstream& upstream() { return m_upstream; }
+        std::string address() const { return hostOf(serving) + ":" + std::to_string(m_port); }
+
+        // Relays a request through the first of some hosts that takes it.
+        gateway::relay_outcome relay(const std::vector<int>& hosts, const std::string& id)
+        {
+            http::request_message message;
+            message.head.setMethod("POST");
+            message.head.setVersion("HTTP/1.1");
+            message.head.setHost("h.example");
+            message.head.setURI("/once/a");
+            message.head.set(gateway::wire_fields().requestId, id);
+            message.body = "body";
+            auto current = std::make_shared<gateway::active_request>(m_io, std::move(message));
+            current->id = id;
+            current->caller = "10.0.0.9";
+            current->effectiveDeadline = deadlineAfter(milliseconds(2'000));
+            current->config = m_config;
+            std::vector<std::string> peers;
+            for (int each : hosts) {
+                peers.push_back(hostOf(each));
+            }
+            return asio::co_spawn(m_io, m_relay.send(current, std::move(peers)), asio::use_future).get();
+        }
+
+    private:
+        static unsigned short freePort()
+        {
+            Poco::Net::ServerSocket probe(Poco::Net::SocketAddress(hostOf(serving), 0));
+            return probe.address().port();
+        }
+
+        void addServer(int number, gateway::serve_function serve)
+        {
+            m_servers.push_back(std::make_unique<gateway::session_server>(m_io,
+                gateway::session_server_options {
+                    .endpoint = { asio::ip::make_address_v4(hostOf(number)), m_port },
+                    .limits = [] { return gateway::caller_limits(); } },
+                std::move(serve)));
+            REQUIRE(m_servers.back()->start().empty());
+        }
+
+        scripted_upstream m_upstream;
+        const unsigned short m_port;
+        asio::io_context m_io { 1 };
+        asio::executor_work_guard<asio::io_context::executor_type> m_workGuard = asio::make_work_guard(m_io);
+        gateway::gateway m_vm;
+        gateway::request_relay m_relay;
+        std::shared_ptr<const gateway::configuration> m_config;
+        std::vector<std::unique_ptr<gateway::session_server>> m_servers;
+        std::thread m_thread;
+    };
+
+    std::string relayedRequest(const std::string& relayField, const std::string& id)
+    {
+        gateway::wire_fields fields;
+        return "POST /once/a HTTP/1.1\r\nHost: h.example\r\n" + fields.requestId + ": " + id + "\r\n"
+            + fields.timeoutMs + ": 1000\r\n" + relayField + "Content-Length: 4\r\n\r\nbody";
+    }
+
+}
+
+TEST_CASE("A relayed request goes to another peer only if the one before has not taken it")
+{
+    struct row {
+        const char* name;
+        std::vector<int> peers;
+        gateway::relay_status status;
+        int runs;
+    };
+    const row rows[] = {
+        { "serves", { serving }, gateway::relay_status::answered, 1 },
+        { "declines, then serves", { declining, serving }, gateway::relay_status::answered, 1 },
+        { "cannot be reached, then serves", { missing, serving }, gateway::relay_status::answered, 1 },
+        { "no answer", { breaking, serving }, gateway::relay_status::unknown, 0 },
+        { "all decline", { declining, declining }, gateway::relay_status::notSent, 0 },
+        { "too many decline", { declining, declining, declining, serving }, gateway::relay_status::notSent,
+            0 },
+    };
+    relay_fixture fleet;
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        auto outcome = fleet.relay(each.peers, each.name);
+        CHECK(outcome.status == each.status);
+        CHECK(fleet.upstream().runsOf(each.name) == each.runs);
+        if (each.status == gateway::relay_status::answered) {
+            CHECK(outcome.response.head.getStatus() == 200);
+            CHECK(outcome.response.head.has(gateway::wire_fields().seal));
+        }
+    }
+}
+
+TEST_CASE("A VM takes relayed requests only from whom its configuration is no older than")
+{
+    struct row {
+        const char* name;
+        const char* field;
+        int status;
+    };
+    const row rows[] = {
+        { "the same configuration", "Marlsill-Relay: 10.0.0.9 5 0 0\r\n", 200 },
+        { "an older one", "Marlsill-Relay: 10.0.0.9 4 0 0\r\n", 200 },
+        { "a newer one", "Marlsill-Relay: 10.0.0.9 6 0 0\r\n", 421 },
+        { "no field", "", 421 },
+        { "a malformed field", "Marlsill-Relay: 10.0.0.9 x\r\n", 421 },
+        { "negative arrivals", "Marlsill-Relay: 10.0.0.9 5 -1 0\r\n", 421 },
+    };
+    relay_fixture fleet;
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        raw_caller peer(fleet.address());
+        peer.send(relayedRequest(each.field, each.name));
+        CHECK(peer.receive().status == each.status);
+        CHECK(fleet.upstream().runsOf(each.name) == (each.status == 200 ? 1 : 0));
+    }
+    auto head = fleet.upstream().lastHead();
+    CHECK(head.find("Marlsill-Relay") == std::string::npos);
+    auto timeoutAt = head.find(gateway::wire_fields().timeoutMs + ": ");
+    REQUIRE(timeoutAt != std::string::npos);
+    auto digits = head.substr(timeoutAt + gateway::wire_fields().timeoutMs.size() + 2);
+    int timeoutMs = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), timeoutMs);
+    CHECK(timeoutMs > 500);
+    CHECK(timeoutMs <= 1'000);
+}
+
+TEST_CASE("A relayed request whose sender leaves is cancelled at the upstream")
+{
+    relay_fixture fleet;
+    fleet.upstream().plan({ upstream_step::hang });
+    {
+        raw_caller peer(fleet.address());
+        peer.send(relayedRequest("Marlsill-Relay: 10.0.0.9 5 0 0\r\n", "r1"));
+        std::this_thread::sleep_for(milliseconds(200));
+        CHECK(fleet.upstream().runsOf("r1") == 1);
+    }
+    auto until = deadlineAfter(milliseconds(500));
+    while (!fleet.upstream().sawCancel() && !hasPassed(until, steady_clock::now())) {
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    CHECK(fleet.upstream().sawCancel());
+}
+
+}
