A VM that is cut off does not take its own lost links for crashes of upstreams

What callers could see: a request whose connection ended as a cut began was recorded as one that crashes its upstream; two such records, fleet-wide, refuse it.

Cause: after an unexplained end the crash monitor connects to the upstream, and took a connect without an answer for a crashed process; on a VM that has lost its links no connect is answered.

Change: while the VM suspects its own links, a connect that hangs proves nothing; the upstream's new registration still does. A port that refuses counts as before. The monitor's connects come from the configured source, too, without which the test did not see the fault.

--- a/marlsill/gateway/crash_monitor.cc
+++ b/marlsill/gateway/crash_monitor.cc
@@ -108,13 +108,16 @@
         asio::steady_timer delay(m_io, m_options.checkDelay);
         boost::system::error_code ignored;
         co_await delay.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        auto connection = std::make_shared<upstream_connection>(m_io, endpoint);
-        bool isListening = co_await connection->open(deadlineAfter(m_options.connectTimeout));
+        auto connection = std::make_shared<upstream_connection>(m_io, endpoint, m_options.source);
+        auto limit = deadlineAfter(m_options.connectTimeout);
+        bool isListening = co_await connection->open(limit);
         connection->abort();
+        // The port of a crashed process refuses; a lost link leaves connects without an answer.
+        bool isOwnFault = !isListening && hasPassed(limit, steady_clock::now()) && m_mayBeCutOff();
         if (hasSucceeded()) {
             co_return; // Whatever happened to the upstream, the request did not cause it.
         }
-        if (!isListening || hasRestarted(ended)) {
+        if ((!isListening && !isOwnFault) || hasRestarted(ended)) {
             recordCrash(ended);
             co_return;
         }
--- a/marlsill/gateway/crash_monitor.h
+++ b/marlsill/gateway/crash_monitor.h
@@ -18,6 +18,7 @@
 #include "marlsill/placement/record_catch_up.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address_v4.hpp>
 #include <deque>
 #include <functional>
 #include <optional>
@@ -42,6 +43,7 @@
 // Settings of a crash monitor.
 struct crash_monitor_options {
     std::chrono::milliseconds connectTimeout { 400 }; // Far above a round trip between failure domains.
+    asio::ip::address_v4 source; // Of connections; unspecified: the system chooses.
     std::chrono::milliseconds checkDelay { 100 }; // A crashed process's port closes by then.
     std::chrono::milliseconds registrationDelay { 5'000 }; // Until a restart is known here.
     std::size_t maxUnexplainedEnds = 1'000;
@@ -61,6 +63,9 @@
         m_requestRecords = std::move(requestRecords);
     }
 
+    // Sets what tells whether connects may fail because of this VM's own links.
+    void setLinkCheck(std::function<bool()> mayBeCutOff) { m_mayBeCutOff = std::move(mayBeCutOff); }
+
     // Sets what stores the records of one request, all of them, outside of the fleet.
     void setArchiver(std::function<void(std::vector<placement::crash_record>)> archive)
     {
@@ -151,6 +156,7 @@
     void clearByEarlierSuccess(std::uint64_t fingerprint, const std::string& upstream);
 
     asio::io_context& m_io;
+    std::function<bool()> m_mayBeCutOff = [] { return false; };
     const placement::load_balancer& m_loadBalancer;
     traffic_counters& m_counters;
     const crash_monitor_options m_options;
--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -104,12 +104,15 @@
     , m_loadBalancer({ .failureDomain = m_options.failureDomain })
     , m_responseBuffers(m_options.maxResponseBuffers)
     , m_crashMonitor(io, m_loadBalancer, m_counters,
-          { .connectTimeout = m_options.connectTimeout, .quarantine = m_options.quarantine })
+          { .connectTimeout = m_options.connectTimeout,
+              .source = m_options.upstreamSource,
+              .quarantine = m_options.quarantine })
     , m_rateLimiter(
           m_loadBalancer, m_counters, [this](const std::string& service) { wakeNextQueued(service); })
     , m_reachability(io, m_loadBalancer, { .source = m_options.upstreamSource })
     , m_absenceDetector(m_options.shortestAbsence)
 {
+    m_crashMonitor.setLinkCheck([this] { return m_reachability.isSuspicious(); });
 }
 
 bool forwarder::setConfiguration(std::shared_ptr<const configuration> next)
--- a/testing/cut_off_vm_test.cc
+++ b/testing/cut_off_vm_test.cc
@@ -15,6 +15,7 @@
 #include <cstdlib>
 #include <doctest/doctest.h>
 #include <filesystem>
+#include <fstream>
 #include <iostream>
 #include <unistd.h>
 
@@ -154,6 +155,19 @@
             return broken;
         }
 
+        // Returns how many upstreams the daemons believe to have crashed.
+        int suspectedCrashes() const
+        {
+            int lines = 0;
+            for (const auto& each : std::filesystem::directory_iterator(m_folder)) {
+                std::ifstream log(each.path());
+                for (std::string line; std::getline(log, line);) {
+                    lines += line.find("upstream_crashed") != std::string::npos ? 1 : 0;
+                }
+            }
+            return lines;
+        }
+
         int piecesFrom(std::size_t entry) const { return m_proxy.piecesFrom(hostOf(entry)); }
         void heal() { m_proxy.heal(); }
 
@@ -246,6 +260,8 @@
         CHECK(share(others) >= 0.95);
         CHECK(after.sent == after.served);
         CHECK(fleet.brokenPromises().empty());
+        // An upstream that resets and refuses looks as if it had crashed.
+        CHECK((each.kind != link_cut::silent || fleet.suspectedCrashes() == 0));
     }
 }
 
