--- a/marlsill/gateway/crash_monitor.cc
+++ b/marlsill/gateway/crash_monitor.cc
@@ -26,7 +26,7 @@
 }
 
 crash_monitor::crash_monitor(asio::io_context& io, const placement::load_balancer& balancer,
-    traffic_counters& counters, crash_monitor_options options)
+    traffic_counters& counters, const crash_monitor_options& options)
     : m_io(io)
     , m_loadBalancer(balancer)
     , m_counters(counters)
--- a/marlsill/gateway/crash_monitor.h
+++ b/marlsill/gateway/crash_monitor.h
@@ -55,7 +55,7 @@
 public:
     // `balancer` and `counters` must outlive the monitor.
     crash_monitor(asio::io_context& io, const placement::load_balancer& balancer, traffic_counters& counters,
-        crash_monitor_options options = {});
+        const crash_monitor_options& options = {});
 
     // Sets what asks the peers for all of their records. It returns whether there are any peers.
     void setRecordRequester(std::function<bool()> requestRecords)
