planned_stop_test: connect once the stop has begun

The test failed in one run of all tests beside other load, in two rows ('soon' and 'in the second half, ten times the usual work').

Cause: the test's own race. It connected just before the stop began. If the VM accepts that connection before it, the connection is idle as the stop begins and is closed unread, which is right: the request has not run, and its caller sends it again. The test took that for a cut.

Change: the test connects once the stop has begun, so that it is always answered.

--- a/testing/planned_stop_test.cc
+++ b/testing/planned_stop_test.cc
@@ -110,14 +110,16 @@
         auto busy = vm.connect(); // Keeps the VM from ending early.
         busy.sendRequest("GET", "/repeat/a", "busy", 10'000);
         std::this_thread::sleep_for(milliseconds(20));
-        auto late = vm.connect();
         vm.beginStop();
+        auto late = vm.connect(); // A connection from before would be closed unread.
         std::this_thread::sleep_for(each.sentAfter);
         vm.upstream().setWorkTime(each.work);
         auto sentAt = steady_clock::now();
         late.sendRequest("POST", each.path, "late", 10'000, "b");
         auto answered = late.receive();
         bool isServed = answered.status == 200 && vm.upstream().runsOf("late") == 1;
+        CAPTURE(answered.status);
+        CAPTURE(vm.upstream().runsOf("late"));
         bool isRefused = answered.status == 503 && vm.upstream().runsOf("late") == 0;
         CHECK((isServed || isRefused));
         if (isRefused) {
