Tests: callers with addresses of their own stay out of the daemons' range

rate_limit_test failed once in a run of all tests: one of 16 daemons did not serve.

Cause: its log has E1010, 'callers: Address already in use'. Ports of a fleet are held on one loopback address, so that no other fleet gets them, but crash_containment_test, which ran at the same time, sends from 250 addresses of 127.0.1.0/24, which are those of the daemons. A connection bound there, without reuse of addresses, occupied the port that a daemon on the same address was given.

Evidence: the log, and a trial: a socket that listens on the address and port of such a connection gets 'Address already in use' while the connection is open or in TIME_WAIT; with reuse set on both, as daemons do for their own connections, it does not.

Change: these callers use 127.0.3.0/24.

--- a/testing/crash_containment_test.cc
+++ b/testing/crash_containment_test.cc
@@ -96,7 +96,7 @@
         sound_caller sound(fleet, 3, each.sound);
         for (int arrival = 0; arrival < each.arrivals; ++arrival) {
             auto request = each.crashing;
-            request.from = "127.0.1." + std::to_string(arrival + 1);
+            request.from = "127.0.3." + std::to_string(arrival + 1);
             fleet.call(static_cast<std::size_t>(arrival) % entries, request);
             fleet.tickFor(restart, each.interval);
         }
--- a/testing/crash_fleet.cc
+++ b/testing/crash_fleet.cc
@@ -63,7 +63,7 @@
 
 raw_answer crash_fleet::call(std::size_t entry, const std::string& method, const std::string& path)
 {
-    auto from = "127.0.1." + std::to_string(1 + m_requests % callerAddresses);
+    auto from = "127.0.3." + std::to_string(1 + m_requests % callerAddresses);
     return call(entry, { .method = method, .path = path, .from = std::move(from) });
 }
 
--- a/testing/soak/entry_process.h
+++ b/testing/soak/entry_process.h
@@ -42,7 +42,8 @@
 
 // Returns options for at most 253 daemons that form a fleet: hosts from 127.0.1.1 on, ports that no other
 // fleet on the machine gets while one of these options lives, three failure domains in turn, and the first
-// two daemons as seeds. The program, the folder and the store are left empty.
+// two daemons as seeds. The program, the folder and the store are left empty. Callers with an address of
+// their own take it from another range, as their connections would occupy ports of these hosts.
 std::vector<entry_options> planFleet(int entries);
 
 class entry_process;
