--- a/marlsill/gateway/upstream_connection.cc
+++ b/marlsill/gateway/upstream_connection.cc
@@ -39,7 +39,7 @@
 }
 
 upstream_connection::upstream_connection(
-    asio::io_context& io, const asio::ip::tcp::endpoint& upstream, asio::ip::address_v4 source)
+    asio::io_context& io, const asio::ip::tcp::endpoint& upstream, const asio::ip::address_v4& source)
     : m_io(io)
     , m_upstream(upstream)
     , m_source(source)
--- a/marlsill/gateway/upstream_connection.h
+++ b/marlsill/gateway/upstream_connection.h
@@ -58,8 +58,8 @@
 class upstream_connection : public std::enable_shared_from_this<upstream_connection> {
 public:
     // The system chooses the source address unless `source` names one.
-    upstream_connection(
-        asio::io_context& io, const asio::ip::tcp::endpoint& upstream, asio::ip::address_v4 source = {});
+    upstream_connection(asio::io_context& io, const asio::ip::tcp::endpoint& upstream,
+        const asio::ip::address_v4& source = {});
 
     // Connects. Returns false on refusal, at the deadline, or after abort().
     asio::awaitable<bool> open(deadline limit);
--- a/testing/planned_stop_stress_test.cc
+++ b/testing/planned_stop_stress_test.cc
@@ -183,7 +183,9 @@
         total += sent.load();
         answeredTotal += sent.load() - static_cast<int>(kinds.size());
         crossed += static_cast<int>(kinds.size());
-        for (auto& [id, kind] : kinds) {
+        for (const auto& unanswered : kinds) {
+            const auto& id = unanswered.first;
+            const auto& kind = unanswered.second;
             auto runs = first.runsOf(id) + second.runsOf(id);
             CAPTURE(round);
             CAPTURE(id);
@@ -257,7 +259,9 @@
         }
         done.get_future().wait();
         vm.reset();
-        for (const auto& [id, status] : statuses) {
+        for (const auto& each : statuses) {
+            const auto& id = each.first;
+            int status = each.second;
             CAPTURE(id);
             answered += status != 0 ? 1 : 0;
             notPassedOn += status == 0 ? 1 : 0;
