Soak: upgrade the fleet from an earlier build during the run

Nothing played two builds together.

A planned stop's grace time now counts from its SIGTERM, also when several daemons stop at once; before, one that was awaited after another had longer.

--- a/testing/soak/entry_process.cc
+++ b/testing/soak/entry_process.cc
@@ -87,9 +87,16 @@
 
 entry_process::entry_process(entry_options options)
     : m_options(std::move(options))
+    , m_program(m_options.program)
 {
 }
 
+void entry_process::setBuild(std::string program, std::string label)
+{
+    m_program = std::move(program);
+    m_nextLabel = std::move(label);
+}
+
 entry_process::~entry_process() { kill(); }
 
 void entry_process::writeSettings() const
@@ -112,10 +119,12 @@
     auto base = m_options.folder + "/" + m_options.name;
     auto variable = "MARLSILL_NODE_FILE=" + base + ".conf";
     char* environment[] = { variable.data(), nullptr };
-    auto program = m_options.program;
+    auto program = m_program;
     char* arguments[] = { program.data(), nullptr };
     auto log = base + ".log";
     ++m_starts;
+    m_label = m_nextLabel;
+    m_killAt = {};
     m_pid = ::fork();
     if (m_pid == 0) {
         // Nothing but system calls here, as other threads of the soak may hold locks.
@@ -129,9 +138,12 @@
     return m_pid > 0;
 }
 
-void entry_process::signal(int number) const
+void entry_process::signal(int number)
 {
     if (m_pid > 0) {
+        if (number == SIGTERM && m_killAt == deadline()) {
+            m_killAt = deadlineAfter(std::chrono::seconds(m_options.graceSeconds));
+        }
         ::kill(m_pid, number);
     }
 }
@@ -147,17 +159,15 @@
 
 bool entry_process::awaitEnd()
 {
-    auto limit = deadlineAfter(std::chrono::seconds(m_options.graceSeconds));
-    while (m_pid > 0 && !hasPassed(limit, steady_clock::now())) {
-        if (::waitpid(m_pid, nullptr, WNOHANG) == m_pid) {
-            m_pid = 0;
-            return true;
+    while (m_pid > 0 && ::waitpid(m_pid, nullptr, WNOHANG) != m_pid) {
+        if (hasPassed(m_killAt, steady_clock::now())) {
+            kill();
+            return false;
         }
         std::this_thread::sleep_for(endCheck);
     }
-    bool hasEnded = m_pid <= 0;
-    kill();
-    return hasEnded;
+    m_pid = 0;
+    return true;
 }
 
 }
--- a/testing/soak/entry_process.h
+++ b/testing/soak/entry_process.h
@@ -8,6 +8,8 @@
 //
 // The process is ended, by its id, when the object goes.
 
+#include "marlsill/base/time.h"
+
 #include <chrono>
 #include <memory>
 #include <string>
@@ -61,18 +63,23 @@
     // Starts the process. Returns whether that was possible.
     bool start();
 
-    void signal(int number) const;
+    // Sends a signal. The first SIGTERM of a life starts its grace time.
+    void signal(int number);
 
     // Kills the process and waits for its end.
     void kill();
 
-    // Waits until the process has ended by itself. Returns false if it had to be killed at `graceSeconds`.
+    // Waits, after SIGTERM, until the process has ended by itself. Returns false if it had to be killed at
+    // the end of its grace time.
     bool awaitEnd();
 
     bool isRunning() const { return m_pid > 0; }
 
-    // Names this life of the process.
-    std::string life() const { return m_options.name + "#" + std::to_string(m_starts); }
+    // Sets the program that the process runs from its next start on, and what its lives are called with.
+    void setBuild(std::string program, std::string label);
+
+    // Names this life of the process, with its build's label if it has one.
+    std::string life() const { return m_options.name + "#" + std::to_string(m_starts) + m_label; }
 
     std::string callerAddress() const { return m_options.host + ":" + std::to_string(m_options.callerPort); }
     std::string readinessAddress() const
@@ -84,7 +91,11 @@
     void writeSettings() const;
 
     const entry_options m_options;
+    std::string m_program; // Of the next start.
+    std::string m_nextLabel;
+    std::string m_label; // Of the present life.
     pid_t m_pid = 0;
+    deadline m_killAt {}; // Set once this life got SIGTERM.
     int m_starts = 0;
 };
 
--- a/testing/soak/soak_main.cc
+++ b/testing/soak/soak_main.cc
@@ -18,6 +18,8 @@
         "entries", options::value(&soak.entries)->default_value(5), "entry daemons, 2 to 250");
     known.add_options()("callers", options::value(&soak.callers)->default_value(8), "callers at a time");
     known.add_options()("program", options::value(&soak.program)->required(), "marlsill-platform-entry");
+    known.add_options()("earlier-program", options::value(&soak.earlierProgram),
+        "of an earlier build, from which the fleet is upgraded during the run");
     try {
         options::variables_map given;
         options::store(options::parse_command_line(argc, argv, known), given);
@@ -36,7 +38,8 @@
               << report.served << " served, " << report.refused << " refused, " << report.drainsChecked
               << " drains, " << report.limitsChecked << " limits, " << report.leavingsChecked
               << " notices of leaving and " << report.turnAwaysChecked << " times of turning away checked, "
-              << report.repeats << " repeats, " << report.broken.size() << " promises broken\n";
+              << report.upgrades << " changes of build, " << report.repeats << " repeats, "
+              << report.broken.size() << " promises broken\n";
     for (const auto& each : report.broken) {
         std::cout << "  " << each << '\n';
     }
--- a/testing/soak/soak_run.cc
+++ b/testing/soak/soak_run.cc
@@ -35,6 +35,7 @@
     constexpr int timeoutMs = 2'000;
     constexpr milliseconds pauseAfterRefusal { 50 };
     constexpr milliseconds turnAwayExcuse { 1'000 }; // After a pause or a trouble of a link.
+    constexpr const char* earlierLabel = "/earlier";
     constexpr std::size_t minServing = 3; // Upstreams that do not drain.
 
     std::string versionPrefix(int version) { return "/version-" + std::to_string(version) + "/"; }
@@ -48,6 +49,7 @@
     , m_failureRandom(m_options.seed + 2)
     , m_leavingRandom(m_options.seed + 3)
     , m_turnAwayRandom(m_options.seed + 4)
+    , m_upgradeRandom(m_options.seed + 5)
 {
 }
 
@@ -105,6 +107,13 @@
         place->process = std::make_unique<entry_process>(std::move(planned));
         m_entries.push_back(std::move(place));
     }
+    if (!m_options.earlierProgram.empty()) {
+        for (auto& entry : m_entries) {
+            entry->process->setBuild(m_options.earlierProgram, earlierLabel);
+        }
+        m_upgrade = planUpgrade(m_entries.size(), m_upgradeRandom);
+        std::reverse(m_upgrade.begin(), m_upgrade.end());
+    }
     for (auto& entry : m_entries) {
         if (!entry->process->start()) {
             m_checker.noteBroken("an entry daemon cannot be started: " + m_options.program);
@@ -347,6 +356,42 @@
     delayLimitChecks(steady_clock::now());
 }
 
+// Replaces the next daemons of an upgrade, or takes them back, if it is time. Their stops overlap.
+void soak_run::upgradeEntries()
+{
+    auto now = steady_clock::now();
+    if (m_upgrade.empty() || !hasPassed(m_nextUpgrade, now)) {
+        return;
+    }
+    const auto& step = m_upgrade.back();
+    if (std::any_of(step.entries.begin(), step.entries.end(),
+            [&](auto entry) { return !hasPassed(m_entries[entry]->pausedUntil, now); })) {
+        return;
+    }
+    spoilDrains();
+    std::vector<std::string> lives;
+    for (auto each : step.entries) {
+        lives.push_back(m_entries[each]->process->life());
+        m_checker.notePlannedStop(lives.back());
+        m_entries[each]->process->signal(SIGTERM);
+    }
+    for (std::size_t index = 0; index < step.entries.size(); ++index) {
+        auto& entry = *m_entries[step.entries[index]];
+        if (!entry.process->awaitEnd()) {
+            m_checker.noteDisturbed(lives[index]);
+            m_checker.noteBroken("planned stop: " + lives[index] + " did not end within its grace time");
+        }
+        std::lock_guard lock(entry.mutex);
+        entry.process->setBuild(step.isNewBuild ? m_options.program : m_options.earlierProgram,
+            step.isNewBuild ? "" : earlierLabel);
+        entry.process->start();
+        ++m_upgrades;
+    }
+    m_upgrade.pop_back();
+    m_nextUpgrade = deadlineAfter(milliseconds(250 + m_upgradeRandom() % 1'750));
+    delayLimitChecks(steady_clock::now());
+}
+
 void soak_run::pauseEntry(entry_place& entry)
 {
     spoilDrains();
@@ -541,11 +586,12 @@
     }
 }
 
-// Faults come in series that overlap, with quiet times between them in which drains can be checked.
+// Faults come in series that overlap, with quiet times between them in which drains can be checked. They last
+// until an upgrade is complete.
 void soak_run::faultLoop()
 {
     auto until = deadlineAfter(m_options.length);
-    while (!hasPassed(until, steady_clock::now())) {
+    while (!hasPassed(until, steady_clock::now()) || !m_upgrade.empty()) {
         nameLimit();
         sayLeaving();
         if (m_failureRandom() % 2 == 0) {
@@ -556,6 +602,7 @@
         }
         for (int left = draw(6); left >= 0; --left) {
             playFault();
+            upgradeEntries();
             if (m_leavingRandom() % 4 == 0) {
                 sayLeaving();
             }
@@ -613,7 +660,7 @@
     }
     return { m_checker.broken(), m_checker.sent(), m_checker.answered(200), m_checker.answered(503), m_faults,
         m_drainsChecked, m_limitsChecked, static_cast<int>(m_leavingObserver.checked()),
-        m_checker.turnAwaysWatched(), static_cast<int>(m_retryObserver.repeats()) };
+        m_checker.turnAwaysWatched(), m_upgrades, static_cast<int>(m_retryObserver.repeats()) };
 }
 
 }
--- a/testing/soak/soak_run.h
+++ b/testing/soak/soak_run.h
@@ -15,6 +15,7 @@
 #include "testing/soak/loopback_proxy.h"
 #include "testing/soak/promise_checker.h"
 #include "testing/soak/retry_budget_observer.h"
+#include "testing/soak/upgrade_plan.h"
 
 #include <atomic>
 #include <memory>
@@ -32,6 +33,7 @@
     int upstreams = 6;
     int callers = 8;
     std::string program;
+    std::string earlierProgram; // Of an earlier build, which the fleet is upgraded from; empty: no upgrade.
     std::string folder;
 };
 
@@ -45,6 +47,7 @@
     int limitsChecked = 0;
     int leavingsChecked = 0; // Notices of upstreams that leave, one for each process that passed them on.
     int turnAwaysChecked = 0;
+    int upgrades = 0; // Starts of another build, rollbacks included.
     int repeats = 0; // Arrivals of requests at upstreams beyond the first.
 };
 
@@ -93,6 +96,7 @@
     void playFault();
     void killEntry(entry_place& entry);
     void stopEntry(entry_place& entry);
+    void upgradeEntries();
     void pauseEntry(entry_place& entry);
     void cutStoreLink(entry_place& entry);
     void troubleStore();
@@ -123,6 +127,10 @@
     std::mt19937_64 m_failureRandom; // Of upstreams that fail for long or answer without end; apart likewise.
     std::mt19937_64 m_leavingRandom; // Of upstreams that say in their answers that they leave; likewise.
     std::mt19937_64 m_turnAwayRandom; // Of upstreams that turn requests away; apart likewise.
+    std::mt19937_64 m_upgradeRandom; // Likewise.
+    std::vector<upgrade_step> m_upgrade; // Steps that are left.
+    deadline m_nextUpgrade {};
+    int m_upgrades = 0;
     promise_checker m_checker;
     retry_budget_observer m_retryObserver { retryWindow, retryRatio };
     leaving_observer m_leavingObserver { std::chrono::milliseconds(2'000) }; // The users' drain time.
