VMs state their build to each other; datagrams of later builds are understood but for what is new

What operators saw: nothing told which builds run in a fleet during an upgrade. What callers could see: a datagram of a later build with one member in a new state was dropped whole, with its ping, evidence and crash records.

A member in an unknown state is left out instead of the datagram; a field of another type still drops it, and the log names the sender's build. The version is the project's, in one place.

--- a/marlsill/cluster/peer_mesh.cc
+++ b/marlsill/cluster/peer_mesh.cc
@@ -41,6 +41,7 @@
     , m_options(std::move(options))
     , m_handler(std::move(handler))
     , m_members(std::move(self), memberOptions)
+    , m_builds(m_options.build)
     , m_socket(io)
     , m_batchTimer(io)
 {
@@ -258,6 +259,11 @@
     }
 }
 
+void peer_mesh::logBuilds() const
+{
+    logEvent(event::fleetBuildsChanged, { { "builds", m_builds.summary() } });
+}
+
 void peer_mesh::handleMessage(const peer_message& message, const asio::ip::udp::endpoint&)
 {
     auto now = steady_clock::now();
@@ -285,11 +291,15 @@
     if (message.ping) {
         peer_message answer;
         answer.pong = message.ping;
+        answer.build = m_options.build;
         answer.digest = m_members.digest();
         answer.crashDigest = m_handler.crashDigest();
         send(message.sender, std::move(answer));
     }
     bool isDigestMessage = message.ping || message.pong;
+    if (isDigestMessage && m_builds.note(message.sender, message.build)) {
+        logBuilds();
+    }
     if (message.wantsMembers || (isDigestMessage && message.crashDigest != m_handler.crashDigest())) {
         sendCrashes(message.sender);
     }
@@ -338,6 +348,7 @@
     for (const auto& host : m_members.selectPingTargets(now)) {
         peer_message message;
         message.ping = ++m_lastPingId;
+        message.build = m_options.build;
         message.digest = m_members.digest();
         message.crashDigest = m_handler.crashDigest();
         send(host, std::move(message));
@@ -348,6 +359,9 @@
     }
     peer_message message;
     for (auto& each : unreachable) {
+        if (m_builds.forget(each.host)) {
+            logBuilds();
+        }
         logEvent(event::memberGone,
             { { "host", each.host },
                 { "cause", each.wasReported ? "reported, and pings unanswered" : "pings unanswered" } });
@@ -378,6 +392,7 @@
         message.members.push_back(m_members.self());
         message.wantsMembers = isAlone;
         message.ping = isAlone ? 0 : ++m_lastPingId;
+        message.build = m_options.build;
         message.digest = isAlone ? 0 : m_members.digest();
         message.crashDigest = m_handler.crashDigest();
         send(seed, std::move(message));
--- a/marlsill/cluster/peer_mesh.h
+++ b/marlsill/cluster/peer_mesh.h
@@ -11,6 +11,8 @@
 // lists that differ, the records of those buckets are exchanged whose digests differ. Not thread safe; used
 // by one event loop.
 
+#include "marlsill/base/build_version.h"
+#include "marlsill/cluster/fleet_builds.h"
 #include "marlsill/cluster/peer_message.h"
 
 #include <array>
@@ -40,6 +42,7 @@
     std::chrono::milliseconds seedInterval { 5'000 };
     // Between the first contacts with seeds, so that VMs that start together find each other.
     std::chrono::milliseconds joinInterval { 500 };
+    std::string build { buildVersion() }; // That this VM states; empty: none.
     int joinAttempts = 3; // Contacts with seeds at `joinInterval`, before `seedInterval` applies.
     // A peer that uses upstreams without being one of their servicePeers() receives all evidence of this VM
     // this long after its last evidence or load.
@@ -127,6 +130,7 @@
     bool hasOtherSeeds() const;
 
     const member_list& members() const { return m_members; }
+    const fleet_builds& builds() const { return m_builds; }
     const peer_mesh_counters& counters() const { return m_counters; }
 
 private:
@@ -147,6 +151,7 @@
     std::vector<std::string> interestedHosts(const std::string& upstream);
     void answerPermitRequests(const peer_message& message);
     void noteCrashPart(const peer_message& message);
+    void logBuilds() const;
     void scheduleBatch();
     void sendBatch();
 
@@ -154,6 +159,7 @@
     const peer_mesh_options m_options;
     const peer_mesh_handler m_handler;
     member_list m_members;
+    fleet_builds m_builds;
     asio::ip::udp::socket m_socket;
     asio::steady_timer m_batchTimer;
     std::array<std::uint8_t, 65536> m_buffer {};
--- a/marlsill/cluster/peer_message.cc
+++ b/marlsill/cluster/peer_message.cc
@@ -18,6 +18,7 @@
     constexpr const char* senderField = "s";
     constexpr const char* pingField = "p";
     constexpr const char* pongField = "q";
+    constexpr const char* buildField = "bd";
     constexpr const char* digestField = "d";
     constexpr const char* wantsMembersField = "w";
     constexpr const char* memberDigestsField = "md"; // 4 bytes each, the lowest first.
@@ -193,6 +194,9 @@
     if (message.pong) {
         value[pongField] = message.pong;
     }
+    if (!message.build.empty()) {
+        value[buildField] = message.build;
+    }
     if (message.digest) {
         value[digestField] = message.digest;
     }
@@ -278,11 +282,11 @@
     if (!fields.contains(senderField)) {
         return fail(why, reason_code::invalid, "no sender");
     }
-    bool hasUnknownState = false;
     peer_message message;
     message.sender = fields.text(senderField);
     message.ping = fields.integer<std::uint64_t>(pingField);
     message.pong = fields.integer<std::uint64_t>(pongField);
+    message.build = fields.text(buildField);
     message.digest = fields.integer<std::uint64_t>(digestField);
     message.wantsMembers = fields.boolean(wantsMembersField);
     message.memberDigests = toDigests(fields.bytes(memberDigestsField));
@@ -295,11 +299,12 @@
             .incarnation = item.template integer<std::uint64_t>(),
             .version = item.template integer<std::uint64_t>() };
         auto state = item.template integer<unsigned>();
-        hasUnknownState = hasUnknownState || state > static_cast<unsigned>(member_state::leaving);
         record.state = static_cast<member_state>(state);
         record.capacity = item.number();
         record.isCutOff = item.hasNext() && item.boolean();
-        message.members.push_back(std::move(record));
+        if (state <= static_cast<unsigned>(member_state::leaving)) {
+            message.members.push_back(std::move(record));
+        }
     });
     fields.forEachValue(
         unreachableField, [&](auto item) { message.unreachableHosts.push_back(item.text()); });
@@ -352,9 +357,9 @@
     fields.forEachValue(removedField, [&](auto item) { message.removed.push_back(item.text()); });
     message.isDelta = fields.contains(baseDigestField);
     message.baseDigest = fields.integer<std::uint64_t>(baseDigestField);
-    if (document->isMismatched() || hasUnknownState) {
+    if (document->isMismatched()) {
         return fail(why, reason_code::invalid,
-            hasUnknownState ? "unknown member state" : "a field of another type than expected");
+            "a field of another type than expected, from build '" + message.build + "'");
     }
     return message;
 }
--- a/marlsill/cluster/peer_message.h
+++ b/marlsill/cluster/peer_message.h
@@ -41,11 +41,14 @@
     placement::permit_answer answer;
 };
 
-// One datagram. Empty fields are not encoded.
+// One datagram. Empty fields are not encoded. Several builds run side by side during upgrades, so fields are
+// only added: none changes its name, type or meaning, and no receiver needs one that earlier builds do not
+// send. Items may get further elements at their end.
 struct peer_message {
     std::string sender; // Host of the sending VM.
     std::uint64_t ping = 0; // Non-zero: the receiver answers with the same number in `pong`.
     std::uint64_t pong = 0;
+    std::string build; // Version of the sender's build, in pings and pongs; earlier builds state none.
     std::uint64_t digest = 0; // Of the sender's member list, in pings and pongs.
     bool wantsMembers = false; // Requests the receiver's member list.
     std::vector<std::uint32_t>
@@ -84,7 +87,8 @@
 // Encodes a message as a datagram.
 std::vector<std::uint8_t> encode(const peer_message& message);
 
-// Decodes a datagram. Returns std::nullopt and sets `why` if any part of it is malformed.
+// Decodes a datagram. Leaves out fields, states and kinds of evidence that only later builds know. Returns
+// std::nullopt and sets `why` if any other part of it is malformed.
 std::optional<peer_message> decodePeerMessage(std::span<const std::uint8_t> bytes, reason& why);
 
 }
--- a/marlsill/cluster/peer_message_test.cc
+++ b/marlsill/cluster/peer_message_test.cc
@@ -1,6 +1,7 @@
 #include "marlsill/cluster/peer_message.h"
 
 #include <doctest/doctest.h>
+#include <functional>
 #include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
@@ -8,12 +9,23 @@
 
 namespace {
 
+    std::vector<std::uint8_t> fromHex(std::string_view digits)
+    {
+        std::vector<std::uint8_t> bytes;
+        for (std::size_t position = 0; position + 1 < digits.size(); position += 2) {
+            bytes.push_back(
+                static_cast<std::uint8_t>(std::stoi(std::string(digits.substr(position, 2)), nullptr, 16)));
+        }
+        return bytes;
+    }
+
     peer_message fullMessage()
     {
         peer_message message;
         message.sender = "10.0.0.1";
         message.ping = 7;
         message.pong = 8;
+        message.build = "0.2.0";
         message.digest = 0xfedcba9876543210;
         message.wantsMembers = true;
         message.memberDigests = { 1, 0xfedcba98 };
@@ -58,6 +70,7 @@
     CHECK(decoded->upstreams == fullMessage().upstreams);
     CHECK(decoded->summary->upstreamDigest == 50);
     CHECK(decoded->configuration == fullMessage().configuration);
+    CHECK(decoded->build == "0.2.0");
     CHECK(decoded->digest == 0xfedcba9876543210);
     CHECK(decoded->memberDigests == fullMessage().memberDigests);
     CHECK(decoded->wantedBuckets == fullMessage().wantedBuckets);
@@ -105,6 +118,124 @@
     CHECK(decoded->crashes.front().crashes == 2);
 }
 
+TEST_CASE("Datagrams that earlier builds sent are understood, and what they know is sent to them as before")
+{
+    struct row {
+        const char* name; // With the commit that the bytes were recorded from.
+        std::string_view recorded;
+        std::function<bool(const peer_message&)> isUnderstood;
+    };
+    const row rows[] = {
+        { "ping, e523fb3 and bd4cff1", "a561641bfedcba987654321061690c61700761736831302e302e302e31617601",
+            [](const auto& message) {
+                return message.ping == 7 && message.digest == 0xfedcba9876543210 && message.crashDigest == 12
+                    && message.build.empty();
+            } },
+        { "pong, e523fb3 and bd4cff1", "a561640561690c61710761736831302e302e302e31617601",
+            [](const auto& message) { return message.pong == 7 && message.digest == 5; } },
+        { "members, e523fb3",
+            "a4616d81876831302e302e302e3161616b31302e302e302e313a3830050601fa3e80000061736831302e302e302e3161"
+            "76016177f5",
+            [](const auto& message) {
+                return message.wantsMembers && message.members.size() == 1
+                    && message.members[0].capacity == 0.25 && !message.members[0].isCutOff;
+            } },
+        { "members, one of them cut off, bd4cff1",
+            "a4616d82876831302e302e302e3161616b31302e302e302e313a3830050601fa3e800000886831302e302e302e326162"
+            "6b31302e302e302e323a3830070802fa3f800000f561736831302e302e302e316176016177f5",
+            [](const auto& message) {
+                return message.members.size() == 2 && message.members[1].isCutOff
+                    && message.members[1].state == member_state::leaving;
+            } },
+        { "evidence, loads, crashes, limits and permits, e523fb3",
+            "a861638185186302627531010061658182627531056168f5616f8183627532fa40900000006173"
+            "6831302e302e302e3161748182627532146175818362753102190154617601",
+            [](const auto& message) {
+                return message.evidence.size() == 1 && message.loads.size() == 1
+                    && message.crashes.size() == 1 && message.limits.size() == 1
+                    && message.permitRequests.size() == 1 && message.leaving.empty();
+            } },
+        { "the same with a notice of leaving, bd4cff1",
+            "a961638185186302627531010061658182627531056168f5626c768183627533184d00616f8183627532fa4090000000"
+            "61736831302e302e302e3161748182627532146175818362753102190154617601",
+            [](const auto& message) {
+                return message.leaving.size() == 1 && message.leaving[0].startedUnixMs == 77
+                    && message.crashes[0].fingerprint == 99 && message.crashes[0].cleared == 1;
+            } },
+        { "changed upstreams, e523fb3 and bd4cff1",
+            "a76161096162f5616b840318281832183c616e818a62753161736b31302e392e302e313a3830616103f5000b0cf46172"
+            "8162753961736831302e302e302e31617601",
+            [](const auto& message) {
+                return message.isDelta && message.baseDigest == 9 && message.removed.size() == 1
+                    && message.upstreams.size() == 1 && message.upstreams[0].isLeaving
+                    && message.summary->upstreamDigest == 50;
+            } },
+        { "part of a configuration, e523fb3 and bd4cff1",
+            "a36267708603184d184e0102427b7d61736831302e302e302e31617601",
+            [](const auto& message) {
+                return message.configuration && message.configuration->version == 3
+                    && message.configuration->bytes == "{}";
+            } },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        auto bytes = fromHex(each.recorded);
+        reason why;
+        auto decoded = decodePeerMessage(bytes, why);
+        REQUIRE(decoded);
+        CHECK(each.isUnderstood(*decoded));
+        CHECK(encode(*decoded) == bytes);
+        // What this build adds leaves the other fields as they were.
+        decoded->build = "0.2.0";
+        auto added = nlohmann::json::from_cbor(encode(*decoded));
+        CHECK(added.erase("bd") == 1);
+        CHECK(added == nlohmann::json::from_cbor(bytes));
+    }
+}
+
+TEST_CASE("A datagram of a later build is understood but for what is new")
+{
+    using nlohmann::json;
+    const auto known = json::array({ "10.0.0.2", "a", "10.0.0.2:80", 5, 6, 1, 2.5 });
+    struct row {
+        const char* name;
+        json change; // Fields that are added or replaced.
+        std::size_t members;
+        std::size_t evidence;
+    };
+    const row rows[] = {
+        { "an unknown field", { { "zz", json::array({ 1, "x", json::object({ { "y", 2 } }) }) } }, 1, 1 },
+        { "a member with more elements",
+            { { "m", json::array({ { "10.0.0.2", "a", "10.0.0.2:80", 5, 6, 1, 2.5, true, "more", 7 } }) } },
+            1, 1 },
+        { "a member in an unknown state beside a known one",
+            { { "m", json::array({ known, { "10.0.0.3", "a", "10.0.0.3:80", 5, 6, 9, 1 } }) } }, 1, 1 },
+        { "an unknown kind of evidence beside a known one",
+            { { "e", json::array({ { "u1", 1 }, { "u2", 99 } }) } }, 1, 1 },
+        { "a later version of the build", { { "bd", "7.0.0" } }, 1, 1 },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        json value { { "v", 1 }, { "s", "10.0.0.1" }, { "p", 7 }, { "m", json::array({ known }) },
+            { "e", json::array({ { "u1", 1 } }) } };
+        value.update(each.change);
+        reason why;
+        auto decoded = decodePeerMessage(json::to_cbor(value), why);
+        REQUIRE(decoded);
+        CHECK(decoded->ping == 7);
+        CHECK(decoded->members.size() == each.members);
+        CHECK(decoded->evidence.size() == each.evidence);
+    }
+}
+
+TEST_CASE("A datagram with a field of another type is dropped, and the reason names the sender's build")
+{
+    auto value = nlohmann::json { { "v", 1 }, { "s", "10.0.0.1" }, { "bd", "7.0.0" }, { "p", "seven" } };
+    reason why;
+    CHECK_FALSE(decodePeerMessage(nlohmann::json::to_cbor(value), why));
+    CHECK(why.text.find("7.0.0") != std::string::npos);
+}
+
 TEST_CASE("An empty message is small")
 {
     peer_message message;
--- a/marlsill/settings/settings.cc
+++ b/marlsill/settings/settings.cc
@@ -1,5 +1,7 @@
 #include "marlsill/settings/settings.h"
 
+#include "marlsill/base/build_version.h"
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <boost/program_options.hpp>
@@ -17,7 +19,6 @@
     namespace options = boost::program_options;
 
     constexpr std::string_view environmentPrefix = "MARLSILL_";
-    constexpr std::string_view version = "0.1.0";
 
     std::string variableName(std::string_view flag)
     {
@@ -272,7 +273,7 @@
         return { std::nullopt, 0 };
     }
     if (values->wantsVersion()) {
-        std::printf("%s %s\n", std::string(program).c_str(), std::string(version).c_str());
+        std::printf("%s %s\n", std::string(program).c_str(), std::string(buildVersion()).c_str());
         return { std::nullopt, 0 };
     }
     if (values->wantsCheck()) {
