Soak: do not ask a daemon to stop that has not been resumed yet

Cause: a pause counted as over at its deadline, though SIGCONT is sent a moment later, after the fault in between; a stop of some seconds by another daemon makes that moment long. Evidence: the log of entry-2#1 ends at 39:57.132, the pause was 2 s at the longest, its SIGTERM came at 40:00.4, and it has no E1002.

--- a/testing/soak/soak_run.cc
+++ b/testing/soak/soak_run.cc
@@ -341,7 +341,7 @@
 
 void soak_run::stopEntry(entry_place& entry)
 {
-    if (!hasPassed(entry.pausedUntil, steady_clock::now())) {
+    if (entry.isPaused) {
         return;
     }
     spoilDrains();
@@ -366,7 +366,7 @@
     }
     const auto& step = m_upgrade.back();
     if (std::any_of(step.entries.begin(), step.entries.end(),
-            [&](auto entry) { return !hasPassed(m_entries[entry]->pausedUntil, now); })) {
+            [&](auto entry) { return m_entries[entry]->isPaused; })) {
         return;
     }
     spoilDrains();
