Builds are counted of members only, and a logged build is short

The read-through found that any sender of a datagram with a ping filled the table of builds, and that the log of a dropped datagram took over a text of the sender of any length. Before, the two new tests: the builds were ten more than the fleet's, and the reason was 60,000 characters long. After: cluster_test 62 of 62.

--- a/marlsill/cluster/peer_mesh.cc
+++ b/marlsill/cluster/peer_mesh.cc
@@ -297,7 +297,8 @@
         send(message.sender, std::move(answer));
     }
     bool isDigestMessage = message.ping || message.pong;
-    if (isDigestMessage && m_builds.note(message.sender, message.build)) {
+    bool isKnownSender = m_members.isKnown(message.sender);
+    if (isDigestMessage && isKnownSender && m_builds.note(message.sender, message.build)) {
         logBuilds();
     }
     if (message.wantsMembers || (isDigestMessage && message.crashDigest != m_handler.crashDigest())) {
--- a/marlsill/cluster/peer_mesh_test.cc
+++ b/marlsill/cluster/peer_mesh_test.cc
@@ -111,6 +111,25 @@
     }
 }
 
+TEST_CASE("Senders that are no members of the fleet do not count among its builds")
+{
+    asio::io_context io;
+    auto port = freePort();
+    mesh_vm vm(io, firstHost, firstHost, port);
+    Poco::Net::DatagramSocket stranger(Poco::Net::SocketAddress(secondHost, 0));
+    for (int index = 0; index < 10; ++index) {
+        peer_message message;
+        message.sender = "10.9.9." + std::to_string(index);
+        message.ping = 1;
+        message.build = "9.9." + std::to_string(index);
+        auto bytes = encode(message);
+        stranger.sendTo(
+            bytes.data(), static_cast<int>(bytes.size()), Poco::Net::SocketAddress(firstHost, port));
+    }
+    io.run_for(milliseconds(100));
+    CHECK(vm.builds() == "0.2.0=1");
+}
+
 TEST_CASE("Crash records reach VMs that were not told when the crash happened")
 {
     // Guards against requests that crash one upstream for each VM that starts late or lost a report.
--- a/marlsill/cluster/peer_message.cc
+++ b/marlsill/cluster/peer_message.cc
@@ -45,6 +45,7 @@
     constexpr const char* removedField = "r";
     constexpr const char* baseDigestField = "a";
 
+    constexpr std::size_t maxLoggedBuild = 24; // Characters.
     constexpr std::chrono::milliseconds maxNoticeAge { 60'000 }; // Longer than any datagram takes.
 
     json encodeConfiguration(const configuration_part& part)
@@ -359,7 +360,8 @@
     message.baseDigest = fields.integer<std::uint64_t>(baseDigestField);
     if (document->isMismatched()) {
         return fail(why, reason_code::invalid,
-            "a field of another type than expected, from build '" + message.build + "'");
+            "a field of another type than expected, from build '" + message.build.substr(0, maxLoggedBuild)
+                + "'");
     }
     return message;
 }
--- a/marlsill/cluster/peer_message_test.cc
+++ b/marlsill/cluster/peer_message_test.cc
@@ -234,6 +234,9 @@
     reason why;
     CHECK_FALSE(decodePeerMessage(nlohmann::json::to_cbor(value), why));
     CHECK(why.text.find("7.0.0") != std::string::npos);
+    value["bd"] = std::string(60'000, 'x');
+    CHECK_FALSE(decodePeerMessage(nlohmann::json::to_cbor(value), why));
+    CHECK(why.text.size() < 200);
 }
 
 TEST_CASE("An empty message is small")
