review: show a request smuggled through an encoded header value

Cause: POCO decodes RFC 2047 words in header fields after the check of the raw header block, and the decoded values are written to the backend as they are.

--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# Builds the programs of the scripts, with the compiler and the JSON header that the deploy file names too.
+set -euo pipefail
+cd "$(dirname "$0")"
+mkdir -p bin
+for source in [1-5]/case.cpp; do
+    number="${source%%/*}"
+    g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "bin/case-$number" "$source"
+done
