review: show a removed backend that stays in use after a cut watch

Cause: a watch that is cut off counts as an outage of the store, and a backend whose entry is removed within 2.3 s of its end is taken for one that has lapsed, and stays in use for longer than drainMs.

--- a/review/common/stand_ins.hpp
+++ b/review/common/stand_ins.hpp
@@ -422,6 +422,14 @@
         m_isAway = false;
     }
 
+    // Cuts off the watches that are waiting: their connections are closed without an answer.
+    void cutWatches()
+    {
+        std::lock_guard lock(m_mutex);
+        ++m_watchCuts;
+        m_changed.notify_all();
+    }
+
     std::uint64_t revision()
     {
         std::lock_guard lock(m_mutex);
@@ -475,8 +483,10 @@
             std::string era;
             {
                 std::lock_guard lock(m_mutex);
-                if (m_isAway || status == 0) {
+                if (m_isAway) {
                     link.reset();
+                }
+                if (m_isAway || status == 0) {
                     return;
                 }
                 era = std::to_string(m_era);
@@ -566,9 +576,10 @@
         auto until = steady::now() + milliseconds(std::min(waitMs, 30'000));
         std::unique_lock lock(m_mutex);
         auto era = m_era;
+        auto watchCuts = m_watchCuts;
         json events = json::array();
         while (!m_isOver) {
-            if (m_isAway || m_era != era) {
+            if (m_isAway || m_era != era || m_watchCuts != watchCuts) {
                 return { 0, {} };
             }
             if (from > m_now.revision) {
@@ -593,6 +604,7 @@
     state m_now;
     state m_copy;
     std::uint64_t m_era = 1;
+    int m_watchCuts = 0;
     bool m_isAway = false;
     std::atomic<bool> m_isOver = false;
     std::atomic<int> m_goneAnswers = 0;
