review: show forged answers through an encoded header value of a backend

Cause: heads of answers are decoded like those of requests, so that a field of a backend's answer can end the answer and begin another. Change: a second script in the folder of the case of the same fault; no product code is changed.

--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -2,6 +2,7 @@
 // clients sent, and nothing else.
 
 #include "../common/stand_ins.hpp"
+#include "encoded_words.hpp"
 
 using namespace review;
 
@@ -10,23 +11,6 @@
 constexpr const char* host = "hulo84.example";
 constexpr int requests = 12;
 
-// Encodes text as RFC 2047 encoded words, one for each word of the text.
-std::string encodedWords(const std::string& text)
-{
-    std::istringstream words(text);
-    std::string encoded;
-    for (std::string word; std::getline(words, word, ' ');) {
-        encoded += encoded.empty() ? "=?UTF-8?Q?" : " =?UTF-8?Q?";
-        for (unsigned char byte : word) {
-            char hex[4];
-            std::snprintf(hex, sizeof hex, "=%02X", byte);
-            encoded += std::isalnum(byte) ? std::string(1, static_cast<char>(byte)) : std::string(hex);
-        }
-        encoded += "?=";
-    }
-    return encoded;
-}
-
 }
 
 int main(int argc, char** argv)
--- a/review/build.sh
+++ b/review/build.sh
@@ -8,3 +8,4 @@
     build "case-${source%%/*}" "$source"
 done
 build case-4-config 4/config.cpp
+build case-1-answer 1/answer.cpp
--- a/review/common/stand_ins.hpp
+++ b/review/common/stand_ins.hpp
@@ -673,6 +673,9 @@
             { "warmupRemainingMs", warmupRemainingMs }, { "sequence", 1 }, { "born", m_bornMs } };
     }
 
+    // Sets further fields of all answers.
+    void setFields(const std::string& fields) { m_fields = fields; }
+
     // From now on all answers say that it leaves.
     void drain() { m_isDraining = true; }
 
@@ -729,8 +732,8 @@
         --m_running;
         std::string body = "done " + attempt;
         bool isAnswered = !isDropped
-            && link.send(httpAnswer(
-                200, fields + "Response-Seal: 1." + attempt + "\r\nX-Backend: " + m_id + "\r\n", body));
+            && link.send(httpAnswer(200,
+                fields + "Response-Seal: 1." + attempt + "\r\nX-Backend: " + m_id + "\r\n" + m_fields, body));
         m_events.ended(m_id, request, isAnswered);
         return isAnswered;
     }
@@ -742,6 +745,7 @@
     const int m_workMs;
     const backend_listener m_events;
     const std::int64_t m_bornMs;
+    std::string m_fields; // Set before the first request.
     std::atomic<int> m_running = 0;
     std::atomic<bool> m_isDraining = false;
     std::atomic<bool> m_hasEnded = false;
