--- a/marlsill/entry/request_handler.cc
+++ b/marlsill/entry/request_handler.cc
@@ -4,9 +4,8 @@
 #include "marlsill/events/events.h"
 #include "marlsill/http/field_names.h"
 #include "marlsill/http/message_writer.h"
+#include "marlsill/http/request_target.h"
 
-#include <Poco/Exception.h>
-#include <Poco/URI.h>
 #include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
@@ -258,28 +257,19 @@
 
 http::response_message request_handler::makeDirectoryResponse(const http::request_message& request) const
 {
-    std::string service;
-    std::string nearDomain;
-    try {
-        for (const auto& [name, value] : Poco::URI(request.head.getURI()).getQueryParameters()) {
-            if (name == "service") {
-                service = value;
-            } else if (name == "near") {
-                nearDomain = value;
-            }
-        }
-    } catch (const Poco::Exception&) {
+    auto target = http::parseTarget(request.head.getURI());
+    if (!target) {
         return makeOutcome(outcome::notRun, "malformed-target", 400);
     }
     auto snapshot = m_dependencies.snapshots.load();
-    const auto* found = snapshot->find(service);
+    const auto* found = snapshot->find(target->parameter("service"));
     if (!m_isReady || !found) {
         int status = m_isReady ? 404 : 503;
         return makeOutcome(outcome::notRun, m_isReady ? "no-such-service" : "no-configuration-yet", status,
             defaultRetryAfter);
     }
     auto message = http::makeResponse(200, "application/json",
-        directoryJson(*found, nearDomain, wall_clock::now(), m_options.directoryTtl));
+        directoryJson(*found, target->parameter("near"), wall_clock::now(), m_options.directoryTtl));
     auto seconds = std::chrono::floor<std::chrono::seconds>(m_options.directoryTtl).count();
     message.head.set("Cache-Control", "max-age=" + std::to_string(seconds));
     return message;
--- a/marlsill/http/internal/header_check.cc
+++ b/marlsill/http/internal/header_check.cc
@@ -34,6 +34,16 @@
         });
     }
 
+    std::string_view trimmed(std::string_view text)
+    {
+        constexpr std::string_view whiteSpace = " \t";
+        auto start = text.find_first_not_of(whiteSpace);
+        if (start == std::string_view::npos) {
+            return {};
+        }
+        return text.substr(start, text.find_last_not_of(whiteSpace) - start + 1);
+    }
+
     std::optional<std::uint64_t> parseLength(std::string_view text)
     {
         std::uint64_t length = 0;
@@ -67,6 +77,25 @@
     return false;
 }
 
+bool isFieldValue(std::string_view value) { return !hasControlCharacter(value); }
+
+bool addFields(std::string_view block, Poco::Net::HTTPMessage& head, int maxFields)
+{
+    block.remove_prefix(block.find("\r\n") + 2);
+    int count = 0;
+    while (!block.starts_with("\r\n")) {
+        auto end = block.find("\r\n");
+        auto line = block.substr(0, end);
+        block.remove_prefix(end + 2);
+        if (++count > maxFields) {
+            return false;
+        }
+        auto colon = line.find(':');
+        head.add(std::string(line.substr(0, colon)), std::string(trimmed(line.substr(colon + 1))));
+    }
+    return true;
+}
+
 std::optional<body_framing> parseFraming(const Poco::Net::HTTPMessage& message)
 {
     int lengthFields = 0;
--- a/marlsill/http/internal/header_check.h
+++ b/marlsill/http/internal/header_check.h
@@ -1,12 +1,21 @@
 #pragma once
 
-// Strict validation of a raw header block before POCO parses it, and of the fields that frame the body.
+// Strict parsing of header blocks, and of the fields that frame the body.
 //
-// POCO accepts bare line feeds, folded lines and repeated Content-Length fields. Each of them lets two
-// parsers disagree about where a message ends, which enables request smuggling.
+//     Poco::Net::HTTPRequest head;
+//     if (!internal::parseHead(block, head))
+//         return parse_status::malformed;
+//
+// POCO accepts bare line feeds, folded lines and repeated Content-Length fields, and replaces RFC 2047
+// encoded words by what they encode, which may be a line break. Each of them lets two parsers disagree about
+// where a message ends, which enables request smuggling. POCO therefore parses the start line only, and the
+// field values are kept as they are.
 
+#include <Poco/Exception.h>
+#include <Poco/MemoryStream.h>
 #include <Poco/Net/HTTPMessage.h>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace marlsill::http::internal {
@@ -30,6 +39,30 @@
 // section 5.6.2).
 bool isValidHeaderBlock(std::string_view block);
 
+// Returns whether a field with this value can be written without ending its line (RFC 9110, section 5.5).
+bool isFieldValue(std::string_view value);
+
+// Adds the fields of a valid header block to `head`, with the bytes of their values unchanged except for the
+// white space around them. Returns false if there are more than `maxFields`.
+bool addFields(std::string_view block, Poco::Net::HTTPMessage& head, int maxFields);
+
+// Replaces `head` by the header block. Returns false if it is malformed or has more than `maxFields` fields.
+template <typename Head> bool parseHead(std::string_view block, Head& head, int maxFields)
+{
+    if (!isValidHeaderBlock(block)) {
+        return false;
+    }
+    auto startLine = std::string(block.substr(0, block.find("\r\n"))) + "\r\n\r\n";
+    try {
+        Poco::MemoryInputStream stream(startLine.data(), static_cast<std::streamsize>(startLine.size()));
+        head.clear();
+        head.read(stream);
+    } catch (const Poco::Exception&) {
+        return false;
+    }
+    return addFields(block, head, maxFields);
+}
+
 // Returns the framing that Content-Length and Transfer-Encoding declare, or std::nullopt if they are
 // malformed, repeated or both present. Without either field the kind is `none`.
 std::optional<body_framing> parseFraming(const Poco::Net::HTTPMessage& message);
--- a/marlsill/http/message_parser.cc
+++ b/marlsill/http/message_parser.cc
@@ -2,8 +2,6 @@
 
 #include "marlsill/http/internal/header_check.h"
 
-#include <Poco/Exception.h>
-#include <Poco/MemoryStream.h>
 #include <Poco/String.h>
 #include <algorithm>
 #include <charconv>
@@ -46,16 +44,7 @@
         if (status != parse_status::complete) {
             return status;
         }
-        auto block = std::string_view(buffer).substr(0, length);
-        if (!internal::isValidHeaderBlock(block)) {
-            return parse_status::malformed;
-        }
-        try {
-            Poco::MemoryInputStream stream(block.data(), static_cast<std::streamsize>(block.size()));
-            head.clear();
-            head.setFieldLimit(maxFields);
-            head.read(stream);
-        } catch (const Poco::Exception&) {
+        if (!internal::parseHead(std::string_view(buffer).substr(0, length), head, maxFields)) {
             return parse_status::malformed;
         }
         buffer.erase(0, length);
--- a/marlsill/http/message_parser_test.cc
+++ b/marlsill/http/message_parser_test.cc
@@ -1,5 +1,7 @@
 #include "marlsill/http/message_parser.h"
 
+#include "marlsill/http/message_writer.h"
+
 #include <doctest/doctest.h>
 #include <vector>
 
@@ -98,6 +100,59 @@
     CHECK(buffer.empty());
 }
 
+TEST_CASE("Field values are kept as they are")
+{
+    // Guards against a request smuggled through an RFC 2047 encoded word, which POCO's parser decodes.
+    struct row {
+        const char* name;
+        std::string value;
+        std::string expected;
+    };
+    const row rows[] = {
+        { "an encoded line break", "=?UTF-8?Q?=0D=0A?=", "=?UTF-8?Q?=0D=0A?=" },
+        { "an encoded line break in base64", "=?UTF-8?B?DQoNCg==?=", "=?UTF-8?B?DQoNCg==?=" },
+        { "an encoded word", "=?UTF-8?Q?Finca_Alta?=", "=?UTF-8?Q?Finca_Alta?=" },
+        { "an incomplete encoded word", "=?UTF-8?Q?=0D", "=?UTF-8?Q?=0D" },
+        { "an unknown charset", "=?x?Q?=0A?= =?y?B?Cg==?=", "=?x?Q?=0A?= =?y?B?Cg==?=" },
+        { "white space around the value", " \t a\tb  c \t", "a\tb  c" },
+        { "bytes beyond ASCII", "a\xc3\xb1o \xff", "a\xc3\xb1o \xff" },
+        { "an empty value", "", "" },
+        { "a long value", std::string(9'000, 'v'), std::string(9'000, 'v') },
+    };
+    constexpr read_limits roomy { .maxHeaderBytes = 16'384 };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        auto buffer = "GET /a HTTP/1.1\r\nHost: h\r\nFarm-Note:" + each.value + "\r\n\r\n";
+        request_parser requests;
+        request_message request;
+        REQUIRE(requests.parse(buffer, request, roomy) == parse_status::complete);
+        CHECK(request.head.get("Farm-Note") == each.expected);
+        CHECK(serialize(request) == "GET /a HTTP/1.1\r\nHost: h\r\nFarm-Note: " + each.expected + "\r\n\r\n");
+        buffer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nFarm-Note:" + each.value + "\r\n\r\nok";
+        response_parser responses(false);
+        response_message response;
+        REQUIRE(responses.parse(buffer, response, roomy) == parse_status::complete);
+        CHECK(response.body == "ok");
+        CHECK(serialize(response, "GET")
+            == "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nFarm-Note: " + each.expected + "\r\n\r\nok");
+    }
+}
+
+TEST_CASE("A written message contains no line break of a field value")
+{
+    // Guards against a field that is set from other data, such as the name of a stored object.
+    request_message request;
+    request.head.setMethod("GET");
+    request.head.setURI("/a");
+    request.head.setVersion("HTTP/1.1");
+    request.head.set("X-Note", "a\r\n\r\nPOST /b HTTP/1.1\r\nX: 1");
+    CHECK(serialize(request) == "GET /a HTTP/1.1\r\nX-Note: a    POST /b HTTP/1.1  X: 1\r\n\r\n");
+    auto response = makeResponse(200, "text/plain", "ok");
+    response.head.set("X-Note", std::string("a\n\0b", 4));
+    CHECK(serialize(response, "GET").find("X-Note: a  b\r\n") != std::string::npos);
+    CHECK(serializeHead(response.head).find("X-Note: a  b\r\n") != std::string::npos);
+}
+
 TEST_CASE("The framing of a chunked body is bounded")
 {
     // Guards against a peer that sends much framing and little data until the deadline.
--- a/marlsill/http/message_reader.cc
+++ b/marlsill/http/message_reader.cc
@@ -2,8 +2,6 @@
 
 #include "marlsill/http/internal/header_check.h"
 
-#include <Poco/Exception.h>
-#include <Poco/MemoryStream.h>
 #include <Poco/String.h>
 #include <charconv>
 
@@ -66,16 +64,7 @@
         if (status != read_status::complete) {
             return status;
         }
-        auto block = connection.buffered().substr(0, length);
-        if (!internal::isValidHeaderBlock(block)) {
-            return read_status::malformed;
-        }
-        try {
-            Poco::MemoryInputStream stream(block.data(), static_cast<std::streamsize>(block.size()));
-            head.clear();
-            head.setFieldLimit(maxFields);
-            head.read(stream);
-        } catch (const Poco::Exception&) {
+        if (!internal::parseHead(connection.buffered().substr(0, length), head, maxFields)) {
             return read_status::malformed;
         }
         connection.consume(length);
--- a/marlsill/http/message_reader_test.cc
+++ b/marlsill/http/message_reader_test.cc
@@ -122,6 +122,23 @@
     }
 }
 
+TEST_CASE("a line break inside an encoded word does not end a field")
+{
+    // Guards against a request smuggled through an RFC 2047 encoded word, which POCO's parser decodes.
+    const std::string value = "=?UTF-8?Q?Finca=0D=0A=0D=0APOST_/b_HTTP/1.1?=";
+    connected_pair pair;
+    pair.sendAndClose("GET /a HTTP/1.1\r\nHost: h\r\nFarm-Note: " + value + "\r\n\r\n");
+    request_message request;
+    REQUIRE(readRequest(pair.local, request, {}, soon()) == read_status::complete);
+    CHECK(request.head.get("Farm-Note") == value);
+    connected_pair upstream;
+    upstream.sendAndClose("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nFarm-Note: " + value + "\r\n\r\nok");
+    response_message response;
+    REQUIRE(readResponse(upstream.local, response, "GET", {}, soon()) == read_status::complete);
+    CHECK(response.head.get("Farm-Note") == value);
+    CHECK(response.body == "ok");
+}
+
 TEST_CASE("a header block above the size limit is malformed")
 {
     connected_pair pair;
--- a/marlsill/http/message_writer.cc
+++ b/marlsill/http/message_writer.cc
@@ -1,8 +1,13 @@
 #include "marlsill/http/message_writer.h"
 
+#include "marlsill/http/internal/header_check.h"
+
 #include <Poco/NumberFormatter.h>
 #include <Poco/StringTokenizer.h>
+#include <algorithm>
 #include <sstream>
+#include <utility>
+#include <vector>
 
 namespace marlsill::http {
 
@@ -17,8 +22,30 @@
         return method == "POST" || method == "PUT" || method == "PATCH";
     }
 
-    template <typename Head> std::string headBytes(const Head& head)
+    // Replaces the control characters of field values by spaces (RFC 9110, section 5.5). Values may come from
+    // other places than a parsed message, such as the name of a stored object.
+    void replaceControlCharacters(Poco::Net::HTTPMessage& head)
+    {
+        std::vector<std::pair<std::string, std::string>> fields;
+        for (const auto& [name, value] : head) {
+            if (!internal::isFieldValue(value)) {
+                fields.emplace_back(name, value);
+            }
+        }
+        for (auto& [name, value] : fields) {
+            std::replace_if(
+                value.begin(), value.end(),
+                [](char character) {
+                    return !internal::isFieldValue({ &character, 1 });
+                },
+                ' ');
+            head.set(name, value);
+        }
+    }
+
+    template <typename Head> std::string headBytes(Head head)
     {
+        replaceControlCharacters(head);
         std::ostringstream stream;
         head.write(stream);
         return std::move(stream).str();
@@ -47,7 +74,7 @@
     } else {
         head.erase("Content-Length");
     }
-    return headBytes(head) + message.body;
+    return headBytes(std::move(head)) + message.body;
 }
 
 std::string serialize(const response_message& message, std::string_view requestMethod)
@@ -57,13 +84,13 @@
     int status = head.getStatus();
     if (status == 204) {
         head.erase("Content-Length");
-        return headBytes(head);
+        return headBytes(std::move(head));
     }
     if (requestMethod == "HEAD" || status == 304) {
-        return headBytes(head);
+        return headBytes(std::move(head));
     }
     head.setContentLength64(static_cast<Poco::Int64>(message.body.size()));
-    return headBytes(head) + message.body;
+    return headBytes(std::move(head)) + message.body;
 }
 
 std::string serializeHead(const Poco::Net::HTTPResponse& head) { return headBytes(head); }
