--- a/marlsill/platform/platform_client.cc
+++ b/marlsill/platform/platform_client.cc
@@ -21,6 +21,20 @@
         return version;
     }
 
+    // Returns a text member of an object; empty if it is missing, std::nullopt if it or `value` has another
+    // type.
+    std::optional<std::string> stringOf(const nlohmann::json& value, const char* name)
+    {
+        if (!value.is_object()) {
+            return std::nullopt;
+        }
+        auto found = value.find(name);
+        if (found == value.end()) {
+            return std::string();
+        }
+        return found->is_string() ? std::optional(found->get<std::string>()) : std::nullopt;
+    }
+
     std::nullopt_t failStatus(reason& why, int status)
     {
         switch (status) {
@@ -155,11 +169,12 @@
     }
     std::vector<vm_entry> vms;
     for (const auto& each : value) {
-        if (!each.is_object()) {
+        auto name = stringOf(each, "name");
+        auto peerAddress = stringOf(each, "peer_address");
+        if (!name || !peerAddress) {
             return fail(why, reason_code::invalid, "the platform's VM list is malformed");
         }
-        vms.push_back(
-            { each.value("name", ""), each.value("peer_address", ""), each.value("leaving", false) });
+        vms.push_back({ *name, *peerAddress, each.value("leaving", nlohmann::json()) == true });
     }
     return vms;
 }
--- a/marlsill/store/crash_object.cc
+++ b/marlsill/store/crash_object.cc
@@ -12,6 +12,15 @@
     constexpr int base = 16;
     // Renewals of a quarantine are reported four times in a retention of ten minutes.
     constexpr std::chrono::minutes expiryTolerance { 2 };
+    constexpr std::int64_t maxUnixMs = 9'000'000'000'000; // In the year 2255; nanoseconds still fit 64 bits.
+    constexpr std::int64_t maxCrashes = 1'000'000; // Of one upstream; sums still fit an int.
+
+    // Returns a non-negative integer. Throws a JSON exception if it has another type.
+    std::int64_t boundedInteger(const nlohmann::json& value, std::int64_t most)
+    {
+        auto number = value.get<double>(); // Defined for integers and reals of any size.
+        return static_cast<std::int64_t>(std::clamp(number, 0.0, static_cast<double>(most)));
+    }
 
 }
 
@@ -76,9 +85,10 @@
 {
     try {
         crash_object object;
-        object.expiresAt = fromUnixMilliseconds(content.at(expiresField).get<std::int64_t>());
+        object.expiresAt = fromUnixMilliseconds(boundedInteger(content.at(expiresField), maxUnixMs));
         for (const auto& [id, counts] : content.at(upstreamsField).items()) {
-            object.upstreams[id] = { counts.at(0).get<int>(), counts.at(1).get<int>() };
+            object.upstreams[id] = { static_cast<int>(boundedInteger(counts.at(0), maxCrashes)),
+                static_cast<int>(boundedInteger(counts.at(1), maxCrashes)) };
         }
         return object;
     } catch (const nlohmann::json::exception& error) {
--- a/marlsill/store/crash_object_test.cc
+++ b/marlsill/store/crash_object_test.cc
@@ -57,6 +57,22 @@
     }
 }
 
+TEST_CASE("Numbers of any size are kept within bounds")
+{
+    // Guards against an overflow by an object of another writer.
+    for (const auto* number :
+        { "9223372036854775807", "-9223372036854775808", "18446744073709551615", "1e300" }) {
+        CAPTURE(std::string(number));
+        auto content = nlohmann::json::parse(std::string(R"({"expiresUnixMs":)") + number
+            + R"(,"upstreams":{"i-1":[)" + number + "," + number + R"(],"i-2":[1,0]}})");
+        reason why;
+        auto decoded = decodeCrashObject(content, why);
+        REQUIRE(decoded);
+        CHECK(decoded->crashes() == 1);
+        toCrashRecords(1, *decoded, now, wallNow);
+    }
+}
+
 TEST_CASE("An object is written again if the store has less than a VM knows")
 {
     struct row {
--- /dev/null
+++ b/marlsill/store/json_text.h
@@ -0,0 +1,41 @@
+#pragma once
+
+// Reads JSON text of several writers, so that a part that cannot be read does not affect the others.
+//
+//     auto members = splitJsonObject(page, why);
+//     for (auto item : splitJsonArray(members["items"], why).value_or(...))
+//         if (auto value = parseJson(item, why))
+//             use(*value);
+//
+// Splitting looks at brackets and strings only: numbers that overflow, unpaired surrogate escapes, control
+// characters, invalid UTF-8 and any depth of nesting inside a part leave the other parts readable. Parsing is
+// limited in depth, as copying and serializing nlohmann::json takes stack for each level.
+
+#include "marlsill/base/reason.h"
+
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace marlsill::store {
+
+constexpr int maxJsonDepth = 64;
+
+// The members of an object: names as they are written, without quotation marks, and the texts of their
+// values.
+using json_members = std::map<std::string_view, std::string_view>;
+
+// Splits the text of one object. Of members with the same name the last counts. Returns std::nullopt if it is
+// no object or its brackets do not match.
+std::optional<json_members> splitJsonObject(std::string_view text, reason& why);
+
+// Splits the text of one array into the texts of its elements. Returns std::nullopt if it is no array or its
+// brackets do not match.
+std::optional<std::vector<std::string_view>> splitJsonArray(std::string_view text, reason& why);
+
+// Parses one value. Returns std::nullopt if it is malformed or nested deeper than `maxJsonDepth`.
+std::optional<nlohmann::json> parseJson(std::string_view text, reason& why);
+
+}
--- a/marlsill/store/stored_object.h
+++ b/marlsill/store/stored_object.h
@@ -14,6 +14,7 @@
     std::string name;
     std::uint64_t version = 0; // Store version of its last change; increases across all objects.
     nlohmann::json content;
+    std::string unreadable {}; // Why `content` is null although there is content; empty if it could be read.
 };
 
 // One page of the list of a kind.
