--- a/marlsill/cluster/peer_message.cc
+++ b/marlsill/cluster/peer_message.cc
@@ -247,8 +247,11 @@
     });
     if (message.summary) {
         const auto& entry = *message.summary;
-        value[summaryField] = json::array(
-            { entry.configurationVersion, entry.storeVersion, entry.upstreamDigest, entry.contactAgeMs });
+        value[summaryField] = json::array({ entry.configurationVersion, entry.storePosition.version,
+            entry.upstreamDigest, entry.contactAgeMs });
+        if (entry.storePosition.era != 0) {
+            value[summaryField].push_back(entry.storePosition.era); // Earlier builds ignore it.
+        }
     }
     if (message.isBeacon) {
         value[beaconField] = true;
@@ -344,9 +347,12 @@
     });
     if (auto summary = fields.items(summaryField)) {
         message.summary = store_summary { .configurationVersion = summary->integer<std::uint64_t>(),
-            .storeVersion = summary->integer<std::uint64_t>(),
+            .storePosition = { .version = summary->integer<std::uint64_t>() },
             .upstreamDigest = summary->integer<std::uint64_t>(),
             .contactAgeMs = summary->integer<std::uint64_t>() };
+        if (summary->hasNext()) {
+            message.summary->storePosition.era = summary->integer<std::uint64_t>();
+        }
     }
     message.isBeacon = fields.boolean(beaconField);
     message.wantsConfiguration = fields.boolean(wantsConfigurationField);
--- a/marlsill/cluster/peer_message.h
+++ b/marlsill/cluster/peer_message.h
@@ -13,6 +13,7 @@
 #include "marlsill/placement/leaving_notices.h"
 #include "marlsill/placement/load_balancer.h"
 #include "marlsill/placement/rate_limits.h"
+#include "marlsill/placement/store_position.h"
 
 #include <optional>
 #include <span>
@@ -24,7 +25,7 @@
 // Versions and age of a VM's copy of the store's contents.
 struct store_summary {
     std::uint64_t configurationVersion = 0;
-    std::uint64_t storeVersion = 0; // Store version that the upstream list is from.
+    placement::store_position storePosition; // That the upstream list is from; earlier builds state no era.
     std::uint64_t upstreamDigest = 0; // Of the upstream list; see upstream_list.
     std::uint64_t contactAgeMs = 0; // Since the store last responded to that VM or to a known watcher.
 };
--- a/marlsill/cluster/peer_message_test.cc
+++ b/marlsill/cluster/peer_message_test.cc
@@ -39,7 +39,7 @@
         message.crashDigest = 12;
         message.crashes = { { 99, "u1", 2, 1, {} } };
         message.leaving = { { "u3", 77, {} } };
-        message.summary = store_summary { 3, 40, 50, 60 };
+        message.summary = store_summary { 3, { 7, 40 }, 50, 60 };
         message.isBeacon = true;
         message.wantsConfiguration = true;
         message.wantsUpstreams = true;
@@ -68,6 +68,7 @@
     CHECK(decoded->leaving.front().startedUnixMs == 77);
     CHECK(decoded->members == fullMessage().members);
     CHECK(decoded->upstreams == fullMessage().upstreams);
+    CHECK(decoded->summary->storePosition == placement::store_position { 7, 40 });
     CHECK(decoded->summary->upstreamDigest == 50);
     CHECK(decoded->configuration == fullMessage().configuration);
     CHECK(decoded->build == "0.2.0");
--- a/marlsill/cluster/store_relay.cc
+++ b/marlsill/cluster/store_relay.cc
@@ -82,10 +82,16 @@
 store_summary store_relay::summary(steady_clock::time_point now) const
 {
     auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - lastContact()).count();
-    return { m_configurationVersion, m_storeVersion, m_upstreams.digest(),
+    return { m_configurationVersion, m_storePosition, m_upstreams.digest(),
         static_cast<std::uint64_t>(std::clamp<std::int64_t>(age, 0, 3'600'000)) };
 }
 
+// Records that the upstream list is from this position, unless it is from a later one already.
+void store_relay::advance(placement::store_position position)
+{
+    m_storePosition = std::max(m_storePosition, position.orInEra(m_storePosition.era));
+}
+
 void store_relay::setConfiguration(std::string text, std::uint64_t version)
 {
     if (version <= m_configurationVersion) {
@@ -107,9 +113,10 @@
     }
 }
 
-void store_relay::setUpstreams(std::span<const placement::upstream_entry> entries, std::uint64_t storeVersion)
+void store_relay::setUpstreams(
+    std::span<const placement::upstream_entry> entries, placement::store_position position)
 {
-    m_storeVersion = std::max(m_storeVersion, storeVersion);
+    advance(position);
     auto delta = m_upstreams.deltaTo(entries);
     if (m_upstreams.digestAfter(delta) != m_upstreams.digest()) {
         applyDelta(delta);
@@ -253,7 +260,8 @@
     bool isDelta = message.isDelta;
     // A VM that reads the store itself accepts only lists of a newer store version.
     bool hasFreshStoreRead = m_isWatching && now - m_lastContact <= m_options.maxContactAge;
-    bool isNotNewer = summary.storeVersion < m_storeVersion + (hasFreshStoreRead ? 1 : 0)
+    auto position = summary.storePosition.orInEra(m_storePosition.era);
+    bool isNotNewer = position < m_storePosition || (hasFreshStoreRead && position == m_storePosition)
         || summary.upstreamDigest == m_upstreams.digest();
     bool hasOtherBase = isDelta && message.baseDigest != m_upstreams.digest();
     if (isNotNewer || hasOtherBase || (message.upstreams.empty() && !isDelta)) {
@@ -262,7 +270,7 @@
     if (isDelta) {
         upstream_delta delta { message.upstreams, message.removed };
         if (m_upstreams.digestAfter(delta) == summary.upstreamDigest) {
-            m_storeVersion = std::max(m_storeVersion, summary.storeVersion);
+            advance(position);
             applyDelta(delta);
         }
         return;
@@ -282,7 +290,7 @@
         entries.push_back(each);
     }
     m_partialSnapshot = {};
-    setUpstreams(entries, summary.storeVersion);
+    setUpstreams(entries, position);
 }
 
 void store_relay::handleSummary(const peer_message& message, steady_clock::time_point now)
@@ -290,8 +298,8 @@
     const auto& summary = *message.summary;
     peer_message request;
     request.wantsConfiguration = summary.configurationVersion > m_configurationVersion;
-    request.wantsUpstreams
-        = summary.storeVersion >= m_storeVersion && summary.upstreamDigest != m_upstreams.digest();
+    request.wantsUpstreams = summary.storePosition.orInEra(m_storePosition.era) >= m_storePosition
+        && summary.upstreamDigest != m_upstreams.digest();
     if (!message.isBeacon) {
         return;
     }
--- a/marlsill/cluster/store_relay.h
+++ b/marlsill/cluster/store_relay.h
@@ -4,7 +4,7 @@
 //
 //     store_relay relay(mesh.members(), options, actions, now);
 //     relay.noteStoreContact(now);
-//     relay.setUpstreams(entries, storeVersion);
+//     relay.setUpstreams(entries, position);
 //     relay.tick(now); // Decides whether to watch the store; a watcher also sends beacons.
 //
 // In each failure domain the VM with the highest score, usually one of the largest, is elected to watch the
@@ -79,7 +79,7 @@
 
     // Applies what this VM has read from the store, if it is new, and relays it if this VM is elected.
     void setConfiguration(std::string text, std::uint64_t version);
-    void setUpstreams(std::span<const placement::upstream_entry> entries, std::uint64_t storeVersion);
+    void setUpstreams(std::span<const placement::upstream_entry> entries, placement::store_position position);
 
     // Handles the parts of a peer's message that concern data of the store.
     void handleMessage(const peer_message& message, steady_clock::time_point now);
@@ -102,13 +102,14 @@
     int electionRank() const { return m_electionRank; }
 
     bool isWatching() const { return m_isWatching; }
-    std::uint64_t storeVersion() const { return m_storeVersion; }
+    placement::store_position storePosition() const { return m_storePosition; }
 
 private:
     bool isElectionDue(steady_clock::time_point now);
     void refreshElection();
     steady_clock::time_point lastContact() const { return std::max(m_lastContact, m_lastRelayedContact); }
     void applyDelta(const upstream_delta& delta);
+    void advance(placement::store_position position);
     store_summary summary(steady_clock::time_point now) const;
     void handleSummary(const peer_message& message, steady_clock::time_point now);
     void mergeUpstreams(const peer_message& message, steady_clock::time_point now);
@@ -140,7 +141,7 @@
     upstream_list m_upstreams; // Including unconfirmed ones.
     std::set<std::string> m_inUse; // Ids of the entries of `m_upstreams` that this VM uses.
     std::set<std::string> m_changed; // Ids of those that changed, or ended, since takeUpstreamChanges().
-    std::uint64_t m_storeVersion = 0; // Store version that the upstream list is from.
+    placement::store_position m_storePosition; // That the upstream list is from.
     steady_clock::time_point m_lastContact {}; // When the store last responded to this VM.
     steady_clock::time_point m_lastRelayedContact {}; // When it last responded to another VM, by a beacon.
     steady_clock::time_point m_lastOutageBeacon {}; // When a watcher last told that none reaches the store.
--- a/marlsill/cluster/store_relay_test.cc
+++ b/marlsill/cluster/store_relay_test.cc
@@ -42,6 +42,7 @@
         std::string storedText = "{}";
         std::size_t configurationBytes = 0; // Sent between VMs.
         std::vector<placement::upstream_entry> storedUpstreams;
+        std::uint64_t storeEra = 1;
         std::uint64_t storeVersion = 10;
 
         explicit virtual_fleet(int count, int domains = 1, bool knowEachOther = true)
@@ -140,7 +141,7 @@
                     if (each.isWatching && each.canReachStore) {
                         each.relay->noteStoreContact(now);
                         each.relay->setConfiguration(storedText, storedConfiguration);
-                        each.relay->setUpstreams(storedUpstreams, storeVersion);
+                        each.relay->setUpstreams(storedUpstreams, { storeEra, storeVersion });
                     }
                     if ((now.time_since_epoch() / milliseconds(50)) % 5 == 0) {
                         each.relay->tick(now);
@@ -369,7 +370,7 @@
     fleet.run(milliseconds(500));
     CHECK(fleet.allHave(1, 23));
     old.back().isUnconfirmed = true;
-    returning.relay->setUpstreams(old, fleet.storeVersion + 1);
+    returning.relay->setUpstreams(old, { fleet.storeEra, fleet.storeVersion + 1 });
     fleet.deliver();
     for (const auto& [other, node] : fleet.nodes) {
         CHECK((other == host || node.upstreams == 23));
@@ -396,7 +397,7 @@
     fleet.run(milliseconds(5'000));
     fleet.changeStore();
     auto watcher = fleet.firstWatcher();
-    fleet.nodes[watcher].relay->setUpstreams(fleet.storedUpstreams, fleet.storeVersion);
+    fleet.nodes[watcher].relay->setUpstreams(fleet.storedUpstreams, { fleet.storeEra, fleet.storeVersion });
     fleet.queue.clear();
     fleet.run(milliseconds(600));
     CHECK(fleet.allHave(2, 25));
@@ -435,7 +436,7 @@
     for (auto& [host, node] : fleet.nodes) {
         auto own = fleet.storedUpstreams;
         own.resize(own.size() - static_cast<std::size_t>(++index));
-        node.relay->setUpstreams(own, fleet.storeVersion);
+        node.relay->setUpstreams(own, { fleet.storeEra, fleet.storeVersion });
     }
     fleet.delivered = 0;
     fleet.run(milliseconds(1'000));
@@ -501,6 +502,49 @@
     }
 }
 
+TEST_CASE("A list is newer by the era of the store first")
+{
+    // Guards against a VM that keeps its list, as the store gives out versions again after it came back from
+    // a copy.
+    struct row {
+        const char* name;
+        placement::store_position position; // Of a peer's list of one upstream.
+        bool isAccepted;
+    };
+    const row rows[] = {
+        { "a later era, a lower version", { 2, 3 }, true },
+        { "the same era, a lower version", { 1, 3 }, false },
+        { "the same era, a higher version", { 1, 30 }, true },
+        { "an earlier build, which states no era", { 0, 30 }, true },
+        { "an earlier build, a lower version", { 0, 3 }, false },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        virtual_fleet fleet(3);
+        fleet.run(milliseconds(5'000));
+        auto found = std::find_if(fleet.nodes.begin(), fleet.nodes.end(),
+            [](const auto& node) { return !node.second.relay->isWatching(); });
+        REQUIRE(found != fleet.nodes.end());
+        auto& node = found->second;
+        REQUIRE(node.relay->storePosition() == placement::store_position { 1, 10 });
+        upstream_list list;
+        list.put({ .id = "x", .service = "s", .version = 1 });
+        peer_message message;
+        message.sender = "10.0.0.9";
+        message.summary = store_summary { 1, each.position, list.digest(), 0 };
+        message.upstreams = { list.entries().at("x") };
+        node.relay->handleMessage(message, fleet.now);
+        CHECK(node.upstreams == (each.isAccepted ? 1 : 24));
+        CHECK(node.relay->storePosition().era
+            == std::max<std::uint64_t>(1, each.isAccepted ? each.position.era : 1));
+        // What a VM of the earlier era still tells does not replace it.
+        message.summary->storePosition = { 1, 99 };
+        message.summary->upstreamDigest = list.digest() + 1;
+        node.relay->handleMessage(message, fleet.now);
+        CHECK(node.upstreams == (each.isAccepted ? 1 : 24));
+    }
+}
+
 TEST_CASE("Older lists and configurations are ignored")
 {
     virtual_fleet fleet(2);
@@ -508,7 +552,7 @@
     auto& [host, node] = *fleet.nodes.begin();
     peer_message old;
     old.sender = "10.0.0.9";
-    old.summary = store_summary { 0, 1, 12345, 0 };
+    old.summary = store_summary { 0, { 0, 1 }, 12345, 0 };
     old.upstreams = { { .id = "x" } };
     old.configuration = makeParts("{}", 0, {}).front();
     node.relay->handleMessage(old, fleet.now);
--- a/marlsill/events/events.h
+++ b/marlsill/events/events.h
@@ -47,6 +47,8 @@
     platformAvailable = 3011,
     platformBudgetSpent = 3012,
     storeWatchChanged = 3013,
+    storeRestored = 3014,
+    storeEraUnreadable = 3015,
     memberJoined = 4001,
     memberLeaving = 4002,
     memberGone = 4003,
--- a/marlsill/store/crash_archive.h
+++ b/marlsill/store/crash_archive.h
@@ -68,8 +68,9 @@
         , m_listener(std::move(listener))
         , m_timer(io)
         , m_watcher(io, client, { .kind = m_options.kind, .watchTimeout = m_options.watchTimeout },
-              { .listed = [this](const auto& objects, std::uint64_t) { handleList(objects); },
-                  .changed = [this](const auto& changes, std::uint64_t) { handleChanges(changes); },
+              { .listed = [this](const auto& objects, auto) { handleList(objects); },
+                  .changed = [this](const auto& changes, auto) { handleChanges(changes); },
+                  .restored = [](auto, auto) {}, // What the copy lacks is written again after the list.
                   .lost = [](const reason&) {},
                   .regained = [] {},
                   .contacted = [] {} })
--- a/marlsill/store/kind_watcher.h
+++ b/marlsill/store/kind_watcher.h
@@ -6,9 +6,10 @@
 //     asio::co_spawn(io, watcher.run(), asio::detached);
 //     watcher.setActive(true);
 //
-// If the store no longer has the history since the last known version, the watcher lists all objects again.
-// While the store is unavailable, it retries with exponential backoff; the listener is notified when the
-// store becomes unavailable and when it responds again. Not thread safe; used by one event loop.
+// If the store no longer has the history since the last known version, or has been restored from a copy, the
+// watcher lists all objects again. While the store is unavailable, it retries with exponential backoff; the
+// listener is notified when the store becomes unavailable and when it responds again. Not thread safe; used
+// by one event loop.
 
 #include "marlsill/base/random.h"
 #include "marlsill/base/reason.h"
@@ -59,10 +60,13 @@
 
 // Callbacks of a watcher, all called from its event loop.
 struct watch_listener {
-    // All objects of the kind as of `version`; replaces what was reported before.
-    std::function<void(const std::vector<stored_object>& objects, std::uint64_t version)> listed;
-    // Changes up to `version`.
-    std::function<void(const std::vector<object_change>& changes, std::uint64_t version)> changed;
+    // All objects of the kind as of `position`; replaces what was reported before.
+    std::function<void(const std::vector<stored_object>& objects, placement::store_position position)> listed;
+    // Changes up to `position`.
+    std::function<void(const std::vector<object_change>& changes, placement::store_position position)>
+        changed;
+    // The store has been restored from a copy, which may lack changes reported before. `listed` follows.
+    std::function<void(std::uint64_t previousEra, std::uint64_t era)> restored;
     std::function<void(const reason& why)> lost; // The store has become unavailable.
     std::function<void()> regained; // The store is available again.
     std::function<void()> contacted; // The store has responded, with or without changes.
@@ -84,18 +88,18 @@
     {
         while (true) {
             if (!m_isActive) {
-                m_version.reset(); // The store may drop the history before the next activation.
+                m_position.reset(); // The store may drop the history before the next activation.
                 co_await sleepUntil(deadline::max());
                 continue;
             }
             reason why;
-            bool isSuccessful = m_version ? co_await watchOnce(why) : co_await listAll(why);
+            bool isSuccessful = m_position ? co_await watchOnce(why) : co_await listAll(why);
             if (isSuccessful) {
                 noteSuccess();
                 continue;
             }
             if (why.code == reason_code::notFound) {
-                m_version.reset();
+                m_position.reset();
                 continue;
             }
             co_await backOff(why);
@@ -114,15 +118,19 @@
     {
         std::vector<stored_object> all;
         std::string after;
-        std::uint64_t version = 0;
+        std::optional<placement::store_position> position;
         while (true) {
             auto page
                 = co_await m_client.list(m_options.kind, after, deadlineAfter(m_options.listTimeout), why);
             if (!page) {
                 co_return false;
             }
-            // Watching from the first page's version also returns the changes made while listing.
-            version = version == 0 ? page->version : version;
+            // Watching from the first page's position also returns the changes made while listing.
+            position = position.value_or(page->position);
+            if (page->position.era != position->era) {
+                why = { reason_code::notFound, "the store was restored while it was listed" };
+                co_return false;
+            }
             all.insert(all.end(), page->objects.begin(), page->objects.end());
             if (!page->hasMore || page->objects.empty()) {
                 break;
@@ -130,21 +138,29 @@
             after = page->objects.back().name;
         }
         noteSuccess();
-        m_version = version;
-        m_listener.listed(all, version);
+        m_position = position;
+        auto previousEra = std::exchange(m_era, position->era);
+        if (previousEra != 0 && previousEra != m_era) {
+            m_listener.restored(previousEra, m_era);
+        }
+        m_listener.listed(all, *position);
         co_return true;
     }
 
     asio::awaitable<bool> watchOnce(reason& why)
     {
-        auto page = co_await m_client.watch(m_options.kind, *m_version, m_options.watchTimeout, why);
+        auto page = co_await m_client.watch(m_options.kind, m_position->version, m_options.watchTimeout, why);
         if (!page) {
             co_return false;
         }
         noteSuccess();
-        m_version = std::max(*m_version, page->version);
+        if (page->position.era != m_position->era) {
+            why = { reason_code::notFound, "the store was restored" };
+            co_return false;
+        }
+        m_position = std::max(*m_position, page->position);
         if (!page->changes.empty()) {
-            m_listener.changed(page->changes, *m_version);
+            m_listener.changed(page->changes, *m_position);
             co_await sleepUntil(deadlineAfter(m_options.batchDelay));
         }
         co_return true;
@@ -183,7 +199,8 @@
     const watch_listener m_listener;
     asio::steady_timer m_timer;
     std::chrono::milliseconds m_nextBackoff;
-    std::optional<std::uint64_t> m_version;
+    std::optional<placement::store_position> m_position; // To watch from; lists all objects if it is not set.
+    std::uint64_t m_era = 0; // Of the last list.
     bool m_isLost = false;
     bool m_isActive = false;
 };
--- a/marlsill/store/kind_watcher_test.cc
+++ b/marlsill/store/kind_watcher_test.cc
@@ -58,18 +58,19 @@
         std::vector<std::string> notifications;
     };
 
-    object_page page(const std::vector<std::string>& names, std::uint64_t version, bool hasMore = false)
+    object_page page(const std::vector<std::string>& names, std::uint64_t version, bool hasMore = false,
+        std::uint64_t era = 1)
     {
-        object_page result { {}, hasMore, version };
+        object_page result { {}, hasMore, { era, version } };
         for (const auto& name : names) {
             result.objects.push_back({ name, 1, {} });
         }
         return result;
     }
 
-    change_page changes(const std::vector<std::string>& names, std::uint64_t version)
+    change_page changes(const std::vector<std::string>& names, std::uint64_t version, std::uint64_t era = 1)
     {
-        change_page result { {}, version };
+        change_page result { {}, { era, version } };
         for (const auto& name : names) {
             result.changes.push_back({ { name, version, {} }, false });
         }
@@ -97,6 +98,28 @@
             { "listed 1 at 5", "lost", "regained", "changed 1 at 6" } },
         { "outage during the first list", { std::nullopt, page({ "a" }, 5) }, {},
             { "list ", "list ", "watch 5" }, { "lost", "regained", "listed 1 at 5" } },
+        // Guard against changes that are passed over, as their versions were given out before the store was
+        // restored from a copy.
+        { "restored, seen by a watch", { page({ "a" }, 5), page({ "a", "b" }, 4, false, 2) },
+            { { changes({}, 6, 2), none }, { changes({ "c" }, 5, 2), none } },
+            { "list ", "watch 5", "list ", "watch 4", "watch 5" },
+            { "listed 1 at 5", "restored 1 to 2", "listed 2 at 4", "changed 1 at 5" } },
+        { "restored, with changes of the new era", { page({ "a" }, 5), page({ "a", "b" }, 7, false, 2) },
+            { { changes({ "b" }, 7, 2), none } }, { "list ", "watch 5", "list ", "watch 7" },
+            { "listed 1 at 5", "restored 1 to 2", "listed 2 at 7" } },
+        { "restored, and the history is gone", { page({ "a" }, 5), page({}, 3, false, 2) },
+            { { std::nullopt, reason_code::notFound } }, { "list ", "watch 5", "list ", "watch 3" },
+            { "listed 1 at 5", "restored 1 to 2", "listed 0 at 3" } },
+        { "restored while it is listed",
+            { page({ "a", "b" }, 5, true), page({ "c" }, 4, false, 2), page({ "a" }, 4, false, 2) }, {},
+            { "list ", "list b", "list ", "watch 4" }, { "listed 1 at 4" } },
+        { "restored twice", { page({ "a" }, 5), page({ "a" }, 4, false, 2), page({ "b" }, 3, false, 3) },
+            { { changes({}, 4, 2), none }, { changes({}, 3, 3), none } },
+            { "list ", "watch 5", "list ", "watch 4", "list ", "watch 3" },
+            { "listed 1 at 5", "restored 1 to 2", "listed 1 at 4", "restored 2 to 3", "listed 1 at 3" } },
+        { "the era becomes known", { page({ "a" }, 5, false, 0), page({ "a" }, 5) },
+            { { changes({}, 6), none } }, { "list ", "watch 5", "list ", "watch 5" },
+            { "listed 1 at 5", "listed 1 at 5" } },
         { "an older version is ignored", { page({ "a" }, 5) }, { { changes({}, 3), none } },
             { "list ", "watch 5", "watch 5" }, { "listed 1 at 5" } },
     };
@@ -106,14 +129,19 @@
         scripted_client client { io, each.lists, each.watches };
         std::vector<std::string> notifications;
         watch_listener listener { .listed =
-                                      [&](const auto& objects, auto version) {
+                                      [&](const auto& objects, auto position) {
                                           notifications.push_back("listed " + std::to_string(objects.size())
-                                              + " at " + std::to_string(version));
+                                              + " at " + std::to_string(position.version));
                                       },
             .changed =
-                [&](const auto& events, auto version) {
+                [&](const auto& events, auto position) {
+                    notifications.push_back("changed " + std::to_string(events.size()) + " at "
+                        + std::to_string(position.version));
+                },
+            .restored =
+                [&](auto previousEra, auto era) {
                     notifications.push_back(
-                        "changed " + std::to_string(events.size()) + " at " + std::to_string(version));
+                        "restored " + std::to_string(previousEra) + " to " + std::to_string(era));
                 },
             .lost = [&](const reason&) { notifications.push_back("lost"); },
             .regained = [&] { notifications.push_back("regained"); },
--- a/marlsill/store/stored_object.h
+++ b/marlsill/store/stored_object.h
@@ -2,6 +2,8 @@
 
 // Objects of a store that holds them by kind and name, versions them, and lets clients watch for changes.
 
+#include "marlsill/placement/store_position.h"
+
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -12,7 +14,7 @@
 // One object of the store.
 struct stored_object {
     std::string name;
-    std::uint64_t version = 0; // Store version of its last change; increases across all objects.
+    std::uint64_t version = 0; // Store version of its last change; increases across all objects of one era.
     nlohmann::json content;
     std::string unreadable {}; // Why `content` is null although there is content; empty if it could be read.
 };
@@ -21,7 +23,7 @@
 struct object_page {
     std::vector<stored_object> objects;
     bool hasMore = false; // The next page starts after the last name of this one.
-    std::uint64_t version = 0; // Store version when the page was read.
+    placement::store_position position; // Of the store when the page was read.
 };
 
 // A created, changed or deleted object.
@@ -33,7 +35,7 @@
 // The changes after the version that a watch started from.
 struct change_page {
     std::vector<object_change> changes;
-    std::uint64_t version = 0; // Store version to start the next watch from.
+    placement::store_position position; // To start the next watch from.
 };
 
 }
--- a/marlsill/store/upstream_registry.cc
+++ b/marlsill/store/upstream_registry.cc
@@ -18,7 +18,7 @@
     std::set<std::string> present;
     for (const auto& each : listed) {
         present.insert(each.id);
-        hasChanged = put(each) || hasChanged;
+        hasChanged = update(m_entries[each.id], each) || hasChanged;
     }
     std::vector<std::string> missing;
     for (const auto& [id, each] : m_entries) {
@@ -35,10 +35,13 @@
 bool upstream_registry::put(const placement::upstream_entry& next)
 {
     auto& found = m_entries[next.id];
-    bool isOlder = next.version < found.registered.version;
-    if (isOlder) {
-        return false;
-    }
+    // The version of a missing entry may be of an earlier era of the store.
+    bool isOlder = !found.isMissing && next.version < found.registered.version;
+    return !isOlder && update(found, next);
+}
+
+bool upstream_registry::update(entry& found, const placement::upstream_entry& next)
+{
     bool isSameIncarnation
         = found.registered.startedUnixMs == next.startedUnixMs && found.registered.service == next.service;
     bool wasLeaving = isSameIncarnation && found.registered.isLeaving;
@@ -87,6 +90,12 @@
     }
 }
 
+void upstream_registry::noteStoreRestored(steady_clock::time_point now)
+{
+    m_isStoreLost = false;
+    m_regainedAt = now;
+}
+
 bool upstream_registry::expire(steady_clock::time_point now)
 {
     if (isOutageRecent(now)) {
--- a/marlsill/store/upstream_registry.h
+++ b/marlsill/store/upstream_registry.h
@@ -36,11 +36,13 @@
     {
     }
 
-    // Merges a complete list: puts its entries and removes those it lacks. Returns whether anything changed.
+    // Merges a complete list, which the store has returned after all that is known here: takes over its
+    // entries, whatever their versions, and removes those it lacks. Returns whether anything changed.
     bool replaceAll(std::span<const placement::upstream_entry> listed, steady_clock::time_point now);
 
-    // Adds, updates or removes one registration; put() ignores older versions. Returns whether anything
-    // changed; remove() returns false if it keeps the entry as unconfirmed.
+    // Adds, updates or removes one registration after a change in the store; put() ignores versions below
+    // that of a registered entry. Returns whether anything changed; remove() returns false if it keeps the
+    // entry as unconfirmed.
     bool put(const placement::upstream_entry& entry);
     bool remove(const std::string& id, steady_clock::time_point now);
 
@@ -52,6 +54,10 @@
     void noteStoreLost(steady_clock::time_point now);
     void noteStoreRegained(steady_clock::time_point now);
 
+    // Records that the store has come back from a copy, which may lack registrations; they are renewed as
+    // after an outage.
+    void noteStoreRestored(steady_clock::time_point now);
+
     // Removes the missing entries if the grace period has ended. Returns whether there were any.
     bool expire(steady_clock::time_point now);
 
@@ -67,6 +73,9 @@
         bool isMissing = false; // No longer in the store; kept because of an outage.
     };
 
+    // Takes over a registration. Returns whether anything changed.
+    bool update(entry& known, const placement::upstream_entry& next);
+
     // Returns whether the store is unavailable or the grace period after an outage has not ended.
     bool isOutageRecent(steady_clock::time_point now) const;
 
--- a/marlsill/store/upstream_registry_test.cc
+++ b/marlsill/store/upstream_registry_test.cc
@@ -1,6 +1,8 @@
 #include "marlsill/store/upstream_registry.h"
 
 #include <doctest/doctest.h>
+#include <optional>
+#include <set>
 
 namespace marlsill::store {
 
@@ -72,6 +74,48 @@
     CHECK_FALSE(registry.current().front().isLeaving);
 }
 
+TEST_CASE("Versions of an earlier era of the store do not hide what it holds now")
+{
+    // Guards against a drain that is dropped, because the store came back from a copy and gives out again the
+    // versions that the entry had before.
+    struct row {
+        const char* name;
+        std::vector<placement::upstream_entry> listed; // After the restoration.
+        std::optional<placement::upstream_entry> changed; // After that.
+        std::set<std::string>
+            expected; // Ids; those of leaving upstreams end with '-', of missing ones with '?'.
+    };
+    const row rows[] = {
+        { "drains after the list", { entry("a", 2), entry("b", 3) }, entry("a", 4, true), { "a-", "b" } },
+        { "drains in the list", { entry("a", 2, true), entry("b", 3) }, std::nullopt, { "a-", "b" } },
+        { "was leaving before", { entry("a", 2), entry("b", 3), entry("c", 1) }, std::nullopt,
+            { "a", "b", "c-" } },
+        { "missing in the copy", { entry("b", 3) }, std::nullopt, { "a?", "b" } },
+        { "missing, then written again", { entry("b", 3) }, entry("a", 4), { "a", "b" } },
+        { "missing, then drains", { entry("b", 3) }, entry("a", 4, true), { "a-", "b" } },
+        { "another process", { entry("b", 3), entry("c", 2, false, 2) }, entry("a", 4, false, 2),
+            { "a", "b", "c" } },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        auto registry = registryOf({ entry("a", 90), entry("b", 80), entry("c", 70, true) });
+        registry.noteStoreRestored(start);
+        registry.replaceAll(each.listed, start);
+        if (each.changed) {
+            CHECK(registry.put(*each.changed));
+        }
+        std::set<std::string> ids;
+        for (const auto& known : registry.current()) {
+            ids.insert(known.id + (known.isLeaving ? "-" : "") + (known.isUnconfirmed ? "?" : ""));
+        }
+        CHECK(ids == each.expected);
+        registry.expire(start + milliseconds(3'000));
+        for (const auto& known : registry.current()) {
+            CHECK_FALSE(known.isUnconfirmed);
+        }
+    }
+}
+
 TEST_CASE("An older version is ignored")
 {
     auto registry = registryOf({ entry("a", 5, true) });
