--- a/marlsill/store/crash_archive.h
+++ b/marlsill/store/crash_archive.h
@@ -71,7 +71,7 @@
               { .listed = [this](const auto& objects, auto) { handleList(objects); },
                   .changed = [this](const auto& changes, auto) { handleChanges(changes); },
                   .restored = [](auto, auto) {}, // What the copy lacks is written again after the list.
-                  .lost = [](const reason&) {},
+                  .lost = [](const reason&, auto) {},
                   .regained = [] {},
                   .contacted = [] {} })
     {
--- a/marlsill/store/kind_watcher.h
+++ b/marlsill/store/kind_watcher.h
@@ -8,8 +8,9 @@
 //
 // If the store no longer has the history since the last known version, or has been restored from a copy, the
 // watcher lists all objects again. While the store is unavailable, it retries with exponential backoff; the
-// listener is notified when the store becomes unavailable and when it responds again. Not thread safe; used
-// by one event loop.
+// listener is notified when the store becomes unavailable and when it responds again. A watch that is
+// cut off is repeated at once without a wait, so that the time in which the store counts as unavailable is
+// short unless it is. Not thread safe; used by one event loop.
 
 #include "marlsill/base/random.h"
 #include "marlsill/base/reason.h"
@@ -67,7 +68,8 @@
         changed;
     // The store has been restored from a copy, which may lack changes reported before. `listed` follows.
     std::function<void(std::uint64_t previousEra, std::uint64_t era)> restored;
-    std::function<void(const reason& why)> lost; // The store has become unavailable.
+    // The store has become unavailable, at `since` at the earliest.
+    std::function<void(const reason& why, steady_clock::time_point since)> lost;
     std::function<void()> regained; // The store is available again.
     std::function<void()> contacted; // The store has responded, with or without changes.
 };
@@ -93,6 +95,7 @@
                 continue;
             }
             reason why;
+            auto startedAt = steady_clock::now();
             bool isSuccessful = m_position ? co_await watchOnce(why) : co_await listAll(why);
             if (isSuccessful) {
                 noteSuccess();
@@ -102,7 +105,10 @@
                 m_position.reset();
                 continue;
             }
-            co_await backOff(why);
+            // A call that fails before its wait is over was refused or cut off just now. One that got no
+            // response in time may have been sent to a store that was away already.
+            auto now = steady_clock::now();
+            co_await backOff(why, now - startedAt < m_options.watchTimeout ? now : startedAt);
         }
     }
 
@@ -149,7 +155,10 @@
 
     asio::awaitable<bool> watchOnce(reason& why)
     {
-        auto page = co_await m_client.watch(m_options.kind, m_position->version, m_options.watchTimeout, why);
+        // After a failure, a response at once tells whether the store is there. A watch that waits may be cut
+        // off again without any outage.
+        auto wait = m_isLost ? std::chrono::milliseconds(0) : m_options.watchTimeout;
+        auto page = co_await m_client.watch(m_options.kind, m_position->version, wait, why);
         if (!page) {
             co_return false;
         }
@@ -175,10 +184,10 @@
         }
     }
 
-    asio::awaitable<void> backOff(const reason& why)
+    asio::awaitable<void> backOff(const reason& why, steady_clock::time_point since)
     {
         if (!std::exchange(m_isLost, true)) {
-            m_listener.lost(why);
+            m_listener.lost(why, since);
         }
         std::uniform_real_distribution<> jitter(0.5, 1.0);
         auto delay
--- a/marlsill/store/upstream_registry.cc
+++ b/marlsill/store/upstream_registry.cc
@@ -8,7 +8,7 @@
 
 bool upstream_registry::isOutageRecent(steady_clock::time_point now) const
 {
-    return m_isStoreLost || (m_regainedAt && now < *m_regainedAt + m_options.reregistrationGracePeriod);
+    return m_lostAt || (m_regainedAt && now < *m_regainedAt + m_options.reregistrationGracePeriod);
 }
 
 bool upstream_registry::replaceAll(
@@ -69,7 +69,7 @@
 void upstream_registry::reinitialize(std::span<const placement::upstream_entry> known)
 {
     m_entries.clear();
-    m_isStoreLost = false;
+    m_lostAt.reset();
     m_regainedAt.reset();
     for (const auto& each : known) {
         put(each);
@@ -77,22 +77,19 @@
     }
 }
 
-void upstream_registry::noteStoreLost(steady_clock::time_point)
-{
-    m_isStoreLost = true;
-    m_regainedAt.reset();
-}
+void upstream_registry::noteStoreLost(steady_clock::time_point since) { m_lostAt = m_lostAt.value_or(since); }
 
 void upstream_registry::noteStoreRegained(steady_clock::time_point now)
 {
-    if (std::exchange(m_isStoreLost, false)) {
+    auto lostAt = std::exchange(m_lostAt, std::nullopt);
+    if (lostAt && now - *lostAt >= m_options.minOutage) {
         m_regainedAt = now;
     }
 }
 
 void upstream_registry::noteStoreRestored(steady_clock::time_point now)
 {
-    m_isStoreLost = false;
+    m_lostAt.reset();
     m_regainedAt = now;
 }
 
@@ -108,7 +105,7 @@
 {
     bool hasMissing = std::any_of(
         m_entries.begin(), m_entries.end(), [](const auto& each) { return each.second.isMissing; });
-    if (!hasMissing || !m_regainedAt) {
+    if (!hasMissing || m_lostAt || !m_regainedAt) {
         return std::nullopt;
     }
     return *m_regainedAt + m_options.reregistrationGracePeriod;
--- a/marlsill/store/upstream_registry.h
+++ b/marlsill/store/upstream_registry.h
@@ -7,8 +7,8 @@
 //     registry.noteStoreLost(now);
 //     auto current = registry.current();
 //
-// Registrations lapse while the store is unavailable, although their upstreams are alive, and are renewed
-// soon after it returns. An entry that goes missing during an outage, or in the grace period after it, is
+// Registrations lapse in an outage of the store, although their upstreams are alive, and are renewed soon
+// after it returns. An entry that goes missing during an outage, or in the grace period after it, is
 // therefore kept as unconfirmed until the grace period ends. An upstream that was seen leaving remains
 // leaving until it restarts. Not thread safe.
 
@@ -27,6 +27,9 @@
 struct registry_options {
     // Starts at the end of an outage; lapsed registrations are renewed within about 2 s.
     std::chrono::milliseconds reregistrationGracePeriod { 2'300 };
+    // A registration lapses after several heartbeats; while the store was away for less, none did. Longer
+    // than a watch that was cut off takes to be repeated.
+    std::chrono::milliseconds minOutage { 1'000 };
 };
 
 class upstream_registry {
@@ -50,8 +53,9 @@
     // watch the store, with the upstreams that it has learned from other VMs.
     void reinitialize(std::span<const placement::upstream_entry> known);
 
-    // Records that the store has become unavailable, or available again.
-    void noteStoreLost(steady_clock::time_point now);
+    // Records that the store is unavailable since a moment, or available again. Less than `minOutage` between
+    // them is no outage.
+    void noteStoreLost(steady_clock::time_point since);
     void noteStoreRegained(steady_clock::time_point now);
 
     // Records that the store has come back from a copy, which may lack registrations; they are renewed as
@@ -81,7 +85,7 @@
 
     const registry_options m_options;
     std::map<std::string, entry> m_entries;
-    bool m_isStoreLost = false;
+    std::optional<steady_clock::time_point> m_lostAt; // While the store is unavailable.
     std::optional<steady_clock::time_point> m_regainedAt; // End of the last outage.
 };
 
--- a/marlsill/store/upstream_registry_test.cc
+++ b/marlsill/store/upstream_registry_test.cc
@@ -58,6 +58,41 @@
     CHECK_FALSE(registry.nextExpiry());
 }
 
+TEST_CASE("Only an outage that lapses registrations delays a removal")
+{
+    // Guards against an upstream that stays in use after its entry is removed, because a single watch was cut
+    // off shortly before.
+    struct row {
+        const char* name;
+        std::vector<std::pair<int, int>> losses; // In milliseconds: lost since, regained at.
+        int removedAtMs;
+        bool isRemovedAtOnce;
+    };
+    const row rows[] = {
+        { "no loss", {}, 10'000, true },
+        { "a watch that was cut off", { { 9'700, 9'800 } }, 10'000, true },
+        { "watches cut off again and again",
+            { { 8'000, 8'900 }, { 9'000, 9'150 }, { 9'200, 9'999 }, { 10'000, 10'000 } }, 10'000, true },
+        { "an outage", { { 5'000, 9'900 } }, 10'000, false },
+        { "an outage of a second", { { 8'900, 9'900 } }, 10'000, false },
+        { "an outage, then a cut", { { 5'000, 9'000 }, { 9'500, 9'600 } }, 10'000, false },
+        { "an outage, long after it", { { 3'000, 7'600 } }, 10'000, true },
+        { "an outage, long after it, and a cut", { { 3'000, 7'600 }, { 9'900, 9'950 } }, 10'000, true },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        auto registry = registryOf({ entry("a") });
+        for (const auto& [lost, regained] : each.losses) {
+            registry.noteStoreLost(start + milliseconds(lost));
+            registry.noteStoreLost(start + milliseconds(regained)); // Of another call that fails.
+            registry.noteStoreRegained(start + milliseconds(regained));
+        }
+        CHECK(registry.remove("a", start + milliseconds(each.removedAtMs)) == each.isRemovedAtOnce);
+        CHECK(registry.current().empty() == each.isRemovedAtOnce);
+        CHECK(registry.nextExpiry().has_value() != each.isRemovedAtOnce);
+    }
+}
+
 TEST_CASE("A leaving upstream is removed with its entry, even during an outage")
 {
     auto registry = registryOf({ entry("a", 1, true) });
