--- a/marlsill/cluster/peer_message_test.cc
+++ b/marlsill/cluster/peer_message_test.cc
@@ -213,6 +213,7 @@
             { { "m", json::array({ known, { "10.0.0.3", "a", "10.0.0.3:80", 5, 6, 9, 1 } }) } }, 1, 1 },
         { "an unknown kind of evidence beside a known one",
             { { "e", json::array({ { "u1", 1 }, { "u2", 99 } }) } }, 1, 1 },
+        { "a summary with more elements", { { "k", json::array({ 3, 40, 50, 60, 7, "more" }) } }, 1, 1 },
         { "a later version of the build", { { "bd", "7.0.0" } }, 1, 1 },
     };
     for (const auto& each : rows) {
