Soak: cut watches and a store that comes back from a copy

The faults have a random stream of their own, so that the others of a seed stay as they were. Upstreams and the operator write again up to 1.5 s later what the copy lacks. Left out of upgrades, as the build in production does not know it.

--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -384,9 +384,9 @@
     return isRefusal && !thisAttempt.outcome.wasReused;
 }
 
-// Returns whether only this request can have been sent before on a connection where its response is awaited:
-// an upstream may repeat an earlier response, which its id tells apart, unless the request has none or has
-// been at this upstream before.
+// Returns whether the response to a request can be told apart, on a connection that has carried others, from
+// an earlier response that the upstream repeats. Its id does, unless the request has none or has been at this
+// upstream before.
 bool forwarder::mayReuseConnection(const active_request& current, const attempt& thisAttempt)
 {
     return !current.id.empty()
--- a/marlsill/http/internal/header_check.h
+++ b/marlsill/http/internal/header_check.h
@@ -3,7 +3,7 @@
 // Strict parsing of header blocks, and of the fields that frame the body.
 //
 //     Poco::Net::HTTPRequest head;
-//     if (!internal::parseHead(block, head))
+//     if (!internal::parseHead(block, head, maxFields))
 //         return parse_status::malformed;
 //
 // POCO accepts bare line feeds, folded lines and repeated Content-Length fields, and replaces RFC 2047
--- a/marlsill/http/message_writer.cc
+++ b/marlsill/http/message_writer.cc
@@ -74,7 +74,7 @@
     } else {
         head.erase("Content-Length");
     }
-    return headBytes(std::move(head)) + message.body;
+    return headBytes(head) + message.body;
 }
 
 std::string serialize(const response_message& message, std::string_view requestMethod)
@@ -84,13 +84,13 @@
     int status = head.getStatus();
     if (status == 204) {
         head.erase("Content-Length");
-        return headBytes(std::move(head));
+        return headBytes(head);
     }
     if (requestMethod == "HEAD" || status == 304) {
-        return headBytes(std::move(head));
+        return headBytes(head);
     }
     head.setContentLength64(static_cast<Poco::Int64>(message.body.size()));
-    return headBytes(std::move(head)) + message.body;
+    return headBytes(head) + message.body;
 }
 
 std::string serializeHead(const Poco::Net::HTTPResponse& head) { return headBytes(head); }
--- a/testing/soak/soak_run.cc
+++ b/testing/soak/soak_run.cc
@@ -30,6 +30,9 @@
     constexpr milliseconds startLimit { 10'000 };
     constexpr milliseconds recoveryLimit { 15'000 }; // The users' bound after faults.
     constexpr milliseconds drainBound { 2'500 }; // The users' bound for news of a leaving upstream.
+    constexpr milliseconds restorationSettleTime {
+        3'000
+    }; // After the store came back from a copy; the users' bound.
     constexpr milliseconds drainCheck { 1'000 }; // How long it is watched beyond the bound.
     constexpr int callsPerConnection = 20;
     constexpr int timeoutMs = 2'000;
@@ -50,6 +53,7 @@
     , m_leavingRandom(m_options.seed + 3)
     , m_turnAwayRandom(m_options.seed + 4)
     , m_upgradeRandom(m_options.seed + 5)
+    , m_restoreRandom(m_options.seed + 6)
 {
 }
 
@@ -60,9 +64,10 @@
     return milliseconds(shortestMs + draw(longestMs - shortestMs + 1));
 }
 
-void soak_run::publishConfiguration()
+void soak_run::publishConfiguration() { writeConfiguration(++m_version); }
+
+void soak_run::writeConfiguration(int version)
 {
-    int version = ++m_version;
     m_store.put(platform_adapter::configurationKind, platform_adapter::configurationName,
         platform_adapter::configurationObject(version, host, service,
             { { "once", "/once/", true }, { "repeat", "/repeat/" }, { "version", versionPrefix(version) } }));
@@ -426,6 +431,30 @@
     m_storeTroubleUntil = deadlineAfter(drawLength(300, 4'000));
 }
 
+// Cuts the waiting watches off, or lets the store come back from a copy of a few moments ago. The upstreams
+// and the operator write again, a little later, what the copy lacks.
+void soak_run::restoreStore()
+{
+    if (m_restoreRandom() % 4 == 0) {
+        m_store.cutWatches(); // No trouble of the store; drains are checked all the same.
+    }
+    if (m_restoreRandom() % 3 == 0) {
+        m_store.takeCopy();
+    }
+    // The build in production does not know that the store can come back from a copy.
+    if (m_restoreRandom() % 6 != 0 || !m_options.earlierProgram.empty()) {
+        return;
+    }
+    spoilDrains();
+    m_store.restore();
+    std::this_thread::sleep_for(milliseconds(m_restoreRandom() % 1'500));
+    for (const auto& each : m_upstreams) {
+        publishUpstream(*each, each->isDraining ? "draining" : "ready");
+    }
+    writeConfiguration(m_version);
+    m_storeTroubleUntil = std::max(m_storeTroubleUntil, deadlineAfter(restorationSettleTime));
+}
+
 void soak_run::troubleUpstream(upstream_place& place)
 {
     constexpr upstream_step steps[]
@@ -592,6 +621,7 @@
 void soak_run::faultLoop()
 {
     auto until = deadlineAfter(m_options.length);
+    m_store.takeCopy();
     while (!hasPassed(until, steady_clock::now()) || !m_upgrade.empty()) {
         nameLimit();
         sayLeaving();
@@ -603,6 +633,7 @@
         }
         for (int left = draw(6); left >= 0; --left) {
             playFault();
+            restoreStore();
             upgradeEntries();
             if (m_leavingRandom() % 4 == 0) {
                 sayLeaving();
--- a/testing/soak/soak_run.h
+++ b/testing/soak/soak_run.h
@@ -91,6 +91,7 @@
     void callOn(std::size_t entry, std::mt19937_64& random, const std::string& prefix, int& count);
     std::string lifeOf(std::size_t entry);
     void publishConfiguration();
+    void writeConfiguration(int version);
     void publishUpstream(const upstream_place& place, const std::string& state);
     void faultLoop();
     void playFault();
@@ -100,6 +101,7 @@
     void pauseEntry(entry_place& entry);
     void cutStoreLink(entry_place& entry);
     void troubleStore();
+    void restoreStore();
     void troubleUpstream(upstream_place& place);
     void troubleUpstreamLink(upstream_place& place);
     void drainUpstream(upstream_place& place);
@@ -128,6 +130,7 @@
     std::mt19937_64 m_leavingRandom; // Of upstreams that say in their answers that they leave; likewise.
     std::mt19937_64 m_turnAwayRandom; // Of upstreams that turn requests away; apart likewise.
     std::mt19937_64 m_upgradeRandom; // Likewise.
+    std::mt19937_64 m_restoreRandom; // Of cut watches and of a store that comes back from a copy; likewise.
     std::vector<upgrade_step> m_upgrade; // Steps that are left.
     deadline m_nextUpgrade {};
     int m_upgrades = 0;
