A daemon's start waits for what it lacks, and an exception does not end it (FAULT)

Callers saw: the system did not start, or its processes ended by themselves (one report, no logs). Class of the cause: what a process needs is taken for granted at its start, and a passing refusal ends it.

Held before: SIGPIPE (POCO blocks it).

Event loops and endless coroutines go on after an exception, with a line (handler_failed, part_failed); a session's exception closes its connection. Grace and drain times may be fractions.

Not covered: SIGHUP between exec and main() (the loader's time); threads that log4cplus cannot get.

--- a/marlsill/cluster/peer_mesh.cc
+++ b/marlsill/cluster/peer_mesh.cc
@@ -2,10 +2,9 @@
 
 #include "marlsill/base/random.h"
 #include "marlsill/events/events.h"
+#include "marlsill/supervisor/loop_guard.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -47,19 +46,28 @@
 {
 }
 
-std::string peer_mesh::start()
+boost::system::error_code peer_mesh::start()
 {
     boost::system::error_code error;
+    if (m_socket.is_open()) {
+        return error;
+    }
     asio::ip::udp::endpoint local(asio::ip::make_address_v4(m_members.self().host, error), m_options.port);
-    m_socket.open(local.protocol(), error);
-    m_socket.bind(local, error);
+    if (!error) {
+        m_socket.open(local.protocol(), error);
+    }
+    if (!error) {
+        m_socket.bind(local, error);
+    }
     if (error) {
-        return error.message();
+        boost::system::error_code ignored;
+        m_socket.close(ignored);
+        return error;
     }
     m_socket.non_blocking(true, error);
-    asio::co_spawn(m_io, receiveLoop(), asio::detached);
-    asio::co_spawn(m_io, tickLoop(), asio::detached);
-    asio::co_spawn(m_io, loadLoop(), asio::detached);
+    spawnSupervised(m_io, "peers/receive", [this] { return receiveLoop(); });
+    spawnSupervised(m_io, "peers/ping", [this] { return tickLoop(); });
+    spawnSupervised(m_io, "peers/load", [this] { return loadLoop(); });
     return {};
 }
 
--- a/marlsill/cluster/peer_mesh.h
+++ b/marlsill/cluster/peer_mesh.h
@@ -95,8 +95,9 @@
     peer_mesh(asio::io_context& io, peer_mesh_options options, member self, member_list_options memberOptions,
         peer_mesh_handler handler);
 
-    // Binds the socket and starts the loops. Returns an error message, or an empty string on success.
-    std::string start();
+    // Binds the socket and starts the loops. Returns what failed, if anything did; it can be called again
+    // then.
+    boost::system::error_code start();
 
     // Sets this VM's state and announces it to all reachable VMs; `leaving` at the start of a planned stop.
     void setState(member_state state);
--- a/marlsill/cluster/peer_mesh_test.cc
+++ b/marlsill/cluster/peer_mesh_test.cc
@@ -27,7 +27,8 @@
     public:
         mesh_vm(asio::io_context& io, const std::string& host, const std::string& seed, unsigned short port,
             const std::string& build = "0.2.0")
-            : m_mesh(io, { .port = port, .seeds = { seed }, .build = build }, { .host = host }, {},
+            : m_mesh(io, { .port = port, .seeds = { seed }, .build = build },
+                { .host = host }, {},
                 { .evidence = [this](const auto& each) { heard.push_back(each.upstream); },
                     .load = [](auto, const auto&) {},
                     .crash = [this](const auto& each) { quarantine.merge(each, steady_clock::now()); },
@@ -51,7 +52,7 @@
                     .isServicePeer
                     = [this](const auto& upstream) { return own.find(upstream.front()) != own.npos; } })
         {
-            REQUIRE(m_mesh.start().empty());
+            REQUIRE_FALSE(m_mesh.start());
         }
 
         std::string builds() const { return m_mesh.builds().summary(); }
--- a/marlsill/gateway/gateway.cc
+++ b/marlsill/gateway/gateway.cc
@@ -1,9 +1,8 @@
 #include "marlsill/gateway/gateway.h"
 
 #include "marlsill/events/events.h"
+#include "marlsill/supervisor/loop_guard.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <charconv>
@@ -57,11 +56,11 @@
 {
 }
 
-std::string gateway::start()
+boost::system::error_code gateway::start()
 {
     auto failure = m_callerServer.start();
-    if (failure.empty()) {
-        asio::co_spawn(m_io, sweepLoop(), asio::detached);
+    if (!failure && !std::exchange(m_isSweeping, true)) {
+        spawnSupervised(m_io, "sweep", [this] { return sweepLoop(); });
     }
     return failure;
 }
@@ -184,7 +183,7 @@
     m_exitDeadline = exitDeadline;
     m_forwarder.beginStop({ steady_clock::now(), exitDeadline });
     m_callerServer.beginDrain();
-    asio::co_spawn(m_io, drainLoop(std::move(onDone)), asio::detached);
+    spawnSupervised(m_io, "drain", [this, onDone = std::move(onDone)] { return drainLoop(onDone); });
 }
 
 asio::awaitable<void> gateway::drainLoop(std::function<void()> onDone)
--- a/marlsill/gateway/gateway.h
+++ b/marlsill/gateway/gateway.h
@@ -30,8 +30,9 @@
 public:
     gateway(asio::io_context& io, gateway_options options, wire_fields wire);
 
-    // Binds the endpoint and starts to accept. Returns an error message, or an empty string on success.
-    std::string start();
+    // Binds the endpoint and starts to accept. Returns what failed, if anything did; it can be called again
+    // then.
+    boost::system::error_code start();
 
     // Returns whether requests can be routed and no stop has begun.
     bool isReady() const;
@@ -76,6 +77,7 @@
     session_server m_callerServer;
     request_relay* m_relay = nullptr;
     std::function<std::vector<std::string>(const std::string&)> m_relayPeersFor;
+    bool m_isSweeping = false;
     std::optional<deadline> m_exitDeadline;
     bool m_knowsUpstreams = false;
 };
--- a/marlsill/gateway/session_server.cc
+++ b/marlsill/gateway/session_server.cc
@@ -3,10 +3,10 @@
 #include "marlsill/base/socket_options.h"
 #include "marlsill/events/events.h"
 #include "marlsill/http/message_writer.h"
+#include "marlsill/supervisor/loop_guard.h"
 
 #include <array>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -37,6 +37,22 @@
     detectDeadPeer(m_socket.native_handle(), deadPeerTimeout);
 }
 
+void caller_session::start()
+{
+    spawn([this] { return run(); });
+}
+
+void caller_session::spawn(std::function<asio::awaitable<void>()> start)
+{
+    asio::co_spawn(m_server.m_io, std::move(start), [self = shared_from_this()](std::exception_ptr failure) {
+        if (failure) {
+            logEvent(event::handlerFailed,
+                { { "caller", self->m_caller }, { "cause", describeException(failure) } });
+            self->close();
+        }
+    });
+}
+
 asio::awaitable<bool> caller_session::receive()
 {
     static thread_local std::array<char, readChunkSize> chunk;
@@ -123,8 +139,7 @@
     m_lastActivity = current->request->arrivedAt;
     m_pipeline.push_back(current);
     m_isReading = m_pipeline.size() < maxPipelinedRequests;
-    asio::co_spawn(
-        m_server.m_io, [self = shared_from_this(), current] { return self->serve(current); }, asio::detached);
+    spawn([this, current] { return serve(current); });
 }
 
 void caller_session::sendLocalReply(int status, std::string_view why)
@@ -176,8 +191,7 @@
     m_lastActivity = steady_clock::now();
     if (wasFull && !m_isReading && !m_isClosing && m_pipeline.size() < maxPipelinedRequests) {
         m_isReading = true;
-        asio::co_spawn(
-            m_server.m_io, [self = shared_from_this()] { return self->run(); }, asio::detached);
+        spawn([this] { return run(); });
     }
     startWriting();
 }
@@ -186,8 +200,7 @@
 {
     if (!m_isWriting && !m_writeBuffer.empty()) {
         m_isWriting = true;
-        asio::co_spawn(
-            m_server.m_io, [self = shared_from_this()] { return self->writePending(); }, asio::detached);
+        spawn([this] { return writePending(); });
     }
 }
 
@@ -258,8 +271,7 @@
     }
     m_isClosing = true;
     m_isReading = false;
-    asio::co_spawn(
-        m_server.m_io, [self = shared_from_this()] { return self->writePending(); }, asio::detached);
+    spawn([this] { return writePending(); });
 }
 
 // Closes the connection and cancels its requests in flight.
@@ -288,19 +300,26 @@
 {
 }
 
-std::string session_server::start()
+boost::system::error_code session_server::start()
 {
     boost::system::error_code error;
+    if (m_acceptor.is_open()) {
+        return error;
+    }
     m_acceptor.open(m_options.endpoint.protocol(), error);
-    m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    m_acceptor.bind(m_options.endpoint, error);
+    if (!error) {
+        m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+        m_acceptor.bind(m_options.endpoint, error);
+    }
     if (!error) {
         m_acceptor.listen(listenBacklog, error);
     }
     if (error) {
-        return error.message();
+        boost::system::error_code ignored;
+        m_acceptor.close(ignored);
+        return error;
     }
-    asio::co_spawn(m_io, acceptLoop(), asio::detached);
+    spawnSupervised(m_io, "accept", [this] { return acceptLoop(); });
     return {};
 }
 
@@ -317,8 +336,7 @@
         }
         auto session = std::make_shared<caller_session>(*this, std::move(socket));
         m_sessions.insert(session);
-        asio::co_spawn(
-            m_io, [session] { return session->run(); }, asio::detached);
+        session->start();
     }
 }
 
--- a/marlsill/gateway/session_server.h
+++ b/marlsill/gateway/session_server.h
@@ -57,8 +57,8 @@
 public:
     caller_session(session_server& server, asio::ip::tcp::socket socket);
 
-    // Reads and dispatches requests until the connection closes.
-    asio::awaitable<void> run();
+    // Starts to read and dispatch requests, until the connection closes.
+    void start();
 
     // Closes the connection if the caller is idle or sends a header too slowly.
     void enforceTimeouts(steady_clock::time_point now);
@@ -77,6 +77,9 @@
         bool closesConnection = false; // The connection closes after this response.
     };
 
+    // Runs a coroutine of this session, which lives until it ends. An exception closes the connection.
+    void spawn(std::function<asio::awaitable<void>()> start);
+    asio::awaitable<void> run();
     asio::awaitable<void> serve(std::shared_ptr<pending_request> current);
     bool parseNext();
     asio::awaitable<bool> receive();
@@ -111,8 +114,9 @@
 public:
     session_server(asio::io_context& io, session_server_options options, serve_function serve);
 
-    // Binds the endpoint and starts to accept. Returns an error message, or an empty string on success.
-    std::string start();
+    // Binds the endpoint and starts to accept. Returns what failed, if anything did; it can be called again
+    // then. Nothing happens if it has started already.
+    boost::system::error_code start();
 
     // Closes idle connections now and others after their last response. New connections are accepted
     // until stopAccepting(), and also close after their last response.
--- a/marlsill/settings/settings.cc
+++ b/marlsill/settings/settings.cc
@@ -7,6 +7,7 @@
 #include <boost/program_options.hpp>
 #include <cctype>
 #include <charconv>
+#include <cmath>
 #include <cstdio>
 #include <cstdlib>
 #include <sstream>
@@ -35,6 +36,8 @@
         case setting_kind::integer:
             return "a whole number from " + std::to_string(spec.minimum) + " to "
                 + std::to_string(spec.maximum);
+        case setting_kind::decimal:
+            return "a number from " + std::to_string(spec.minimum) + " to " + std::to_string(spec.maximum);
         case setting_kind::address:
             return "an IP number and a port, such as 10.0.0.1:8080";
         case setting_kind::choice:
@@ -57,6 +60,16 @@
         return value;
     }
 
+    std::optional<double> parseDecimal(const std::string& text)
+    {
+        char* end = nullptr;
+        double value = std::strtod(text.c_str(), &end);
+        if (text.empty() || end != text.c_str() + text.size() || !std::isfinite(value)) {
+            return std::nullopt;
+        }
+        return value;
+    }
+
     bool isAddress(const std::string& text)
     {
         auto colon = text.rfind(':');
@@ -90,6 +103,11 @@
             auto number = parseInteger(value);
             return number && isInRange(*number);
         }
+        case setting_kind::decimal: {
+            auto number = parseDecimal(value);
+            return number && *number >= static_cast<double>(spec.minimum)
+                && *number <= static_cast<double>(spec.maximum);
+        }
         case setting_kind::address:
             return (spec.isOptional && value.empty()) || isAddress(value);
         case setting_kind::choice:
@@ -190,6 +208,8 @@
     return parseInteger(text(name)).value_or(0);
 }
 
+double settings_values::decimal(std::string_view name) const { return parseDecimal(text(name)).value_or(0); }
+
 bool settings_values::isSet(std::string_view name) const { return text(name) == "true"; }
 
 std::optional<settings_values> readSettings(std::span<const setting_spec> specs,
--- a/marlsill/settings/settings.h
+++ b/marlsill/settings/settings.h
@@ -34,6 +34,7 @@
 enum class setting_kind {
     text,
     integer,
+    decimal, // A number with or without a fraction.
     address, // An IP number and a port, as in 10.0.0.1:8080.
     choice, // One of the words in `choices`, which are separated by '|'.
     flag, // true or false; the flag without a value means true.
@@ -59,6 +60,13 @@
     return { name, setting_kind::integer, defaultValue, help, minimum, maximum, {}, false };
 }
 
+// Declares a setting that takes a number with or without a fraction, with an inclusive range.
+constexpr setting_spec decimalSetting(std::string_view name, std::string_view defaultValue,
+    std::string_view help, std::int64_t minimum, std::int64_t maximum)
+{
+    return { name, setting_kind::decimal, defaultValue, help, minimum, maximum, {}, false };
+}
+
 // Declares an address setting, which is required when it has no default.
 constexpr setting_spec addressSetting(
     std::string_view name, std::string_view defaultValue, std::string_view help)
@@ -95,6 +103,9 @@
     // Returns an integer setting's value, which lies in its declared range.
     std::int64_t integer(std::string_view name) const;
 
+    // Returns a decimal setting's value, which lies in its declared range.
+    double decimal(std::string_view name) const;
+
     // Returns a flag setting's value.
     bool isSet(std::string_view name) const;
 
--- a/marlsill/store/crash_archive.h
+++ b/marlsill/store/crash_archive.h
@@ -16,9 +16,8 @@
 #include "marlsill/placement/crash_quarantine.h"
 #include "marlsill/store/crash_object.h"
 #include "marlsill/store/kind_watcher.h"
+#include "marlsill/supervisor/loop_guard.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <map>
 #include <string>
 #include <vector>
@@ -80,8 +79,8 @@
     // Starts the loops, which stay idle until setActive().
     void start()
     {
-        asio::co_spawn(m_io, m_watcher.run(), asio::detached);
-        asio::co_spawn(m_io, writeLoop(), asio::detached);
+        spawnSupervised(m_io, "store/crash_records", [this] { return m_watcher.run(); });
+        spawnSupervised(m_io, "store/crash_records_writer", [this] { return writeLoop(); });
     }
 
     // Starts or stops to read and write the store.
--- a/testing/gateway_test.cc
+++ b/testing/gateway_test.cc
@@ -680,7 +680,7 @@
     options.callerEndpoint = { asio::ip::make_address_v4("127.0.0.1"), probe.address().port() };
     probe.close();
     gateway::gateway entry(io, options, gateway::wire_fields());
-    REQUIRE(entry.start().empty());
+    REQUIRE_FALSE(entry.start());
     CHECK_FALSE(entry.isReady());
     std::thread loop([&] { io.run(); });
     caller connection("127.0.0.1:" + std::to_string(options.callerEndpoint.port()));
--- a/testing/gateway_thread.h
+++ b/testing/gateway_thread.h
@@ -28,7 +28,7 @@
         options.callerEndpoint = { boost::asio::ip::make_address_v4("127.0.0.1"), freePort() };
         m_address = "127.0.0.1:" + std::to_string(options.callerEndpoint.port());
         m_gateway = std::make_unique<gateway::gateway>(m_io, options, gateway::wire_fields());
-        REQUIRE(m_gateway->start().empty());
+        REQUIRE_FALSE(m_gateway->start());
         m_thread = std::thread([this] { m_io.run(); });
     }
 
--- a/testing/soak/entry_process.cc
+++ b/testing/soak/entry_process.cc
@@ -6,19 +6,13 @@
 #include <Poco/Net/DatagramSocket.h>
 #include <Poco/Net/ServerSocket.h>
 #include <csignal>
-#include <fcntl.h>
 #include <fstream>
-#include <sys/prctl.h>
-#include <sys/wait.h>
-#include <thread>
-#include <unistd.h>
+#include <sstream>
 
 namespace marlsill::testing {
 
 namespace {
 
-    constexpr std::chrono::milliseconds endCheck { 10 };
-
     std::string hostOf(int entry) { return "127.0.1." + std::to_string(entry + 1); }
 
     constexpr const char* holdingHost = "127.0.1.254"; // Of no daemon.
@@ -99,75 +93,64 @@
 
 entry_process::~entry_process() { kill(); }
 
-void entry_process::writeSettings() const
+std::string entry_process::settingsText() const
 {
-    std::ofstream file(m_options.folder + "/" + m_options.name + ".conf");
+    std::ostringstream text;
     auto at = [&](int port) { return m_options.host + ":" + std::to_string(port); };
-    file << "name = " << m_options.name << "\nregion = r\nfailure-domain = " << m_options.domain
+    text << "name = " << m_options.name << "\nregion = r\nfailure-domain = " << m_options.domain
          << "\nhost = " << m_options.host << "\nupstream-source-address = " << m_options.host
          << "\ncaller-address = " << at(m_options.callerPort)
          << "\nreadiness-address = " << at(m_options.readinessPort)
          << "\ndirectory-address = " << at(m_options.directoryPort) << "\npeer-port = " << m_options.peerPort
          << "\nseeds = " << m_options.seeds << "\nstore-address = " << m_options.store
          << "\nstop-grace-s = " << m_options.graceSeconds << "\nretry-ratio = " << retryRatio
-         << "\nretry-slack = " << retrySlack << "\nretry-window-s = " << retryWindow.count() << "\n";
+         << "\nretry-slack = " << retrySlack << "\nretry-window-s = " << retryWindow.count() << "\n"
+         << m_options.extraSettings;
+    return text.str();
 }
 
 bool entry_process::start()
 {
-    writeSettings();
-    auto base = m_options.folder + "/" + m_options.name;
-    auto variable = "MARLSILL_NODE_FILE=" + base + ".conf";
-    char* environment[] = { variable.data(), nullptr };
-    auto program = m_program;
-    char* arguments[] = { program.data(), nullptr };
-    auto log = base + ".log";
+    std::ofstream(settingsPath()) << settingsText();
+    return startUnwritten();
+}
+
+bool entry_process::startUnwritten()
+{
     ++m_starts;
     m_label = m_nextLabel;
     m_killAt = {};
-    m_pid = ::fork();
-    if (m_pid == 0) {
-        // Nothing but system calls here, as other threads of the soak may hold locks.
-        ::prctl(PR_SET_PDEATHSIG, SIGKILL); // No daemon outlives a soak that is ended from outside.
-        int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-        ::dup2(output, STDOUT_FILENO);
-        ::dup2(output, STDERR_FILENO);
-        ::execve(program.c_str(), arguments, environment);
-        ::_exit(1);
-    }
-    return m_pid > 0;
+    m_process = std::make_unique<spawned_process>(spawn_options { .program = m_program,
+        .environment = { "MARLSILL_NODE_FILE=" + settingsPath() },
+        .log = logPath(),
+        .maxDescriptors = m_options.maxDescriptors });
+    return m_process->start();
 }
 
 void entry_process::signal(int number)
 {
-    if (m_pid > 0) {
+    if (isRunning()) {
         if (number == SIGTERM && m_killAt == deadline()) {
             m_killAt = deadlineAfter(std::chrono::seconds(m_options.graceSeconds));
         }
-        ::kill(m_pid, number);
+        m_process->signal(number);
     }
 }
 
 void entry_process::kill()
 {
-    if (m_pid > 0) {
-        ::kill(m_pid, SIGKILL);
-        ::waitpid(m_pid, nullptr, 0);
-        m_pid = 0;
+    if (m_process) {
+        m_process->kill();
     }
 }
 
 bool entry_process::awaitEnd()
 {
-    while (m_pid > 0 && ::waitpid(m_pid, nullptr, WNOHANG) != m_pid) {
-        if (hasPassed(m_killAt, steady_clock::now())) {
-            kill();
-            return false;
-        }
-        std::this_thread::sleep_for(endCheck);
+    bool hasEnded = !isRunning() || m_process->awaitEnd(m_killAt);
+    if (!hasEnded) {
+        kill();
     }
-    m_pid = 0;
-    return true;
+    return hasEnded;
 }
 
 }
--- a/testing/soak/entry_process.h
+++ b/testing/soak/entry_process.h
@@ -9,11 +9,11 @@
 // The process is ended, by its id, when the object goes.
 
 #include "marlsill/base/time.h"
+#include "testing/spawned_process.h"
 
 #include <chrono>
 #include <memory>
 #include <string>
-#include <sys/types.h>
 #include <vector>
 
 namespace marlsill::testing {
@@ -39,6 +39,8 @@
     int directoryPort = 0;
     int peerPort = 0;
     int graceSeconds = 3;
+    std::string extraSettings; // Whole lines, added to the settings file.
+    int maxDescriptors = 0; // That the process may open; 0: as many as this one.
     std::shared_ptr<const held_ports> ports; // Kept until the last daemon of the fleet goes.
 };
 
@@ -60,9 +62,17 @@
     explicit entry_process(entry_options options);
     ~entry_process();
 
-    // Starts the process. Returns whether that was possible.
+    // Writes the settings file and starts the process. Returns whether that was possible.
     bool start();
 
+    // Starts the process with the settings file as it is.
+    bool startUnwritten();
+
+    // Returns the text of the settings file, and where it and the log are.
+    std::string settingsText() const;
+    std::string logPath() const { return m_options.folder + "/" + m_options.name + ".log"; }
+    std::string settingsPath() const { return m_options.folder + "/" + m_options.name + ".conf"; }
+
     // Sends a signal. The first SIGTERM of a life starts its grace time.
     void signal(int number);
 
@@ -73,7 +83,12 @@
     // the end of its grace time.
     bool awaitEnd();
 
-    bool isRunning() const { return m_pid > 0; }
+    bool isRunning() const { return m_process && m_process->id() > 0; }
+
+    // Returns the process of this life; null before the first start.
+    spawned_process* process() { return m_process.get(); }
+
+    const entry_options& options() const { return m_options; }
 
     // Sets the program that the process runs from its next start on, and what its lives are called with.
     void setBuild(std::string program, std::string label);
@@ -88,13 +103,11 @@
     }
 
 private:
-    void writeSettings() const;
-
     const entry_options m_options;
     std::string m_program; // Of the next start.
     std::string m_nextLabel;
     std::string m_label; // Of the present life.
-    pid_t m_pid = 0;
+    std::unique_ptr<spawned_process> m_process; // Of the present life.
     deadline m_killAt {}; // Set once this life got SIGTERM.
     int m_starts = 0;
 };
