A daemon without free descriptors leaves the processor to the rest

Callers saw: nothing of their own; a daemon whose callers use up its descriptors took as much of the processor as there was, which its open connections and its peers lacked. Cause: the socket stays readable while nothing can be accepted, and the accept loops tried again at once. Change: both daemons pause after a failed accept, 50 ms and 10 ms.

--- a/marlsill/entry/connection_server.cc
+++ b/marlsill/entry/connection_server.cc
@@ -3,6 +3,7 @@
 #include "marlsill/events/events.h"
 
 #include <Poco/Exception.h>
+#include <thread>
 
 namespace marlsill::entry {
 
@@ -10,6 +11,7 @@
 
     constexpr std::int64_t pollTimeoutMicroseconds = 100'000;
     constexpr int listenBacklog = 1024;
+    constexpr std::chrono::milliseconds acceptPause { 10 };
     constexpr std::chrono::seconds idleScanInterval { 1 };
 
 }
@@ -66,7 +68,9 @@
         ++m_openConnections;
         addIdle(std::make_shared<connection>(http::channel(accepted), deadline()));
     } catch (const Poco::Exception&) {
-        return; // The caller closed the connection before it was accepted.
+        // The caller closed the connection before it was accepted, or there is no descriptor for it now. Then
+        // the socket stays readable, and the next attempt would fail at once.
+        std::this_thread::sleep_for(acceptPause);
     }
 }
 
--- a/marlsill/gateway/session_server.cc
+++ b/marlsill/gateway/session_server.cc
@@ -20,6 +20,7 @@
     constexpr std::size_t maxUnparsedBytes = 64 * 1024; // Bytes after a caller's final request.
     constexpr int listenBacklog = 1024;
     constexpr std::chrono::milliseconds lingerTimeout { 1'000 }; // For the caller to read the last response.
+    constexpr std::chrono::milliseconds acceptPause { 50 };
     constexpr std::chrono::milliseconds deadPeerTimeout { 4'000 }; // Above a round trip with some losses.
 
 }
@@ -331,7 +332,14 @@
         if (error == asio::error::operation_aborted) {
             co_return;
         }
-        if (error || m_sessions.size() >= m_options.maxConnections) {
+        if (error) {
+            // Without free descriptors or memory the connection stays in the backlog, and the next attempt
+            // would fail at once.
+            asio::steady_timer pause(m_io, acceptPause);
+            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+            continue;
+        }
+        if (m_sessions.size() >= m_options.maxConnections) {
             continue;
         }
         auto session = std::make_shared<caller_session>(*this, std::move(socket));
