A peer's record without a valid address is ignored

Callers saw: the directory answered nobody, on every VM that had heard of the record. Cause: a member record's address is taken as it comes; one that is not UTF-8 makes the serialization of the directory's answer throw, and one that is no address is handed to callers. Evidence: process_start_test, "a peer's record with an address that cannot be read": no answer (status 0) before.

--- a/marlsill/cluster/peer_mesh.cc
+++ b/marlsill/cluster/peer_mesh.cc
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <charconv>
+#include <cstdint>
 
 namespace marlsill::cluster {
 
@@ -26,6 +28,24 @@
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
 
+    // Returns whether a record has what peers and callers need to reach the VM.
+    bool hasAddresses(const member& record)
+    {
+        auto colon = record.callerAddress.rfind(':');
+        if (colon == std::string::npos) {
+            return false;
+        }
+        boost::system::error_code invalid;
+        asio::ip::make_address_v4(record.host, invalid);
+        if (!invalid) {
+            asio::ip::make_address_v4(record.callerAddress.substr(0, colon), invalid);
+        }
+        std::uint16_t port = 0;
+        const char* end = record.callerAddress.data() + record.callerAddress.size();
+        auto parsed = std::from_chars(record.callerAddress.data() + colon + 1, end, port);
+        return !invalid && parsed.ec == std::errc() && parsed.ptr == end && port > 0;
+    }
+
     std::string_view toText(member_state state)
     {
         constexpr std::string_view names[] = { "joining", "ready", "leaving" };
@@ -257,6 +277,12 @@
 void peer_mesh::mergeMembers(const std::vector<member>& records, steady_clock::time_point now)
 {
     for (const auto& each : records) {
+        if (!hasAddresses(each)) {
+            ++m_counters.malformed;
+            logEvent(event::peerMessageDropped,
+                { { "host", each.host }, { "cause", "a member record without a valid address" } });
+            continue;
+        }
         if (!m_members.merge(each, now)) {
             continue;
         }
--- a/testing/process_start_test.cc
+++ b/testing/process_start_test.cc
@@ -1,6 +1,7 @@
 // Tests of the entry daemons as processes, at whose start something is missing for a while or comes at a bad
 // moment.
 
+#include "marlsill/cluster/peer_message.h"
 #include "testing/raw_caller.h"
 #include "testing/single_daemon.h"
 
@@ -194,6 +195,38 @@
     CHECK(daemon.endText() == "");
 }
 
+TEST_CASE("A daemon outlives a peer's record with an address that cannot be read")
+{
+    // Guards against an exception of one handler that ends the process, and a directory that answers nobody.
+    for (const std::string address :
+        { "\xff\xfe:80", "", "somewhere", "127.0.1.9:80:80", "127.0.1.9:70000" }) {
+        CAPTURE(address.size());
+        single_daemon tested;
+        REQUIRE(tested.daemon().start());
+        REQUIRE(tested.awaitReady());
+        const auto& options = tested.daemon().options();
+        cluster::peer_message message { .sender = "127.0.1.9",
+            .members = { { .host = "127.0.1.9",
+                .failureDomain = options.domain,
+                .callerAddress = address,
+                .incarnation = 1,
+                .version = 1,
+                .state = cluster::member_state::ready } } };
+        auto bytes = cluster::encode(message);
+        Poco::Net::DatagramSocket socket;
+        socket.sendTo(bytes.data(), static_cast<int>(bytes.size()),
+            Poco::Net::SocketAddress(tested.at(options.peerPort)));
+        for (auto until = deadlineAfter(missingTime); !hasPassed(until, steady_clock::now());) {
+            raw_caller caller(tested.at(options.directoryPort));
+            caller.send("GET /resolve?name=h.example HTTP/1.1\r\nHost: h\r\n\r\n");
+            auto answer = caller.receive();
+            REQUIRE(answer.status == 200);
+            CHECK(answer.body.find("[\"" + tested.daemon().callerAddress() + "\"]") != std::string::npos);
+        }
+        CHECK_MESSAGE(tested.daemon().process()->isRunning(), tested.daemon().process()->endText());
+    }
+}
+
 TEST_CASE("The product's own daemon starts beside a port that is held and beside signals")
 {
     struct row {
