--- a/marlsill/cluster/cbor_document.cc
+++ b/marlsill/cluster/cbor_document.cc
@@ -1,5 +1,8 @@
 #include "marlsill/cluster/cbor_document.h"
 
+#include <Poco/TextConverter.h>
+#include <Poco/UTF8Encoding.h>
+#include <algorithm>
 #include <bit>
 #include <nlohmann/json.hpp>
 
@@ -7,6 +10,22 @@
 
 using nlohmann::json;
 
+namespace {
+
+    bool isUtf8(const std::string& text)
+    {
+        bool isAscii = std::all_of(
+            text.begin(), text.end(), [](char each) { return static_cast<unsigned char>(each) < 0x80; });
+        if (isAscii) {
+            return true;
+        }
+        Poco::UTF8Encoding encoding;
+        std::string converted;
+        return Poco::TextConverter(encoding, encoding).convert(text, converted) == 0;
+    }
+
+}
+
 // Receives the values of a document from the parser; the names are the parser's.
 class cbor_document::builder : public nlohmann::json_sax<json> {
 public:
@@ -121,7 +140,12 @@
 {
     const auto* found = m_document->read(m_next, m_end, cbor_document::kind::text);
     m_next = m_document->after(m_next);
-    return found ? std::string(m_document->textOf(*found)) : std::string();
+    std::string text(found ? m_document->textOf(*found) : std::string_view());
+    if (!isUtf8(text)) {
+        m_document->noteMismatch();
+        return {};
+    }
+    return text;
 }
 
 bool cbor_items::boolean()
--- a/marlsill/entry/connection_server.cc
+++ b/marlsill/entry/connection_server.cc
@@ -40,16 +40,20 @@
 {
     auto nextScan = deadlineAfter(idleScanInterval);
     while (!stop.stop_requested()) {
-        for (const auto& [socket, mode] : m_pollSet.poll(Poco::Timespan(pollTimeoutMicroseconds))) {
-            if (socket == m_socket) {
-                acceptPending();
-            } else {
-                enqueueReadable(socket);
+        try {
+            for (const auto& [socket, mode] : m_pollSet.poll(Poco::Timespan(pollTimeoutMicroseconds))) {
+                if (socket == m_socket) {
+                    acceptPending();
+                } else {
+                    enqueueReadable(socket);
+                }
             }
-        }
-        if (hasPassed(nextScan, steady_clock::now())) {
-            closeExpired(steady_clock::now());
-            nextScan = deadlineAfter(idleScanInterval);
+            if (hasPassed(nextScan, steady_clock::now())) {
+                closeExpired(steady_clock::now());
+                nextScan = deadlineAfter(idleScanInterval);
+            }
+        } catch (const std::exception& error) {
+            logEvent(event::handlerFailed, { { "loop", "traffic/poller" }, { "cause", error.what() } });
         }
     }
 }
@@ -135,15 +139,16 @@
             do {
                 isOpen = m_serve(current->channel);
             } while (isOpen && !current->channel.buffered().empty());
+            if (isOpen && !m_isDraining) {
+                addIdle(std::move(current));
+            } else {
+                isOpen = false;
+            }
         } catch (const std::exception& error) {
             isOpen = false;
             logEvent(event::partFailed, { { "part", "traffic/worker" }, { "cause", error.what() } });
         }
-        if (isOpen && !m_isDraining) {
-            addIdle(std::move(current));
-        } else {
-            --m_openConnections;
-        }
+        m_openConnections -= isOpen ? 0 : 1;
         --m_activeConnections;
     }
 }
--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -4,10 +4,10 @@
 #include "marlsill/events/events.h"
 #include "marlsill/gateway/endpoint.h"
 #include "marlsill/http/message_writer.h"
+#include "marlsill/supervisor/loop_guard.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -298,9 +298,22 @@
 {
     ++m_counters.requests;
     m_inFlight.insert(current.get());
-    auto response = co_await processRequest(current);
+    std::optional<final_response> response;
+    std::exception_ptr failure;
+    try {
+        response = co_await processRequest(current);
+    } catch (...) {
+        failure = std::current_exception();
+    }
     m_inFlight.erase(current.get());
     dequeue(*current);
+    if (failure) {
+        logEvent(
+            event::handlerFailed, { { "request", current->id }, { "cause", describeException(failure) } });
+        abortAttempts(*current);
+        co_return finishWithLocalReply(
+            *current, current->mayHaveRun() ? next_step::giveUp : next_step::refuse, "internal error");
+    }
     if (!response) {
         ++m_counters.cancelled;
         logEvent(event::requestCancelled,
@@ -515,9 +528,28 @@
     current->wakeTimer.cancel();
 }
 
+// Ends an attempt whose coroutine an exception has ended, as if the upstream had not answered.
+void forwarder::endFailedAttempt(
+    active_request& current, attempt& thisAttempt, const std::exception_ptr& failure)
+{
+    logEvent(event::handlerFailed,
+        { { "request", current.id }, { "upstream", thisAttempt.upstream },
+            { "cause", describeException(failure) } });
+    if (thisAttempt.connection) {
+        thisAttempt.connection->abort();
+    }
+    if (!thisAttempt.isRecorded) {
+        thisAttempt.outcome.outcome = attempt_outcome::noAnswer;
+        recordAttemptResult(current, thisAttempt, steady_clock::now());
+    }
+    thisAttempt.isFinished = true;
+    current.wakeTimer.cancel();
+}
+
 void forwarder::recordAttemptResult(
     active_request& current, attempt& thisAttempt, steady_clock::time_point now)
 {
+    thisAttempt.isRecorded = true;
     auto elapsed = now - thisAttempt.startedAt;
     thisAttempt.outcome.elapsed = toMilliseconds(elapsed);
     auto condition = m_loadBalancer.statsOf(current.service, now);
@@ -711,7 +743,12 @@
             { "left_ms", std::to_string(millisecondsUntil(current->effectiveDeadline, now)) },
             { "config", std::to_string(current->config->version()) },
             { "crashes", std::to_string(m_crashMonitor.crashesOf(current->fingerprint, now)) } });
-    asio::co_spawn(m_io, runAttempt(current, thisAttempt), asio::detached);
+    asio::co_spawn(
+        m_io, runAttempt(current, thisAttempt), [this, current, thisAttempt](std::exception_ptr failure) {
+            if (failure) {
+                endFailedAttempt(*current, *thisAttempt, failure);
+            }
+        });
     return true;
 }
 
--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -111,6 +111,7 @@
         steady_clock::time_point startedAt;
         std::shared_ptr<upstream_connection> connection;
         bool isSent = false; // Some bytes may have reached the upstream.
+        bool isRecorded = false; // recordAttemptResult() has been called.
         bool isFinished = false;
         bool isEvaluated = false; // evaluateAttempt() has processed its outcome.
         placement::completed_attempt outcome;
@@ -244,6 +245,7 @@
         std::string_view why, std::chrono::milliseconds delay) const;
     void abortAttempts(active_request& current);
     void recordAttemptResult(active_request& current, attempt& thisAttempt, steady_clock::time_point now);
+    void endFailedAttempt(active_request& current, attempt& thisAttempt, const std::exception_ptr& failure);
     bool tryTakeRetry(active_request& current, bool countsAsRetry, steady_clock::time_point now);
     bool shouldRelay(active_request& current, bool needsAttempt, steady_clock::time_point now);
     void recordReachability(const attempt& thisAttempt, steady_clock::time_point now);
--- a/marlsill/store/kind_watcher.h
+++ b/marlsill/store/kind_watcher.h
@@ -85,9 +85,11 @@
     {
     }
 
-    // Lists and watches the kind while active; never returns. The watcher starts inactive.
+    // Lists and watches the kind while active; never returns. The watcher starts inactive. Once a listener
+    // has let out an exception, run() can be called again, and lists all.
     asio::awaitable<void> run()
     {
+        m_position.reset();
         while (true) {
             if (!m_isActive) {
                 m_position.reset(); // The store may drop the history before the next activation.
--- a/marlsill/supervisor/loop_guard.cc
+++ b/marlsill/supervisor/loop_guard.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
+#include <new>
 
 namespace marlsill {
 
@@ -17,6 +18,17 @@
 
     constexpr std::chrono::milliseconds restartPause { 100 };
 
+    // Logs a failure; does nothing if there is no memory even for that.
+    void report(event number, std::string_view kind, std::string_view name, const std::exception_ptr& failure)
+    {
+        try {
+            logEvent(number,
+                { { kind, std::string(name) }, { "cause", failure ? describeException(failure) : "" } });
+        } catch (const std::bad_alloc&) {
+            return;
+        }
+    }
+
     asio::awaitable<void> supervise(
         asio::io_context& loop, std::string name, std::function<asio::awaitable<void>()> start)
     {
@@ -30,11 +42,11 @@
             if (!failure) {
                 co_return;
             }
-            logEvent(event::partFailed, { { "part", name }, { "cause", describeException(failure) } });
+            report(event::partFailed, "part", name, failure);
             asio::steady_timer timer(loop, restartPause);
             boost::system::error_code ignored;
             co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-            logEvent(event::partRestarted, { { "part", name } });
+            report(event::partRestarted, "part", name, nullptr);
         }
     }
 
@@ -58,8 +70,7 @@
             loop.run();
             return;
         } catch (...) {
-            logEvent(event::handlerFailed,
-                { { "loop", std::string(name) }, { "cause", describeException(std::current_exception()) } });
+            report(event::handlerFailed, "loop", name, std::current_exception());
         }
     }
 }
--- a/testing/process_start_test.cc
+++ b/testing/process_start_test.cc
@@ -94,7 +94,7 @@
 
 TEST_CASE("A daemon whose settings file is written while it starts reads the whole file")
 {
-    // Guards against an exit, and against values of a file that is cut in the middle of a line.
+    // Guards against an exit, and against the values of a part of the file.
     struct row {
         const char* name;
         std::function<std::string(const std::string& whole)> firstText; // Nothing: there is no file.
@@ -102,7 +102,10 @@
     const row rows[] = {
         { "empty", [](const auto&) { return std::string("\n"); } },
         { "cut between lines", [](const auto& whole) { return whole.substr(0, whole.find("host =")); } },
-        { "cut within the last value", [](const auto& whole) { return whole.substr(0, whole.size() - 2); } },
+        { "cut within a value",
+            [](const auto& whole) { return whole.substr(0, whole.find("retry-window-s") + 18); } },
+        { "cut where the rest has defaults",
+            [](const auto& whole) { return whole.substr(0, whole.find("stop-grace-s")); } },
         { "missing", [](const auto&) { return std::string(); } },
     };
     for (const auto& each : rows) {
@@ -114,7 +117,10 @@
             std::ofstream(tested.daemon().settingsPath()) << first;
         }
         REQUIRE(tested.daemon().startUnwritten());
-        std::this_thread::sleep_for(milliseconds(200));
+        while (tested.daemon().process()->isRunning()
+            && tested.logText().find("start_waiting part=settings") == std::string::npos) {
+            std::this_thread::sleep_for(milliseconds(5));
+        }
         CHECK_MESSAGE(tested.daemon().process()->isRunning(), tested.daemon().process()->endText());
         CHECK(tested.logText().find("daemon_started") == std::string::npos);
         std::ofstream(tested.daemon().settingsPath()) << whole;
--- a/testing/soak/entry_process.cc
+++ b/testing/soak/entry_process.cc
@@ -105,7 +105,7 @@
          << "\nseeds = " << m_options.seeds << "\nstore-address = " << m_options.store
          << "\nstop-grace-s = " << m_options.graceSeconds << "\nretry-ratio = " << retryRatio
          << "\nretry-slack = " << retrySlack << "\nretry-window-s = " << retryWindow.count() << "\n"
-         << m_options.extraSettings;
+         << m_options.extraSettings << "end-of-settings = yes\n";
     return text.str();
 }
 
