A stopping VM answers requests that are at a peer, and passes none on late

What callers saw: in a planned stop of a VM that is cut off from its upstreams, requests that it had passed on to a peer were cut with no answer at the end of the stop, also such that may run once; and some that came in the first half of the stop reached a peer in the second half, were run there, and were cut.

Cause: the end of the stop gave up the requests in the forwarder's list only. A request at a peer has left that list, and its exchange holds the deadline that it began with. And the decision whether a request may still be started was taken once before the relay, which tries up to three peers, one after the other. Class: a list of a part stands for all that the VM has read, and a decision on arrival is not taken again when the work starts.

Change: request_relay knows its requests, gives them up at the end of a stop as the forwarder does, and asks before each sending to a peer whether the request may still be started.

--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -791,7 +791,6 @@
     }
 }
 
-// Returns whether the request may still be started, which during a planned stop depends on the time left.
 bool forwarder::mayStartDuringStop(active_request& current, steady_clock::time_point now)
 {
     if (!m_stop) {
--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -199,6 +199,9 @@
     // From now on, starts requests only as `admission` allows and refuses the others.
     void beginStop(placement::stop_admission admission) { m_stop = admission; }
 
+    // Returns whether the request may still be started, which during a planned stop depends on the time left.
+    bool mayStartDuringStop(active_request& current, steady_clock::time_point now);
+
     // Gives up all requests in flight: each gets its final response as if its deadline had passed.
     void expireRequests();
 
@@ -227,7 +230,6 @@
         active_request& current, placement::next_step step, std::string_view why);
     final_response shedRequest(active_request& current, std::string_view why,
         std::chrono::milliseconds expectedWait, steady_clock::time_point now);
-    bool mayStartDuringStop(active_request& current, steady_clock::time_point now);
     std::optional<final_response> shedOrEnqueue(const std::shared_ptr<active_request>& current,
         const placement::choice& chosen, steady_clock::time_point now);
     std::chrono::milliseconds maxPermitDelay(
--- a/marlsill/gateway/gateway.cc
+++ b/marlsill/gateway/gateway.cc
@@ -202,6 +202,9 @@
     }
     // The responses of what is given up are still written, also by a VM that runs late.
     m_forwarder.expireRequests();
+    if (m_relay) {
+        m_relay->expireRequests();
+    }
     auto writeUntil = deadlineAfter(finalWriteTime);
     while (isBusy() && !hasPassed(writeUntil, steady_clock::now())) {
         co_await sleepFor(m_io, finalPollInterval);
--- a/marlsill/gateway/gateway.h
+++ b/marlsill/gateway/gateway.h
@@ -52,6 +52,9 @@
         request_relay& relay, std::function<std::vector<std::string>(const std::string& host)> peersFor)
     {
         m_relay = &relay;
+        m_relay->setStartCheck([this](active_request& current) {
+            return m_forwarder.mayStartDuringStop(current, steady_clock::now());
+        });
         m_relayPeersFor = std::move(peersFor);
     }
 
--- a/marlsill/gateway/request_relay.cc
+++ b/marlsill/gateway/request_relay.cc
@@ -77,10 +77,10 @@
     std::shared_ptr<active_request> current, std::vector<std::string> peers)
 {
     relay_outcome outcome;
-    if (m_inFlight >= m_options.maxInFlight) {
+    if (m_inFlight.size() >= m_options.maxInFlight) {
         co_return outcome;
     }
-    ++m_inFlight;
+    m_inFlight.insert(current.get());
     int tried = 0;
     for (const auto& peer : peers) {
         if (tried++ >= m_options.maxPeersTried || current->isCancelled
@@ -91,6 +91,10 @@
         if (!connection || current->isCancelled) {
             continue;
         }
+        if (!m_mayStart(*current)) {
+            connection->abort();
+            break;
+        }
         current->relayConnection = connection;
         exchange_options options { .isHead = current->request.head.getMethod() == "HEAD",
             .matchesRequest =
@@ -120,10 +124,21 @@
         break;
     }
     current->relayConnection = nullptr;
-    --m_inFlight;
+    m_inFlight.erase(current.get());
     co_return outcome;
 }
 
+void request_relay::expireRequests()
+{
+    auto now = steady_clock::now();
+    for (auto* each : m_inFlight) {
+        each->effectiveDeadline = std::min(each->effectiveDeadline, now);
+        if (each->relayConnection) {
+            each->relayConnection->abort();
+        }
+    }
+}
+
 void request_relay::sweep()
 {
     m_pool.sweep([](const std::string&) { return true; }, steady_clock::now());
--- a/marlsill/gateway/request_relay.h
+++ b/marlsill/gateway/request_relay.h
@@ -15,6 +15,8 @@
 #include "marlsill/gateway/forwarder.h"
 #include "marlsill/gateway/session_server.h"
 
+#include <functional>
+#include <set>
 #include <span>
 #include <string>
 
@@ -28,7 +30,7 @@
     std::chrono::milliseconds transitTime { 10 }; // Deducted from the timeout that the peer is given.
     std::chrono::milliseconds maxIdle { 1'500 }; // Of connections between VMs; far below the peer's limit.
     int maxPeersTried = 3; // Peers that cannot be reached or decline.
-    int maxInFlight = 500;
+    std::size_t maxInFlight = 500;
     std::uint64_t maxResponseBytes = 8 * 1024 * 1024;
 };
 
@@ -70,6 +72,12 @@
     asio::awaitable<relay_outcome> send(
         std::shared_ptr<active_request> current, std::vector<std::string> peers);
 
+    // Sets what is asked before each sending to a peer whether the request may still be started.
+    void setStartCheck(std::function<bool(active_request&)> mayStart) { m_mayStart = std::move(mayStart); }
+
+    // Gives up all requests that are at peers, as if their deadlines had passed.
+    void expireRequests();
+
     // Closes connections that have been idle for long. Call a few times a second.
     void sweep();
 
@@ -85,7 +93,8 @@
     const wire_fields m_wire;
     buffer_budget m_buffers;
     connection_pool m_pool;
-    int m_inFlight = 0;
+    std::function<bool(active_request&)> m_mayStart = [](auto&) { return true; };
+    std::set<active_request*> m_inFlight;
 };
 
 }
