The product's daemon starts what fits into its stop, and answers the rest

What callers saw: during a planned stop the daemon took requests and retries whatever time was left, passed waiting ones on even after the drain's limit, and had no answer for what was in work at the limit. It went on until the last request had ended, which may take the longest time limit of a caller (an hour); a supervisor that kills the process cuts them all with no answer, among them such that may not be repeated.

Cause: drain() limits the wait of the stop, not the requests, which keep their callers' deadlines; and nothing asks how much time is left when a request, a retry or a waiting request is started.

Change: dispatcher::beginStop() brings placement::stop_admission to each attempt and retry. Its longest start delay of 2.8 s becomes a parameter, as this daemon promises to serve for directory-ttl-ms. In the second half of the stop, waiting requests are refused as not run; shortly before the limit an event descriptor ends the reads from upstreams, and their requests get 504, unknown. Upstreams get no evidence from that.

--- a/marlsill/admission/admission_controller.h
+++ b/marlsill/admission/admission_controller.h
@@ -28,6 +28,7 @@
     queueFull, // The queue was full, and this was the newest request of the account with the most.
     wouldBeLate, // The request was not admitted, or is not expected to be served, by its deadline.
     noUpstream, // Every upstream is leaving, ejected or excluded.
+    closed, // close() was called.
     cancelled, // Not returned by acquire().
 };
 
@@ -61,6 +62,9 @@
         std::span<const std::size_t> excluded)
     {
         std::unique_lock lock(m_mutex);
+        if (m_isClosed) {
+            return { admission_status::closed, 0, minRetryAfter };
+        }
         auto candidates = listCandidates(service, excluded, steady_clock::now());
         if (candidates.empty()) {
             return { admission_status::noUpstream, 0, minRetryAfter };
@@ -96,6 +100,24 @@
         admitWaiting();
     }
 
+    // Refuses the waiting requests and all later ones.
+    void close()
+    {
+        std::lock_guard lock(m_mutex);
+        m_isClosed = true;
+        while (auto next = m_waiting.pop()) {
+            (*next)->state = wait_state::closed;
+            (*next)->stateChanged.notify_one();
+        }
+    }
+
+    // Returns the smoothed mean of how long requests take at their upstreams.
+    std::chrono::milliseconds meanServiceTime() const
+    {
+        std::lock_guard lock(m_mutex);
+        return std::chrono::ceil<std::chrono::milliseconds>(std::chrono::duration<double>(m_meanServiceTime));
+    }
+
     // Returns the number of waiting requests.
     std::size_t waiting() const
     {
@@ -113,6 +135,7 @@
         waiting,
         granted,
         refused,
+        closed,
     };
 
     struct waiter {
@@ -195,6 +218,8 @@
             return { admission_status::granted, self->upstream, {} };
         case wait_state::refused:
             return { admission_status::queueFull, 0, minRetryAfter };
+        case wait_state::closed:
+            return { admission_status::closed, 0, minRetryAfter };
         case wait_state::waiting:
             break;
         }
@@ -221,8 +246,10 @@
 
     const Chooser m_chooser;
     const admission_options m_options;
-    mutable std::mutex m_mutex; // Guards m_waiting and m_meanServiceTime; the retry budget is thread safe.
+    mutable std::mutex
+        m_mutex; // Guards m_waiting, m_isClosed and m_meanServiceTime; the retry budget is thread safe.
     fair_queue<std::shared_ptr<waiter>> m_waiting;
+    bool m_isClosed = false;
     double m_meanServiceTime; // Seconds, exponentially smoothed.
     retry_budget m_retryBudget { 10 };
 };
--- a/marlsill/entry/dispatcher.cc
+++ b/marlsill/entry/dispatcher.cc
@@ -5,6 +5,8 @@
 #include "marlsill/http/message_writer.h"
 
 #include <cmath>
+#include <sys/eventfd.h>
+#include <unistd.h>
 
 namespace marlsill::entry {
 
@@ -13,6 +15,7 @@
     constexpr std::chrono::milliseconds defaultRetryAfter { 1000 };
     constexpr std::chrono::milliseconds maxFirstByteWait { 250 };
     constexpr std::size_t streamChunkBytes = 64 * 1024;
+    constexpr const char* vmIsStopping = "stopping"; // Outcome reason.
     constexpr std::chrono::milliseconds crashCheckTimeout { 400 }; // Far above a round trip.
 
     // Converts the result of one attempt into evidence about its upstream.
@@ -85,6 +88,8 @@
             return "overload-would-be-late";
         case admission::admission_status::noUpstream:
             return "no-upstream";
+        case admission::admission_status::closed:
+            return vmIsStopping;
         default:
             return "cancelled";
         }
@@ -96,9 +101,17 @@
     : m_pool(pool)
     , m_quarantine(quarantine)
     , m_options(options)
+    , m_expiry(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
 {
 }
 
+dispatcher::~dispatcher()
+{
+    if (m_expiry >= 0) {
+        ::close(m_expiry);
+    }
+}
+
 // State of one request over all its attempts.
 class dispatcher::dispatch_run {
 public:
@@ -116,6 +129,9 @@
         m_admission->retryBudget().setPercent(m_job.service.rules.retryPercent);
         m_admission->retryBudget().countRequest();
         while (true) {
+            if (!mayStart()) {
+                return orServerErrorResponse(makeRejection(vmIsStopping, defaultRetryAfter));
+            }
             auto admitted
                 = m_admission->acquire(m_job.service, m_job.account, m_job.requestDeadline, m_excluded);
             if (admitted.status != admission::admission_status::granted) {
@@ -135,13 +151,18 @@
     }
 
 private:
-    // Checks the deadline and the quarantine list and marks the key as dispatched. Returns a result if the
-    // request must not be sent.
+    bool mayStart() const { return m_owner.mayStart(m_job.service, *m_admission); }
+
+    // Checks the deadline, the planned stop and the quarantine list, and marks the key as dispatched. Returns
+    // a result if the request must not be sent.
     std::optional<dispatch_result> beginDispatch()
     {
         if (hasPassed(m_job.requestDeadline, steady_clock::now())) {
             return makeRejection("deadline", defaultRetryAfter);
         }
+        if (!mayStart()) {
+            return makeRejection(vmIsStopping, defaultRetryAfter);
+        }
         auto decision = m_owner.m_quarantine.admit(m_fingerprint);
         if (decision == quarantine_decision::suspected) {
             return makeRejection("suspected", defaultRetryAfter);
@@ -176,6 +197,7 @@
         if (m_job.caller && !m_job.isNotRepeatable) {
             limits.caller = m_job.caller->watch();
         }
+        limits.caller.endDescriptor = m_owner.m_expiry;
         return m_exchange.run(m_job.request, *upstream.state, limits);
     }
 
@@ -184,7 +206,12 @@
         const routing::routed_upstream& upstream, std::size_t index, const attempt_result& result)
     {
         m_admission->release(*upstream.state, result.elapsed);
-        upstream.state->addEvidence(makeEvidence(result));
+        bool isGivenUp = m_owner.m_isExpired
+            && (result.status == attempt_status::timedOut
+                || result.status == attempt_status::silentConnection);
+        if (!isGivenUp) {
+            upstream.state->addEvidence(makeEvidence(result));
+        }
         bool hasCrashed = result.status == attempt_status::connectionEnded
             && !isAcceptingConnections(upstream.state->address, deadlineAfter(crashCheckTimeout));
         if (hasCrashed) {
@@ -243,7 +270,8 @@
         bool isServerError = status == 500 || status == 502 || status == 503 || status == 504;
         bool hasTime = !hasPassed(m_job.requestDeadline, steady_clock::now());
         bool mayRetry = isServerError && m_job.isIdempotent && hasTime
-            && m_attempts < m_owner.m_options.maxAttempts && m_admission->retryBudget().tryTake();
+            && m_attempts < m_owner.m_options.maxAttempts && mayStart()
+            && m_admission->retryBudget().tryTake();
         if (mayRetry) {
             ++m_owner.m_counts.retries;
             m_excluded.push_back(index);
@@ -280,7 +308,8 @@
             ++m_owner.m_counts.refusedByUpstream;
         }
         m_excluded.push_back(index);
-        bool mayRetry = m_attempts < m_owner.m_options.maxAttempts && m_admission->retryBudget().tryTake();
+        bool mayRetry = m_attempts < m_owner.m_options.maxAttempts && mayStart()
+            && m_admission->retryBudget().tryTake();
         if (m_job.key) {
             m_job.key->returnToQueue();
         }
@@ -306,7 +335,7 @@
         }
         bool hasTime = !hasPassed(m_job.requestDeadline, steady_clock::now());
         bool mayRetry = m_job.isIdempotent && hasTime && m_attempts < m_owner.m_options.maxAttempts
-            && (isStaleConnection || m_admission->retryBudget().tryTake());
+            && mayStart() && (isStaleConnection || m_admission->retryBudget().tryTake());
         if (mayRetry) {
             ++m_owner.m_counts.retries;
             return std::nullopt;
@@ -361,7 +390,8 @@
             writeStatus = m_job.caller->write(http::serializeChunk(chunk), limit);
             chunk.clear();
             if (status == http::read_status::bodyTooLarge && writeStatus == http::io_status::ok) {
-                status = m_exchange.readMore(chunk, streamChunkBytes, limit);
+                status = m_exchange.readMore(
+                    chunk, streamChunkBytes, limit, { .endDescriptor = m_owner.m_expiry });
             }
         }
         bool isComplete = status == http::read_status::complete && writeStatus == http::io_status::ok;
@@ -401,6 +431,40 @@
 
 dispatch_result dispatcher::run(const dispatch_job& job) { return dispatch_run(*this, job).run(); }
 
+void dispatcher::beginStop(const placement::stop_admission& admission)
+{
+    std::lock_guard lock(m_mutex);
+    m_stop = admission;
+    m_isStopping = true;
+}
+
+void dispatcher::refuseWaiting()
+{
+    std::lock_guard lock(m_mutex);
+    m_refusesWaiting = true;
+    for (const auto& [name, controller] : m_admissionControllers) {
+        controller->close();
+    }
+}
+
+void dispatcher::expireRequests()
+{
+    refuseWaiting();
+    m_isExpired = true;
+    ::eventfd_write(m_expiry, 1);
+}
+
+bool dispatcher::mayStart(const routing::routed_service& service, const admission_controller& admission)
+{
+    if (!m_isStopping) {
+        return true;
+    }
+    placement::stop_outlook outlook { .usualLatency = admission.meanServiceTime(),
+        .objective = std::chrono::milliseconds(service.rules.objective.latencyMilliseconds) };
+    std::lock_guard lock(m_mutex);
+    return m_stop->mayStart(outlook, steady_clock::now());
+}
+
 std::shared_ptr<admission_controller> dispatcher::admissionControllerFor(const std::string& service)
 {
     std::lock_guard lock(m_mutex);
@@ -408,6 +472,9 @@
     auto& controller = m_admissionControllers[service];
     if (!controller) {
         controller = std::make_shared<admission_controller>(admission::slot_share_choice {});
+        if (m_refusesWaiting) {
+            controller->close();
+        }
     }
     return controller;
 }
--- a/marlsill/entry/dispatcher.h
+++ b/marlsill/entry/dispatcher.h
@@ -12,11 +12,13 @@
 #include "marlsill/entry/outcome.h"
 #include "marlsill/entry/quarantine.h"
 #include "marlsill/entry/upstream_exchange.h"
+#include "marlsill/placement/stop_admission.h"
 
 #include <atomic>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -70,11 +72,25 @@
 class dispatcher {
 public:
     dispatcher(upstream_pool& pool, quarantine_list& quarantine, dispatcher_options options = {});
+    ~dispatcher();
+
+    dispatcher(const dispatcher&) = delete;
+    dispatcher& operator=(const dispatcher&) = delete;
 
     // Forwards one request until there is a final result. Blocks until the request deadline at most, or
     // slightly longer while it streams a response.
     dispatch_result run(const dispatch_job& job);
 
+    // From now on, starts attempts only as `admission` allows, retries included. Requests that may not be
+    // started and have not run are refused as such.
+    void beginStop(const placement::stop_admission& admission);
+
+    // Refuses the requests that wait for an upstream, and all later ones.
+    void refuseWaiting();
+
+    // Gives up all requests, as if their deadlines had passed.
+    void expireRequests();
+
     // Returns the admission controller of a service and marks the service as active.
     std::shared_ptr<admission_controller> admissionControllerFor(const std::string& service);
 
@@ -89,11 +105,18 @@
 private:
     class dispatch_run;
 
+    bool mayStart(const routing::routed_service& service, const admission_controller& admission);
+
     upstream_pool& m_pool;
     quarantine_list& m_quarantine;
     const dispatcher_options m_options;
     dispatch_counts m_counts;
-    std::mutex m_mutex; // Guards m_admissionControllers and m_activeServices.
+    int m_expiry = -1; // Event descriptor, readable once requests have been given up.
+    std::atomic<bool> m_isStopping = false;
+    std::atomic<bool> m_isExpired = false;
+    std::mutex m_mutex; // Guards everything below.
+    std::optional<placement::stop_admission> m_stop;
+    bool m_refusesWaiting = false;
     std::map<std::string, std::shared_ptr<admission_controller>> m_admissionControllers;
     std::set<std::string> m_activeServices;
 };
--- a/marlsill/entry/node.cc
+++ b/marlsill/entry/node.cc
@@ -18,6 +18,9 @@
     constexpr std::chrono::milliseconds gossipDelay { 300 }; // Lets the last update reach the neighbours.
     constexpr std::chrono::milliseconds recordCloseTimeout { 3'000 };
     constexpr int operatorWorkerCount = 4;
+    // Requests are given up this long before the drain's limit, so that their answers are written by then.
+    constexpr std::chrono::milliseconds finalAnswerTime { 500 };
+    constexpr int minFinalAnswerTimes = 6; // Of a short limit at most this fraction (1 / n).
 
     std::chrono::milliseconds milliseconds(const settings_values& settings, std::string_view name)
     {
@@ -143,10 +146,7 @@
 void node::stop()
 {
     logEvent(event::daemonStopping, { { "incarnation", m_incarnation } });
-    m_fleet.leave();
-    m_handler.closeAfterResponses();
-    std::this_thread::sleep_for(milliseconds(m_settings, "directory-ttl-ms"));
-    m_callerServer.drain(deadlineAfter(milliseconds(m_settings, "drain-limit-ms")));
+    stopCallers();
     m_fleet.handOverKeys(deadlineAfter(handoverTimeout));
     std::this_thread::sleep_for(gossipDelay);
     m_operatorServer.drain(deadlineAfter(operatorDrainTimeout));
@@ -158,6 +158,28 @@
     logEvent(event::daemonStopped, { { "incarnation", m_incarnation } });
 }
 
+// Serves callers until the directory responses that list this VM have expired, and ends the rest of their
+// requests, each with an answer, by the drain's limit.
+void node::stopCallers()
+{
+    auto begunAt = steady_clock::now();
+    auto drainLimit = milliseconds(m_settings, "drain-limit-ms");
+    auto expiredAt = begunAt + milliseconds(m_settings, "directory-ttl-ms");
+    auto endAt = expiredAt + drainLimit;
+    auto giveUpAt = endAt - std::min(finalAnswerTime, drainLimit / minFinalAnswerTimes);
+    placement::stop_admission admission(begunAt, giveUpAt, giveUpAt - begunAt);
+    m_dispatcher.beginStop(admission);
+    m_fleet.leave();
+    m_handler.closeAfterResponses();
+    std::this_thread::sleep_until(expiredAt);
+    m_callerServer.drain(std::max(expiredAt, admission.lastStartAt()));
+    m_dispatcher.refuseWaiting();
+    m_callerServer.drain(giveUpAt);
+    m_handler.expireRequests();
+    m_dispatcher.expireRequests();
+    m_callerServer.drain(endAt);
+}
+
 std::optional<key_claim> node::claimKey(const std::string& scopedKey, deadline limit, reason& why)
 {
     auto internalKey = dedup::keyPrefix(m_incarnation, m_ledger.windowAt(steady_clock::now())) + randomId();
--- a/marlsill/entry/node.h
+++ b/marlsill/entry/node.h
@@ -47,6 +47,7 @@
     // Claims an idempotency key that names no incarnation, or returns who claimed it before. Returns
     // std::nullopt if the platform cannot tell.
     std::optional<key_claim> claimKey(const std::string& scopedKey, deadline limit, reason& why);
+    void stopCallers();
     std::string statusJson() const;
     std::string explainJson(std::string_view kind, const std::string& name);
     // Returns the metrics in the Prometheus text format.
--- a/marlsill/entry/request_handler.cc
+++ b/marlsill/entry/request_handler.cc
@@ -138,6 +138,9 @@
     if (*path == directoryPath) {
         return makeDirectoryResponse(request);
     }
+    if (m_isExpired) {
+        return makeOutcome(outcome::notRun, "stopping", 503, defaultRetryAfter);
+    }
     if (!m_isReady) {
         return makeOutcome(outcome::notRun, "no-configuration-yet", 503, defaultRetryAfter);
     }
@@ -229,7 +232,7 @@
     key_question question { key, requestHashOf(context.request, context.account) };
     while (true) {
         auto keyAnswer = m_dependencies.resolve(question, context.requestDeadline);
-        bool isFinal = keyAnswer.status != key_answer_status::inProgress
+        bool isFinal = keyAnswer.status != key_answer_status::inProgress || m_isExpired
             || hasPassed(context.requestDeadline, steady_clock::now() + remoteKeyPollInterval);
         if (isFinal) {
             return toDispatchResult(keyAnswer);
--- a/marlsill/entry/request_handler.h
+++ b/marlsill/entry/request_handler.h
@@ -45,6 +45,9 @@
     // Closes each connection after its next response, which carries "Connection: Close".
     void closeAfterResponses() { m_closesAfterResponses = true; }
 
+    // Ends the waits for what other VMs know of keys, and refuses all later requests as not run.
+    void expireRequests() { m_isExpired = true; }
+
     // Sets whether requests can be routed. Until then they are rejected with status 503 as not run.
     void setReady(bool isReady) { m_isReady = isReady; }
 
@@ -72,6 +75,7 @@
     handler_dependencies m_dependencies;
     const handler_options m_options;
     std::atomic<bool> m_closesAfterResponses = false;
+    std::atomic<bool> m_isExpired = false;
     std::atomic<bool> m_isReady = false;
 };
 
--- a/marlsill/entry/upstream_exchange.cc
+++ b/marlsill/entry/upstream_exchange.cc
@@ -147,9 +147,10 @@
                                                                   : attempt_status::connectionEnded;
 }
 
-http::read_status upstream_exchange::readMore(std::string& chunk, std::size_t maxBytes, deadline limit)
+http::read_status upstream_exchange::readMore(
+    std::string& chunk, std::size_t maxBytes, deadline limit, http::watched_socket watched)
 {
-    return m_body->readInto(chunk, maxBytes, limit, {});
+    return m_body->readInto(chunk, maxBytes, limit, watched);
 }
 
 }
--- a/marlsill/entry/upstream_exchange.h
+++ b/marlsill/entry/upstream_exchange.h
@@ -70,7 +70,8 @@
 
     // After responseTooLarge: appends body bytes to `chunk` until it holds at least `maxBytes` bytes.
     // Returns `complete` after the last byte and `bodyTooLarge` while more follow.
-    http::read_status readMore(std::string& chunk, std::size_t maxBytes, deadline limit);
+    http::read_status readMore(
+        std::string& chunk, std::size_t maxBytes, deadline limit, http::watched_socket watched);
 
 private:
     attempt_result send(const http::request_message& request, const attempt_limits& limits);
--- a/marlsill/http/channel.cc
+++ b/marlsill/http/channel.cc
@@ -29,24 +29,27 @@
 
     io_status waitReadable(int descriptor, deadline limit, watched_socket watched)
     {
-        pollfd entries[2] = { { descriptor, POLLIN, 0 }, { watched.descriptor, POLLIN | POLLRDHUP, 0 } };
-        nfds_t count = watched.descriptor >= 0 ? 2 : 1;
+        pollfd entries[] = { { descriptor, POLLIN, 0 }, { watched.descriptor, POLLIN | POLLRDHUP, 0 },
+            { watched.endDescriptor, POLLIN, 0 } }; // poll() ignores negative descriptors.
         while (true) {
             int timeout = pollTimeout(limit);
-            int ready = ::poll(entries, count, timeout);
+            int ready = ::poll(entries, std::size(entries), timeout);
             if (ready < 0 && errno != EINTR) {
                 return io_status::failed;
             }
             if (ready > 0 && entries[0].revents) {
                 return io_status::ok;
             }
+            if (ready > 0 && entries[2].revents) {
+                return io_status::timedOut;
+            }
             if (ready > 0 && entries[1].revents) {
                 if (isClosedByPeer(watched.descriptor)) {
                     return io_status::cancelled;
                 }
                 // The watched socket has received data, such as a pipelined request. It is left unread, and
                 // as poll() would report it again at once, the socket is no longer watched.
-                count = 1;
+                entries[1].fd = -1;
             }
             if (hasPassed(limit, steady_clock::now())) {
                 return io_status::timedOut;
--- a/marlsill/http/channel.h
+++ b/marlsill/http/channel.h
@@ -26,10 +26,11 @@
     failed, // The connection was reset, or the socket reported an error.
 };
 
-// A socket that cancels a read on another connection when its peer closes it. A negative descriptor watches
-// nothing.
+// A socket that cancels a read on another connection when its peer closes it, and a descriptor that ends the
+// read, as if its deadline had passed, once it is readable. Negative descriptors watch nothing.
 struct watched_socket {
     int descriptor = -1;
+    int endDescriptor = -1;
 };
 
 // One connection. Not thread safe, but different threads may use it one after the other.
--- a/marlsill/placement/stop_admission.h
+++ b/marlsill/placement/stop_admission.h
@@ -27,8 +27,13 @@
 // See the file comment.
 class stop_admission {
 public:
-    // `exitAt` is when requests that are still unanswered are given up.
-    stop_admission(steady_clock::time_point begunAt, deadline exitAt)
+    // Callers learn of a stop within the lifetime of a directory answer, and have other VMs to go to by then.
+    static constexpr std::chrono::milliseconds usualMaxStartDelay { 2'800 };
+
+    // `exitAt` is when requests that are still unanswered are given up. None is started later than
+    // `maxStartDelay` after the begin.
+    stop_admission(steady_clock::time_point begunAt, deadline exitAt,
+        steady_clock::duration maxStartDelay = usualMaxStartDelay)
         : m_lastStartAt(begunAt + std::min<steady_clock::duration>((exitAt - begunAt) / 2, maxStartDelay))
         , m_exitAt(exitAt)
     {
@@ -41,17 +46,16 @@
     }
 
     // Returns whether a request may be started. In the second half of the stop none is, as an upstream may
-    // have slowed down since its latency was observed, nor later than `maxStartDelay` after it began.
+    // have slowed down since its latency was observed, nor later than the longest start delay.
     bool mayStart(const stop_outlook& outlook, steady_clock::time_point now) const
     {
         return !hasPassed(m_lastStartAt, now) && !hasPassed(m_exitAt - neededTime(outlook), now);
     }
 
+    deadline lastStartAt() const { return m_lastStartAt; }
     deadline exitAt() const { return m_exitAt; }
 
 private:
-    // Callers learn of a stop within the lifetime of a directory answer, and have other VMs to go to by then.
-    static constexpr std::chrono::milliseconds maxStartDelay { 2'800 };
     // Of exponentially distributed run times, fewer than one in fifty exceed this multiple of the average.
     static constexpr int tailFactor = 4;
 
