Postmortem of requests late in a planned stop; rows for paths tried in vain

planned_stop_test gets a case with five rows: pipelined requests, a response whose body is outstanding, an upstream that never answers, a stop asked for three times. The first version of the rows expected 503 for the second of the pipelined requests and failed: it had reached the upstream, so that 504 was right. The rows now also check how often each request ran.

--- a/testing/planned_stop_test.cc
+++ b/testing/planned_stop_test.cc
@@ -71,6 +71,9 @@
             m_vm->run([this](gateway::gateway& entry) {
                 entry.beginStop(deadlineAfter(grace), [this] { m_done.set_value(); });
             });
+            if (m_ending.joinable()) {
+                return;
+            }
             m_ending = std::thread([this] {
                 m_done.get_future().wait();
                 m_vm.reset();
@@ -162,4 +165,46 @@
     }
 }
 
+TEST_CASE("Each request that was read before the end of a stop gets an answer, also on the less usual paths")
+{
+    // Guards against an end of a stop that reaches only requests that wait for the head of a response.
+    struct row {
+        const char* name;
+        std::vector<upstream_step> plan;
+        int requests; // Sent at once on one connection.
+        int stops; // How often the stop is asked for, as by several signals.
+        std::vector<int> statuses;
+    };
+    constexpr milliseconds longWork { 4'000 }; // Longer than the stop.
+    const row rows[] = {
+        { "one behind another on its connection", {}, 2, 1, { 504, 504 } },
+        { "many behind one on its connection", {}, 4, 1, { 504, 504, 503, 503 } },
+        { "the body of the response is outstanding", { upstream_step::slowBody }, 1, 1, { 504 } },
+        { "the upstream never answers", { upstream_step::hang }, 1, 1, { 504 } },
+        { "the stop is asked for three times", {}, 1, 3, { 504 } },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        stopping_vm vm;
+        vm.upstream().setWorkTime(longWork);
+        vm.upstream().plan(each.plan);
+        auto caller = vm.connect();
+        for (int index = 0; index < each.requests; ++index) {
+            caller.sendRequest("POST", "/once/a", "r" + std::to_string(index), 10'000, "b");
+        }
+        std::this_thread::sleep_for(milliseconds(100));
+        auto begunAt = steady_clock::now();
+        for (int index = 0; index < each.stops; ++index) {
+            vm.beginStop();
+            std::this_thread::sleep_for(milliseconds(300));
+        }
+        for (int index = 0; index < each.requests; ++index) {
+            auto status = each.statuses[static_cast<std::size_t>(index)];
+            CHECK(caller.receive().status == status);
+            CHECK(vm.upstream().runsOf("r" + std::to_string(index)) == (status == 504 ? 1 : 0));
+        }
+        CHECK(steady_clock::now() - begunAt < grace + milliseconds(250));
+    }
+}
+
 }
