A daemon bounds the memory that it holds for its callers

What callers saw: a process that ends by itself, as any process does whose memory exceeds its VM's 160 MB. Whether this is what was reported is not known; no log of it exists.

Cause: the responses that are read from upstreams had a budget, what is held for callers had none. A connection could send a body of up to the limit and stop before its end, for as long as it sent something each 15 s; 64 requests with bodies could wait on each of 3,000 connections; and responses went to a connection's write buffer without a bound, while further requests of the same connection were read.

Change: a buffer_budget of 16 MB for requests that arrive or are served and responses that are not sent, for callers and relaying peers together. A request that has no room gets 503 with Retry-After at once, unrun, and its connection ends; a response that has none is replaced by 502. A connection with more than 64 KB unsent reads no further requests until they have been sent. Bytes after a final request are dropped, and idle connections keep no large buffers.

buffer_budget itself granted more than twice its bytes to shares that stall, as the even share of each was counted against the number of shares at that time only; buffer_budget_test plays it.

--- a/marlsill/gateway/buffer_budget.h
+++ b/marlsill/gateway/buffer_budget.h
@@ -1,6 +1,7 @@
 #pragma once
 
-// Bounds the memory of all responses that one VM is reading, as upstreams may send without end.
+// Bounds the memory of all responses that one VM is reading, as upstreams may send without end, or of what it
+// holds for all its callers.
 //
 //     buffer_budget budget(32 * 1024 * 1024);
 //     auto share = budget.open();
@@ -41,8 +42,9 @@
         bool resize(std::size_t bytes)
         {
             m_budget->m_used += bytes - std::exchange(m_bytes, bytes);
+            auto evenShare = m_budget->m_maxBytes / std::max<std::size_t>(1, m_budget->m_shares);
             return m_budget->m_used <= m_budget->m_maxBytes
-                || bytes <= m_budget->m_maxBytes / std::max<std::size_t>(1, m_budget->m_shares);
+                || (m_budget->m_used <= 2 * m_budget->m_maxBytes && bytes <= evenShare);
         }
 
     private:
--- a/marlsill/gateway/buffer_budget_test.cc
+++ b/marlsill/gateway/buffer_budget_test.cc
@@ -43,4 +43,24 @@
     }
 }
 
+TEST_CASE("Shares that keep what they were granted stay within twice the budget, in any number")
+{
+    constexpr std::size_t maxBytes = 1'000'000;
+    constexpr std::size_t growth = 1'000;
+    for (std::size_t stalled : { 1, 10, 100, 1'000 }) {
+        CAPTURE(stalled);
+        buffer_budget budget(maxBytes);
+        std::vector<std::unique_ptr<buffer_budget::share>> shares;
+        for (std::size_t number = 0; number < stalled; ++number) {
+            shares.push_back(std::make_unique<buffer_budget::share>(budget));
+            std::size_t bytes = growth;
+            while (shares.back()->resize(bytes)) {
+                bytes += growth;
+            }
+            shares.back()->resize(bytes - growth);
+            CHECK(budget.used() <= 2 * maxBytes);
+        }
+    }
+}
+
 }
--- a/marlsill/gateway/gateway.cc
+++ b/marlsill/gateway/gateway.cc
@@ -46,13 +46,15 @@
     : m_io(io)
     , m_options(std::move(options))
     , m_forwarder(io, m_options.forwarding, std::move(wire))
+    , m_callerBuffers(m_options.maxCallerBuffers)
     , m_callerServer(io,
           { .endpoint = m_options.callerEndpoint,
               .limits =
                   [this] {
                       return m_forwarder.currentConfiguration() ? m_forwarder.currentConfiguration()->limits()
                                                                 : caller_limits();
-                  } },
+                  },
+              .buffers = &m_callerBuffers },
           [this](auto request) { return serve(std::move(request)); })
 {
 }
--- a/marlsill/gateway/gateway.h
+++ b/marlsill/gateway/gateway.h
@@ -22,6 +22,9 @@
     asio::ip::tcp::endpoint callerEndpoint;
     forwarder_options forwarding;
     std::chrono::milliseconds sweepInterval { 250 }; // Between checks for idle and stalled connections.
+    // Of what is held for callers; it may take twice as much, see buffer_budget. A tenth of the memory of a
+    // small VM.
+    std::size_t maxCallerBuffers = 16 * 1024 * 1024;
     std::chrono::milliseconds minDrainTime { 2'500 }; // Callers cache directory responses for about as long.
 };
 
@@ -62,6 +65,9 @@
     forwarder& requestForwarder() { return m_forwarder; }
     session_server& callerServer() { return m_callerServer; }
 
+    // The budget of what is held for callers, also those whose requests peers relay.
+    buffer_budget& callerBuffers() { return m_callerBuffers; }
+
 private:
     asio::awaitable<std::optional<http::response_message>> serve(std::shared_ptr<served_request> request);
     bool isBusy() const;
@@ -73,6 +79,7 @@
     asio::io_context& m_io;
     const gateway_options m_options;
     forwarder m_forwarder;
+    buffer_budget m_callerBuffers;
     session_server m_callerServer;
     request_relay* m_relay = nullptr;
     std::function<std::vector<std::string>(const std::string&)> m_relayPeersFor;
--- a/marlsill/gateway/session_server.cc
+++ b/marlsill/gateway/session_server.cc
@@ -19,9 +19,33 @@
     constexpr std::size_t maxPipelinedRequests = 64; // Unanswered requests of one connection.
     constexpr std::size_t maxUnparsedBytes = 64 * 1024; // Bytes after a caller's final request.
     constexpr int listenBacklog = 1024;
+    constexpr std::size_t maxUnsentBytes = 64 * 1024; // Of responses, while further requests are read.
+    constexpr std::size_t requestCost = 6'000; // Bytes of a request in flight beside its header and body.
+    constexpr std::size_t fieldCost = 160; // Bytes of a header field beside its name and value.
+    constexpr std::size_t minReplacedBytes = 4 * 1024; // Smaller responses are not replaced by an error.
+    constexpr std::size_t maxIdleCapacity = 2 * 1024; // Bytes that an idle connection keeps allocated.
+    constexpr const char* refusalDelaySeconds = "1"; // Retry-After without memory.
     constexpr std::chrono::milliseconds lingerTimeout { 1'000 }; // For the caller to read the last response.
     constexpr std::chrono::milliseconds deadPeerTimeout { 4'000 }; // Above a round trip with some losses.
 
+    // Returns the bytes of a request and of the copy that is sent to an upstream.
+    std::size_t bytesOf(const http::request_message& message)
+    {
+        std::size_t bytes = message.body.capacity() + message.body.size() + requestCost;
+        for (const auto& [name, value] : message.head) {
+            bytes += 2 * (name.size() + value.size()) + fieldCost;
+        }
+        return bytes;
+    }
+
+    http::response_message makeRefusal()
+    {
+        auto message = http::makeResponse(
+            Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "text/plain", "no memory left for requests\n");
+        message.head.set("Retry-After", refusalDelaySeconds);
+        return message;
+    }
+
 }
 
 caller_session::caller_session(session_server& server, asio::ip::tcp::socket socket)
@@ -61,10 +85,18 @@
 {
     auto self = shared_from_this();
     while (m_isReading) {
+        m_isPaused = !m_hasFinalRequest && unsentBytes() > maxUnsentBytes;
+        if (m_isPaused) {
+            co_return;
+        }
         if (!m_hasFinalRequest && parseNext()) {
             continue;
         }
-        if (!m_isReading || m_readBuffer.size() > maxUnparsedBytes) {
+        if (!updateHeldBytes() && m_isReading && !m_hasFinalRequest) {
+            refusePartialRequest();
+        }
+        discardUnparsed();
+        if (!m_isReading || m_discardedBytes > maxUnparsedBytes) {
             co_return;
         }
         if (!co_await receive()) {
@@ -77,6 +109,63 @@
     }
 }
 
+// Sets how many bytes are held for this caller. Returns false if some of them must be given up.
+bool caller_session::updateHeldBytes()
+{
+    auto bytes = m_readBuffer.size() + unsentBytes();
+    if (m_parser.isReadingBody()) {
+        bytes += m_partialMessage.body.capacity();
+    }
+    for (const auto& each : m_pipeline) {
+        bytes += each->bytes;
+    }
+    if (bytes == 0 || m_isClosed || !m_server.m_options.buffers) {
+        m_held.reset();
+        return true;
+    }
+    if (!m_held) {
+        m_held.emplace(*m_server.m_options.buffers);
+    }
+    return m_held->resize(bytes);
+}
+
+void caller_session::refusePartialRequest()
+{
+    if (m_readBuffer.empty() && !m_parser.isReadingBody()) {
+        return; // What is held are earlier requests and their responses.
+    }
+    std::exchange(m_partialMessage, {});
+    m_requestStartedAt = {};
+    sendLocalReply(makeRefusal(), "no memory left");
+    discardUnparsed();
+    updateHeldBytes();
+}
+
+// Bytes after the final request are not kept, and neither is memory that an idle connection does not need.
+void caller_session::discardUnparsed()
+{
+    if (m_hasFinalRequest) {
+        m_discardedBytes += m_readBuffer.size();
+        m_readBuffer.clear();
+    }
+    if (m_readBuffer.empty() && m_readBuffer.capacity() > maxIdleCapacity) {
+        m_readBuffer.shrink_to_fit();
+    }
+}
+
+void caller_session::resumeReading()
+{
+    if (!m_isPaused || m_isClosing || m_isClosed || unsentBytes() > maxUnsentBytes) {
+        return;
+    }
+    m_isPaused = false;
+    if (m_requestStartedAt != steady_clock::time_point {}) {
+        m_requestStartedAt = steady_clock::now();
+    }
+    asio::co_spawn(
+        m_server.m_io, [self = shared_from_this()] { return self->run(); }, asio::detached);
+}
+
 // Parses one request from the buffer. Returns whether the buffer may hold another one.
 bool caller_session::parseNext()
 {
@@ -121,17 +210,32 @@
     current->closesConnection = !current->request->message.head.getKeepAlive();
     m_hasFinalRequest = current->closesConnection;
     m_lastActivity = current->request->arrivedAt;
+    current->bytes = bytesOf(current->request->message);
     m_pipeline.push_back(current);
     m_isReading = m_pipeline.size() < maxPipelinedRequests;
+    if (!updateHeldBytes()) {
+        current->isRefused = true;
+        auto refused = std::exchange(current->request->message, {});
+        current->request->message.head.setMethod(refused.head.getMethod());
+        current->closesConnection = true;
+        m_hasFinalRequest = true;
+        current->bytes = requestCost;
+        updateHeldBytes();
+    }
     asio::co_spawn(
         m_server.m_io, [self = shared_from_this(), current] { return self->serve(current); }, asio::detached);
 }
 
 void caller_session::sendLocalReply(int status, std::string_view why)
+{
+    sendLocalReply(http::makeResponse(status, "text/plain", std::string(why) + "\n"), why);
+}
+
+void caller_session::sendLocalReply(http::response_message response, std::string_view why)
 {
     logEvent(event::callerRequestMalformed, { { "caller", m_caller }, { "why", std::string(why) } });
     auto current = std::make_shared<pending_request>();
-    current->response = http::makeResponse(status, "text/plain", std::string(why) + "\n");
+    current->response = std::move(response);
     current->closesConnection = true;
     m_pipeline.push_back(current);
     m_hasFinalRequest = true;
@@ -141,7 +245,12 @@
 asio::awaitable<void> caller_session::serve(std::shared_ptr<pending_request> current)
 {
     auto self = shared_from_this();
-    auto response = co_await m_server.m_serve(current->request);
+    std::optional<http::response_message> response;
+    if (current->isRefused) {
+        response = makeRefusal();
+    } else {
+        response = co_await m_server.m_serve(current->request);
+    }
     if (m_isClosed) {
         co_return;
     }
@@ -150,6 +259,12 @@
         co_return;
     }
     current->response = std::move(response);
+    current->bytes = current->response->body.size();
+    if (!updateHeldBytes() && current->bytes > minReplacedBytes) {
+        current->response = http::makeResponse(
+            Poco::Net::HTTPResponse::HTTP_BAD_GATEWAY, "text/plain", "no memory left for the response\n");
+        current->bytes = current->response->body.size();
+    }
     flushReadyResponses();
 }
 
@@ -173,6 +288,7 @@
         auto method = current->request ? current->request->message.head.getMethod() : std::string();
         m_writeBuffer += http::serialize(*current->response, method);
     }
+    updateHeldBytes();
     m_lastActivity = steady_clock::now();
     if (wasFull && !m_isReading && !m_isClosing && m_pipeline.size() < maxPipelinedRequests) {
         m_isReading = true;
@@ -196,13 +312,17 @@
     auto self = shared_from_this();
     while (!m_writeBuffer.empty() && !m_isClosed) {
         auto bytes = std::exchange(m_writeBuffer, {});
+        m_sendingBytes = bytes.size();
         boost::system::error_code error;
         co_await asio::async_write(
             m_socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+        m_sendingBytes = 0;
         if (error) {
             close();
             co_return;
         }
+        updateHeldBytes();
+        resumeReading();
     }
     m_isWriting = false;
     if (m_isClosing && !m_isClosed) {
@@ -237,7 +357,7 @@
         return;
     }
     auto limits = m_server.m_options.limits();
-    bool hasPartialRequest = m_requestStartedAt != steady_clock::time_point {};
+    bool hasPartialRequest = !m_isPaused && m_requestStartedAt != steady_clock::time_point {};
     if (hasPartialRequest && now - m_requestStartedAt > limits.headerTimeout && !m_parser.isReadingBody()) {
         sendLocalReply(408, "the request did not arrive in time");
         return;
@@ -277,6 +397,7 @@
         }
     }
     m_pipeline.clear();
+    m_held.reset();
     m_server.m_sessions.erase(shared_from_this());
 }
 
@@ -288,6 +409,14 @@
 {
 }
 
+// Coroutines may keep sessions longer than the server and the budget exist.
+session_server::~session_server()
+{
+    for (const auto& each : m_sessions) {
+        each->m_held.reset();
+    }
+}
+
 std::string session_server::start()
 {
     boost::system::error_code error;
--- a/marlsill/gateway/session_server.h
+++ b/marlsill/gateway/session_server.h
@@ -11,6 +11,7 @@
 // thread safe; used from a single event loop.
 
 #include "marlsill/base/time.h"
+#include "marlsill/gateway/buffer_budget.h"
 #include "marlsill/gateway/configuration.h"
 #include "marlsill/http/message_parser.h"
 
@@ -48,6 +49,9 @@
     asio::ip::tcp::endpoint endpoint;
     std::function<caller_limits()> limits; // Read for each request and each sweep.
     std::size_t maxConnections = 3'000; // Further ones are closed at once.
+    // Of what is held for all callers: requests that arrive or are being served, and responses that are not
+    // sent yet. May be null; must outlive the server.
+    buffer_budget* buffers = nullptr;
 };
 
 class session_server;
@@ -70,11 +74,15 @@
     bool isBusy() const { return !m_pipeline.empty() || m_isWriting; }
 
 private:
+    friend class session_server;
+
     // A request whose response has not been written yet.
     struct pending_request {
         std::shared_ptr<served_request> request; // Null for a request that could not be parsed.
         std::optional<http::response_message> response;
         bool closesConnection = false; // The connection closes after this response.
+        bool isRefused = false; // There is no memory left for it.
+        std::size_t bytes = 0; // Held for it.
     };
 
     asio::awaitable<void> serve(std::shared_ptr<pending_request> current);
@@ -84,6 +92,12 @@
     asio::awaitable<void> lingerAndClose();
     void acceptRequest(http::request_message message);
     void sendLocalReply(int status, std::string_view why);
+    void sendLocalReply(http::response_message response, std::string_view why);
+    std::size_t unsentBytes() const { return m_writeBuffer.size() + m_sendingBytes; }
+    bool updateHeldBytes();
+    void refusePartialRequest();
+    void discardUnparsed();
+    void resumeReading();
     void flushReadyResponses();
     void startWriting();
     void close();
@@ -93,6 +107,9 @@
     std::string m_caller;
     std::string m_readBuffer;
     std::string m_writeBuffer;
+    std::size_t m_sendingBytes = 0; // Of the write under way.
+    std::size_t m_discardedBytes = 0; // After the final request.
+    std::optional<buffer_budget::share> m_held; // While this connection holds any bytes.
     http::request_parser m_parser;
     http::request_message m_partialMessage; // The request being parsed.
     std::deque<std::shared_ptr<pending_request>> m_pipeline;
@@ -101,6 +118,7 @@
     bool m_isReading = true;
     bool m_hasFinalRequest = false; // Later bytes are read only to notice a disconnect.
     bool m_isWriting = false;
+    bool m_isPaused = false; // Reads no further requests until responses have been sent.
     bool m_isDraining = false;
     bool m_isClosing = false; // The last response is being written.
     bool m_isClosed = false;
@@ -110,6 +128,7 @@
 class session_server {
 public:
     session_server(asio::io_context& io, session_server_options options, serve_function serve);
+    ~session_server();
 
     // Binds the endpoint and starts to accept. Returns an error message, or an empty string on success.
     std::string start();
--- a/marlsill/gateway/upstream_connection.cc
+++ b/marlsill/gateway/upstream_connection.cc
@@ -98,7 +98,7 @@
         m_socket, asio::buffer(m_writeBuffer), asio::redirect_error(asio::use_awaitable, error));
     if (!error) {
         m_isWriting = false;
-        m_writeBuffer.clear();
+        std::exchange(m_writeBuffer, {}); // Idle connections keep no memory of a large request.
     }
 }
 
@@ -141,6 +141,9 @@
     }
     m_writeBuffer.erase(0, sent);
     m_isWriting = !m_writeBuffer.empty();
+    if (!m_isWriting) {
+        m_writeBuffer.shrink_to_fit();
+    }
     armTimer(limit);
     if (m_isWriting) {
         asio::co_spawn(
--- a/testing/gateway_test.cc
+++ b/testing/gateway_test.cc
@@ -29,7 +29,8 @@
     class gateway_fixture {
     public:
         explicit gateway_fixture(int upstreams, milliseconds routeTimeout = milliseconds(1'000),
-            const gateway::forwarder_options& forwarding = {})
+            const gateway::forwarder_options& forwarding = {},
+            std::size_t maxCallerBuffers = gateway::gateway_options().maxCallerBuffers)
         {
             for (int index = 0; index < upstreams; ++index) {
                 m_upstreams.push_back(
@@ -56,6 +57,7 @@
             auto config = std::make_shared<const gateway::configuration>(5, std::move(routes), limits);
             gateway::gateway_options options;
             options.minDrainTime = milliseconds(300);
+            options.maxCallerBuffers = maxCallerBuffers;
             options.forwarding = forwarding;
             options.forwarding.retryWindow = retryWindow;
             m_vm = std::make_unique<gateway_thread>(options);
@@ -427,6 +429,83 @@
     CHECK(tested.upstream(0).sawCancel());
 }
 
+TEST_CASE("Without memory for callers, large requests are refused unrun and ordinary ones served")
+{
+    constexpr std::size_t maxCallerBuffers = 500'000;
+    constexpr std::size_t bodyBytes = 150'000;
+    struct row {
+        const char* name;
+        std::size_t sentBytes; // Of each body.
+        std::size_t connections;
+        milliseconds workTime;
+    };
+    const row rows[] = {
+        { "unfinished bodies", bodyBytes - 1, 12, milliseconds(0) },
+        { "bodies in flight", bodyBytes, 12, milliseconds(600) },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        gateway_fixture fixture(2, milliseconds(2'000), {}, maxCallerBuffers);
+        fixture.upstream(0).setWorkTime(each.workTime);
+        fixture.upstream(1).setWorkTime(each.workTime);
+        std::vector<caller> callers;
+        for (std::size_t number = 0; number < each.connections; ++number) {
+            callers.push_back(fixture.connect());
+            callers.back().send("POST /once/a HTTP/1.1\r\nHost: h.example\r\n"
+                + gateway::wire_fields().requestId + ": r" + std::to_string(number) + "\r\nContent-Length: "
+                + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(each.sentBytes, 'b'));
+        }
+        std::this_thread::sleep_for(milliseconds(200));
+        CHECK(fixture.sendAndReceive("GET", "/repeat/a", "ordinary").status == 200);
+        std::size_t used = 0;
+        fixture.runOnEventLoop([&](gateway::gateway& gateway) { used = gateway.callerBuffers().used(); });
+        CHECK(used <= 2 * maxCallerBuffers);
+        int refused = 0;
+        int served = 0;
+        for (std::size_t number = 0; number < each.connections; ++number) {
+            callers[number].send(std::string(bodyBytes - each.sentBytes, 'b'));
+            auto answered = callers[number].receive();
+            served += answered.status == 200 ? 1 : 0;
+            if (answered.status == 503) {
+                ++refused;
+                CHECK(answered.has("Retry-After: "));
+                CHECK(fixture.runsOf("r" + std::to_string(number)) == 0);
+            }
+        }
+        CHECK(served + refused == static_cast<int>(each.connections));
+        CHECK(served >= 1);
+        CHECK(refused >= 8); // There is room for three at most.
+        auto until = deadlineAfter(milliseconds(1'000)); // The last write may still be ending.
+        while (used > 0 && !hasPassed(until, steady_clock::now())) {
+            fixture.runOnEventLoop([&](gateway::gateway& gateway) { used = gateway.callerBuffers().used(); });
+        }
+        CHECK(used == 0);
+    }
+}
+
+TEST_CASE("A caller that reads late gets all its answers, whole and in order")
+{
+    constexpr int requests = 200;
+    gateway_fixture tested(2);
+    for (std::size_t index = 0; index < 2; ++index) {
+        tested.upstream(index).setBody(std::string(100'000, 'a'));
+    }
+    auto connection = tested.connect();
+    for (int number = 0; number < requests; ++number) {
+        connection.sendRequest("GET", "/repeat/a", "r" + std::to_string(number), 60'000);
+    }
+    std::this_thread::sleep_for(milliseconds(1'000));
+    std::size_t used = 0;
+    tested.runOnEventLoop([&](gateway::gateway& gateway) { used = gateway.callerBuffers().used(); });
+    CHECK(used <= 64 * 110'000 + 64 * 1'024); // Answers to the requests that are read at a time.
+    for (int number = 0; number < requests; ++number) {
+        auto answered = connection.receive();
+        CHECK(answered.has("X-Request-Id: r" + std::to_string(number) + "\r\n"));
+        CHECK(answered.isWhole);
+        CHECK((answered.status == 503 || answered.body.size() == 100'000));
+    }
+}
+
 TEST_CASE("Callers that reset their connections as responses are written do no harm")
 {
     // Guards against use of a session that closed between a response and the start of writing it.
--- a/testing/scripted_upstream.cc
+++ b/testing/scripted_upstream.cc
@@ -8,7 +8,6 @@
 
 namespace {
 
-    constexpr const char* body = "the whole body";
     constexpr std::chrono::milliseconds workTime { 100 };
 
     std::string fieldOf(const std::string& head, const std::string& name)
@@ -247,7 +246,7 @@
     auto request = fieldOf(head, m_fields.requestId);
     const std::string start = "HTTP/1.1 200 OK\r\n" + m_fields.requestId + ": " + request + "\r\n"
         + m_fields.seal + ": seal-" + request + "\r\n" + stateFields();
-    const std::string whole = start + "Content-Length: 14\r\n\r\n" + body;
+    const std::string whole = start + "Content-Length: " + std::to_string(m_body.size()) + "\r\n\r\n" + m_body;
     if (step == upstream_step::early) {
         sendText(socket,
             "HTTP/1.1 413 Too Large\r\n" + m_fields.requestId + ": " + request + "\r\n" + stateFields()
@@ -351,7 +350,7 @@
         sendText(socket, "these bytes are no answer\r\n\r\n");
         return false;
     case upstream_step::unframed:
-        sendText(socket, start + "\r\n" + body);
+        sendText(socket, start + "\r\n" + m_body);
         ::shutdown(socket.impl()->sockfd(), SHUT_WR);
         return false;
     case upstream_step::lateExtra:
@@ -367,7 +366,7 @@
     case upstream_step::slowBody:
         sendText(socket, start + "Content-Length: 14\r\n\r\n");
         std::this_thread::sleep_for(m_workTime.load());
-        sendText(socket, body);
+        sendText(socket, m_body);
         return true;
     case upstream_step::hang:
         m_sawCancel = !receive() || m_sawCancel.load();
--- a/testing/scripted_upstream.h
+++ b/testing/scripted_upstream.h
@@ -82,6 +82,9 @@
     // Sets how long each request that is answered takes.
     void setWorkTime(std::chrono::milliseconds length) { m_workTime = length; }
 
+    // Sets the body of answers; it should not change while requests arrive.
+    void setBody(std::string body) { m_body = std::move(body); }
+
     // Sets the limit in requests per second that all answers name; 0: they name none.
     void setRateLimit(double requestsPerSecond) { m_rateLimit = requestsPerSecond; }
 
@@ -143,6 +146,7 @@
     const gateway::wire_fields m_fields;
     Poco::Net::ServerSocket m_socket;
     std::string m_address;
+    std::string m_body = "the whole body";
     std::atomic<bool> m_isStopped = false;
     std::atomic<int> m_arrivals = 0;
     std::atomic<int> m_connections = 0;
--- a/testing/soak/entry_process.h
+++ b/testing/soak/entry_process.h
@@ -74,6 +74,7 @@
     bool awaitEnd();
 
     bool isRunning() const { return m_pid > 0; }
+    pid_t pid() const { return m_pid; }
 
     // Sets the program that the process runs from its next start on, and what its lives are called with.
     void setBuild(std::string program, std::string label);
