--- a/testing/soak/entry_process.h
+++ b/testing/soak/entry_process.h
@@ -83,7 +83,8 @@
     // the end of its grace time.
     bool awaitEnd();
 
-    bool isRunning() const { return m_process && m_process->id() > 0; }
+    bool isRunning() const { return pid() > 0; }
+    pid_t pid() const { return m_process ? m_process->id() : 0; }
 
     // Returns the process of this life; null before the first start.
     spawned_process* process() { return m_process.get(); }
