--- a/marlsill/gateway/session_server.cc
+++ b/marlsill/gateway/session_server.cc
@@ -179,8 +179,7 @@
     if (m_requestStartedAt != steady_clock::time_point {}) {
         m_requestStartedAt = steady_clock::now();
     }
-    asio::co_spawn(
-        m_server.m_io, [self = shared_from_this()] { return self->run(); }, asio::detached);
+    spawn([this] { return run(); });
 }
 
 // Parses one request from the buffer. Returns whether the buffer may hold another one.
