--- a/marlsill/gateway/request_relay.cc
+++ b/marlsill/gateway/request_relay.cc
@@ -2,6 +2,7 @@
 
 #include "marlsill/events/events.h"
 #include "marlsill/http/message_writer.h"
+#include "marlsill/supervisor/loop_guard.h"
 
 #include <sstream>
 
@@ -81,6 +82,26 @@
         co_return outcome;
     }
     m_inFlight.insert(current.get());
+    std::exception_ptr failure;
+    try {
+        outcome = co_await tryPeers(current, std::move(peers));
+    } catch (...) {
+        failure = std::current_exception();
+    }
+    current->relayConnection = nullptr;
+    m_inFlight.erase(current.get());
+    if (failure) {
+        logEvent(
+            event::handlerFailed, { { "request", current->id }, { "cause", describeException(failure) } });
+        outcome.status = relay_status::unknown;
+    }
+    co_return outcome;
+}
+
+asio::awaitable<relay_outcome> request_relay::tryPeers(
+    std::shared_ptr<active_request> current, std::vector<std::string> peers)
+{
+    relay_outcome outcome;
     int tried = 0;
     for (const auto& peer : peers) {
         if (tried++ >= m_options.maxPeersTried || current->isCancelled
@@ -123,8 +144,6 @@
         outcome.response = std::move(result.response);
         break;
     }
-    current->relayConnection = nullptr;
-    m_inFlight.erase(current.get());
     co_return outcome;
 }
 
--- a/marlsill/gateway/request_relay.h
+++ b/marlsill/gateway/request_relay.h
@@ -85,6 +85,8 @@
     static constexpr std::size_t maxResponseBuffers = 32 * 1024 * 1024;
 
     std::string serialize(const active_request& current, steady_clock::time_point now) const;
+    asio::awaitable<relay_outcome> tryPeers(
+        std::shared_ptr<active_request> current, std::vector<std::string> peers);
     asio::awaitable<std::shared_ptr<upstream_connection>> connectTo(
         std::string peer, std::shared_ptr<active_request> current);
 
