Evidence about a service is kept from peers while the VM may have lost its links to it

Cause: a VM kept evidence back only if it suspected that it reached no upstream at all. One that has lost a single service reaches the others, so its failed connects excluded sound upstreams at all VMs, and its probes, which never arrive, counted there as use and blocked other probes.

Change: placement/service_links keeps a reachability_monitor for each service with failed connects. While that service is suspect, "unreachable", "stalled" and "probe" are not told. Four connects to the service decide; a connect that succeeds, or a connection opened since, ends it. E5114 names the service.

Run: placement_test, events_test, gateway_test, request_relay_test, cut_off_vm_test; not the whole suite.

Left open: requests at such VMs still fail, and VMs that have lost some upstreams of a service only still tell peers of each.

--- a/marlsill/events/events.cc
+++ b/marlsill/events/events.cc
@@ -136,7 +136,7 @@
         { event::permitAnswered, severity::info, "permit_answered",
             "A permit to send one request to a limited upstream was granted, from `delay_ms` on, or refused." },
         { event::cutOffChanged, severity::warning, "cut_off_changed",
-            "This VM cannot reach any upstream, or can again; while it cannot, peers serve its callers' requests." },
+            "This VM cannot reach any upstream, or none of `service` if that is named, or can again; while it can reach none at all, peers serve its callers' requests." },
         { event::leavingNoticed, severity::info, "leaving_noticed",
             "An upstream says in its responses that it leaves; it gets no new requests until another process is registered under its id. `source` is who has told, `age_ms` how long ago it was said." },
         { event::leavingNoticeEnded, severity::info, "leaving_notice_ended",
--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -233,8 +233,8 @@
     m_reachability.tick(now);
     for (const auto& each : m_loadBalancer.excludeStalled(now)) {
         logEvent(event::upstreamEvidence, { { "upstream", each.upstream }, { "source", "stall" } });
-        if (m_reportEvidence) {
-            m_reportEvidence(each);
+        if (const auto* known = m_loadBalancer.find(each.upstream)) {
+            reportEvidence(known->service, each);
         }
     }
     m_pool.sweep(
@@ -548,11 +548,9 @@
             { "trial", thisAttempt.isProbe ? "1" : "0" }, { "elapsed_ms", std::to_string(toMs(elapsed)) } });
     auto evidence = m_loadBalancer.finishAttempt(
         thisAttempt.upstream, verdict, elapsed, thisAttempt.startedAt, current.state.isAtMostOnce, now);
-    recordReachability(thisAttempt, now);
-    bool isOwnFault = evidence && evidence->kind == placement::evidence_kind::unreachable
-        && m_reachability.isSuspicious();
-    if (evidence && m_reportEvidence && !isOwnFault) {
-        m_reportEvidence(*evidence);
+    recordReachability(current, thisAttempt, now);
+    if (evidence) {
+        reportEvidence(current.service, *evidence);
     }
     if (placement::isKeepAliveRace(thisAttempt.outcome)) {
         m_idleLimits.recordKeepAliveRace(current.service, now);
@@ -582,15 +580,25 @@
             thisAttempt.response.head, now);
 }
 
+// Tells the peers what this VM has seen at an upstream, unless the cause may be its own links.
+void forwarder::reportEvidence(std::string_view service, const placement::upstream_evidence& evidence)
+{
+    if (m_reportEvidence && m_reachability.mayReport(service, evidence.kind, steady_clock::now())) {
+        m_reportEvidence(evidence);
+    }
+}
+
 // Feeds the detection of lost links with what an attempt says about them.
-void forwarder::recordReachability(const attempt& thisAttempt, steady_clock::time_point now)
+void forwarder::recordReachability(
+    const active_request& current, const attempt& thisAttempt, steady_clock::time_point now)
 {
     const auto& outcome = thisAttempt.outcome;
     bool isLost = outcome.outcome == attempt_outcome::noAnswer && !placement::isKeepAliveRace(outcome);
     if (isLost || thisAttempt.failure == connectFailed) {
-        m_reachability.recordAttempt(thisAttempt.upstream, false, thisAttempt.startedAt, now);
+        m_reachability.recordAttempt(
+            current.service, thisAttempt.upstream, false, thisAttempt.startedAt, now);
     } else if (!outcome.wasReused && outcome.status > 0) {
-        m_reachability.recordAttempt(thisAttempt.upstream, true, thisAttempt.startedAt, now);
+        m_reachability.recordAttempt(current.service, thisAttempt.upstream, true, thisAttempt.startedAt, now);
     }
 }
 
@@ -695,8 +703,8 @@
     thisAttempt->isProbe = chosen.isProbe;
     thisAttempt->startedAt = now;
     m_loadBalancer.startAttempt(thisAttempt->upstream, chosen.isProbe, now);
-    if (chosen.isProbe && m_reportEvidence) {
-        m_reportEvidence({ thisAttempt->upstream, placement::evidence_kind::probe });
+    if (chosen.isProbe) {
+        reportEvidence(current->service, { thisAttempt->upstream, placement::evidence_kind::probe });
     }
     ++m_counters.attempts;
     ++current->state.possibleRuns;
--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -246,7 +246,9 @@
     void recordAttemptResult(active_request& current, attempt& thisAttempt, steady_clock::time_point now);
     bool tryTakeRetry(active_request& current, bool countsAsRetry, steady_clock::time_point now);
     bool shouldRelay(active_request& current, bool needsAttempt, steady_clock::time_point now);
-    void recordReachability(const attempt& thisAttempt, steady_clock::time_point now);
+    void reportEvidence(std::string_view service, const placement::upstream_evidence& evidence);
+    void recordReachability(
+        const active_request& current, const attempt& thisAttempt, steady_clock::time_point now);
     bool tryTakeHedge(active_request& current, steady_clock::time_point now);
     static placement::answer_deadlines queueDeadlinesOf(const active_request& current);
     deadline hedgeTime(const active_request& current) const;
--- a/marlsill/gateway/upstream_reachability.cc
+++ b/marlsill/gateway/upstream_reachability.cc
@@ -12,10 +12,12 @@
 
 namespace marlsill::gateway {
 
-void upstream_reachability::recordAttempt(std::string_view upstream, bool wasReached,
-    steady_clock::time_point startedAt, steady_clock::time_point now)
+void upstream_reachability::recordAttempt(std::string_view service, std::string_view upstream,
+    bool wasReached, steady_clock::time_point startedAt, steady_clock::time_point now)
 {
-    m_monitor.recordAttempt(upstream, wasReached, startedAt, now);
+    if (m_links.recordAttempt(service, upstream, wasReached, startedAt, now)) {
+        logChange(service);
+    }
     if (!wasReached) {
         tick(now);
     }
@@ -23,21 +25,20 @@
 
 void upstream_reachability::tick(steady_clock::time_point now)
 {
-    auto due = static_cast<std::size_t>(m_monitor.takeDueProbes(now));
-    if (due == 0) {
-        return;
-    }
-    auto addresses = m_loadBalancer.sampleAddresses(due);
-    for (const auto& each : addresses) {
-        asio::co_spawn(m_io, probe(each), asio::detached);
-    }
-    // Without upstreams there is nothing to be cut off from.
-    for (auto missing = addresses.size(); missing < due; ++missing) {
-        recordProbe(addresses.empty());
+    for (const auto& [service, count] : m_links.takeDueProbes(now)) {
+        auto due = static_cast<std::size_t>(count);
+        auto addresses = m_loadBalancer.sampleAddresses(service, due);
+        for (const auto& each : addresses) {
+            asio::co_spawn(m_io, probe(service, each), asio::detached);
+        }
+        // Without upstreams there is nothing to be cut off from.
+        for (auto missing = addresses.size(); missing < due; ++missing) {
+            recordProbe(service, addresses.empty());
+        }
     }
 }
 
-asio::awaitable<void> upstream_reachability::probe(std::string address)
+asio::awaitable<void> upstream_reachability::probe(std::string service, std::string address)
 {
     bool wasReached = false;
     if (auto endpoint = parseEndpoint(address)) {
@@ -50,18 +51,25 @@
         }
         connection->abort();
     }
-    recordProbe(wasReached);
+    recordProbe(service, wasReached);
 }
 
-void upstream_reachability::recordProbe(bool wasReached)
+void upstream_reachability::recordProbe(std::string_view service, bool wasReached)
 {
-    if (!m_monitor.recordProbe(wasReached, steady_clock::now())) {
+    if (!m_links.recordProbe(service, wasReached, steady_clock::now())) {
         return;
     }
-    logEvent(event::cutOffChanged, { { "cut_off", isCutOff() ? "1" : "0" } });
-    if (m_listener) {
+    logChange(service);
+    if (service.empty() && m_listener) {
         m_listener(isCutOff());
     }
 }
 
+void upstream_reachability::logChange(std::string_view service) const
+{
+    bool hasLost = service.empty() ? isCutOff() : m_links.isCutOffFrom(service);
+    logEvent(
+        event::cutOffChanged, { { "cut_off", hasLost ? "1" : "0" }, { "service", std::string(service) } });
+}
+
 }
--- a/marlsill/gateway/upstream_reachability.h
+++ b/marlsill/gateway/upstream_reachability.h
@@ -1,17 +1,17 @@
 #pragma once
 
 // Finds out, from the attempts of requests and with a few connects of its own, whether this VM has lost its
-// links to all upstreams; see placement::reachability_monitor.
+// links to all upstreams, or to those of single services; see placement::service_links.
 //
 //     upstream_reachability reachability(io, loadBalancer, {});
 //     reachability.setListener([](bool isCutOff) { tellPeers(isCutOff); });
-//     reachability.recordAttempt("upstream-17", false, startedAt, now);
+//     reachability.recordAttempt("bookings", "upstream-17", false, startedAt, now);
 //
 // Not thread safe; used from a single event loop.
 
 #include "marlsill/base/time.h"
 #include "marlsill/placement/load_balancer.h"
-#include "marlsill/placement/reachability_monitor.h"
+#include "marlsill/placement/service_links.h"
 
 #include <utility>
 
@@ -42,7 +42,7 @@
         : m_io(io)
         , m_loadBalancer(balancer)
         , m_options(options)
-        , m_monitor(options.monitor)
+        , m_links(options.monitor)
     {
     }
 
@@ -50,23 +50,31 @@
     void setListener(std::function<void(bool isCutOff)> listener) { m_listener = std::move(listener); }
 
     // Records an attempt that opened a connection, or lost one that was idle before.
-    void recordAttempt(std::string_view upstream, bool wasReached, steady_clock::time_point startedAt,
-        steady_clock::time_point now);
+    void recordAttempt(std::string_view service, std::string_view upstream, bool wasReached,
+        steady_clock::time_point startedAt, steady_clock::time_point now);
 
     // Starts probes that are due. Call a few times a second.
     void tick(steady_clock::time_point now);
 
-    bool isCutOff() const { return m_monitor.isCutOff(); }
-    bool isSuspicious() const { return m_monitor.isSuspicious(); }
+    bool isCutOff() const { return m_links.isCutOff(); }
+    bool isSuspicious() const { return m_links.isSuspicious(); }
+
+    // Returns whether peers may be told what this VM has seen at an upstream of the service.
+    bool mayReport(
+        std::string_view service, placement::evidence_kind kind, steady_clock::time_point now) const
+    {
+        return m_links.mayReport(service, kind, now);
+    }
 
 private:
-    asio::awaitable<void> probe(std::string address);
-    void recordProbe(bool wasReached);
+    asio::awaitable<void> probe(std::string service, std::string address);
+    void recordProbe(std::string_view service, bool wasReached);
+    void logChange(std::string_view service) const;
 
     asio::io_context& m_io;
     placement::load_balancer& m_loadBalancer;
     const upstream_reachability_options m_options;
-    placement::reachability_monitor m_monitor;
+    placement::service_links m_links;
     std::function<void(bool)> m_listener;
 };
 
--- a/marlsill/placement/load_balancer.cc
+++ b/marlsill/placement/load_balancer.cc
@@ -825,29 +825,32 @@
     return changed;
 }
 
-std::vector<std::string> load_balancer::sampleAddresses(std::size_t count)
+std::vector<std::string> load_balancer::sampleAddresses(std::string_view only, std::size_t count)
 {
     std::vector<std::string> sampled;
-    if (m_services.empty()) {
+    std::vector<const service_state*> services;
+    for (const auto& [name, service] : m_services) {
+        if (only.empty() || only == name) {
+            services.push_back(service.get());
+        }
+    }
+    if (services.empty()) {
         return sampled;
     }
-    auto first = m_random() % m_services.size();
+    auto first = m_random() % services.size();
     auto offset = m_random();
-    auto next = std::next(m_services.begin(), static_cast<std::ptrdiff_t>(first));
+    auto ranks = only.empty() ? count : services.front()->upstreams.size() + services.front()->others.size();
     for (bool isExcluded : { false, true }) {
-        for (std::size_t turn = 0; turn < m_services.size() * count && sampled.size() < count; ++turn) {
-            const auto& service = *next->second;
+        for (std::size_t turn = 0; turn < services.size() * ranks && sampled.size() < count; ++turn) {
+            const auto& service = *services[(first + turn) % services.size()];
             const auto& all = service.upstreams.empty() ? service.others : service.upstreams;
-            auto rank = turn / m_services.size(); // Of this service's upstreams.
+            auto rank = turn / services.size(); // Of this service's upstreams.
             if (rank < all.size()) {
                 const auto& each = *all[(offset + rank) % all.size()];
                 if (each.isExcluded == isExcluded) {
                     sampled.push_back(each.entry.address);
                 }
             }
-            if (++next == m_services.end()) {
-                next = m_services.begin();
-            }
         }
     }
     return sampled;
--- a/marlsill/placement/load_balancer.h
+++ b/marlsill/placement/load_balancer.h
@@ -249,9 +249,9 @@
     // Returns the registered upstream at an address that started last, or nullptr. Searches all upstreams.
     const upstream_entry* findNewestAt(std::string_view address) const;
 
-    // Returns the addresses of up to `count` distinct upstreams, of as many services as possible; excluded
-    // ones come last. The cost grows with the number of services.
-    std::vector<std::string> sampleAddresses(std::size_t count);
+    // Returns the addresses of up to `count` distinct upstreams of a service, or of as many services as
+    // possible if `only` is empty; excluded ones come last. The cost grows with the number of services.
+    std::vector<std::string> sampleAddresses(std::string_view only, std::size_t count);
 
     // Returns the sum of slots of a service's upstreams, excluded ones included, those registered as leaving
     // not. As VMs must agree on it, it does not depend on what upstreams say in their responses.
