--- a/testing/process_faults.sh
+++ b/testing/process_faults.sh
@@ -156,5 +156,24 @@
 wait "$sender"
 check "nothing was lost or refused" "$(head -1 "$work/load.out")" "outcomes ran=80"
 
+echo "== a planned stop ends while a request is at work, and the process is killed later"
+wait "${entry_pid[e2]}"
+unset "entry_peer[e2]" "entry_caller[e2]"
+start_entry e4 newport --heartbeat-ms=100 --directory-ttl-ms=1000 --drain-limit-ms=2000 \
+    --seeds="${entry_peer[e1]},${entry_peer[e3]}"
+list_vms
+eventually serves e4 || check "the daemon serves" no yes
+work_takes 15
+send e4 stopped "$(prefix_of e4)stopped" 20000 > "$work/stopped.told" &
+sender=$!
+eventually has_started stopped
+kill "${entry_pid[e4]}"
+sleep 4
+kill -9 "${entry_pid[e4]}" 2> /dev/null
+wait "$sender"
+check "its caller has an answer" "$(cat "$work/stopped.told")" unknown
+check "the request ran once" "$(runs stopped)" 1
+work_takes 1
+
 echo "$failures failed"
 exit $((failures > 0))
