The buffer budget lives as long as its shares

What callers saw: nothing that is known. A daemon that ends while an upstream's response is read writes to a part of itself that is already destroyed; there the memory is still that of main(), and the process ends with its usual status. In tests it is freed memory.

Cause: a coroutine that waits in upstream_connection::exchange() holds a share of the forwarder's budget and is destroyed with the event loop, after the forwarder.

Change: the shares keep the budget's totals.

--- a/marlsill/gateway/buffer_budget.h
+++ b/marlsill/gateway/buffer_budget.h
@@ -10,29 +10,37 @@
 //
 // While there is room a response may take any part of it. When there is none, those that take more than an
 // even share are refused further bytes, so that ordinary responses beside them are still read. All shares
-// together hold at most twice the budget. Not thread safe; the budget must outlive its shares.
+// together hold at most twice the budget. Not thread safe; shares may outlive the budget.
 
 #include <algorithm>
 #include <cstddef>
+#include <memory>
 #include <utility>
 
 namespace marlsill::gateway {
 
 class buffer_budget {
+    // Kept by the shares as well, as a coroutine that holds one is destroyed after the budget.
+    struct totals {
+        std::size_t maxBytes = 0;
+        std::size_t used = 0;
+        std::size_t shares = 0;
+    };
+
 public:
     // The bytes that one response holds. Returned to the budget when it is destroyed.
     class share {
     public:
         explicit share(buffer_budget& budget)
-            : m_budget(&budget)
+            : m_totals(budget.m_totals)
         {
-            ++m_budget->m_shares;
+            ++m_totals->shares;
         }
 
         ~share()
         {
-            m_budget->m_used -= m_bytes;
-            --m_budget->m_shares;
+            m_totals->used -= m_bytes;
+            --m_totals->shares;
         }
 
         share(const share&) = delete;
@@ -41,30 +49,28 @@
         // Sets how many bytes it holds. Returns false if it must give them up.
         bool resize(std::size_t bytes)
         {
-            m_budget->m_used += bytes - std::exchange(m_bytes, bytes);
-            auto evenShare = m_budget->m_maxBytes / std::max<std::size_t>(1, m_budget->m_shares);
-            return m_budget->m_used <= m_budget->m_maxBytes
-                || (m_budget->m_used <= 2 * m_budget->m_maxBytes && bytes <= evenShare);
+            m_totals->used += bytes - std::exchange(m_bytes, bytes);
+            auto evenShare = m_totals->maxBytes / std::max<std::size_t>(1, m_totals->shares);
+            return m_totals->used <= m_totals->maxBytes
+                || (m_totals->used <= 2 * m_totals->maxBytes && bytes <= evenShare);
         }
 
     private:
-        buffer_budget* m_budget;
+        std::shared_ptr<totals> m_totals;
         std::size_t m_bytes = 0;
     };
 
     explicit buffer_budget(std::size_t maxBytes)
-        : m_maxBytes(maxBytes)
+        : m_totals(std::make_shared<totals>(totals { maxBytes }))
     {
     }
 
     share open() { return share(*this); }
 
-    std::size_t used() const { return m_used; }
+    std::size_t used() const { return m_totals->used; }
 
 private:
-    const std::size_t m_maxBytes;
-    std::size_t m_used = 0;
-    std::size_t m_shares = 0;
+    std::shared_ptr<totals> m_totals;
 };
 
 }
--- a/marlsill/gateway/buffer_budget_test.cc
+++ b/marlsill/gateway/buffer_budget_test.cc
@@ -63,4 +63,13 @@
     }
 }
 
+TEST_CASE("A share may outlive its budget")
+{
+    auto budget = std::make_unique<buffer_budget>(1'000);
+    buffer_budget::share share(*budget);
+    CHECK(share.resize(500));
+    budget.reset();
+    CHECK(share.resize(600));
+}
+
 }
