--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -751,8 +751,8 @@
             { "left_ms", std::to_string(millisecondsUntil(current->effectiveDeadline, now)) },
             { "config", std::to_string(current->config->version()) },
             { "crashes", std::to_string(m_crashMonitor.crashesOf(current->fingerprint, now)) } });
-    asio::co_spawn(
-        m_io, runAttempt(current, thisAttempt), [this, current, thisAttempt](std::exception_ptr failure) {
+    asio::co_spawn(m_io, runAttempt(current, thisAttempt),
+        [this, current, thisAttempt](const std::exception_ptr& failure) {
             if (failure) {
                 endFailedAttempt(*current, *thisAttempt, failure);
             }
--- a/marlsill/gateway/session_server.cc
+++ b/marlsill/gateway/session_server.cc
@@ -69,13 +69,14 @@
 
 void caller_session::spawn(std::function<asio::awaitable<void>()> start)
 {
-    asio::co_spawn(m_server.m_io, std::move(start), [self = shared_from_this()](std::exception_ptr failure) {
-        if (failure) {
-            logEvent(event::handlerFailed,
-                { { "caller", self->m_caller }, { "cause", describeException(failure) } });
-            self->close();
-        }
-    });
+    asio::co_spawn(
+        m_server.m_io, std::move(start), [self = shared_from_this()](const std::exception_ptr& failure) {
+            if (failure) {
+                logEvent(event::handlerFailed,
+                    { { "caller", self->m_caller }, { "cause", describeException(failure) } });
+                self->close();
+            }
+        });
 }
 
 asio::awaitable<bool> caller_session::receive()
--- a/marlsill/supervisor/loop_guard.h
+++ b/marlsill/supervisor/loop_guard.h
@@ -5,9 +5,9 @@
 //     spawnSupervised(io, "sweep", [this] { return sweepLoop(); });
 //     runEventLoop(io, "traffic");
 //
-// Boost.Asio passes an exception of a handler on to whoever runs the loop, where it would end the process with
-// all requests in flight, and drops that of a detached coroutine, which then ends without a trace. Here it ends
-// the handler alone, or has the coroutine started again, with a log line.
+// Boost.Asio passes an exception of a handler on to whoever runs the loop, where it would end the process
+// with all requests in flight, and drops that of a detached coroutine, which then ends without a trace. Here
+// it ends the handler alone, or has the coroutine started again, with a log line.
 
 #include <utility> // Boost.Asio 1.74 needs it and does not include it.
 
--- a/testing/request_relay_test.cc
+++ b/testing/request_relay_test.cc
@@ -110,7 +110,7 @@
                     .endpoint = { asio::ip::make_address_v4(hostOf(number)), m_port },
                     .limits = [] { return gateway::caller_limits(); } },
                 std::move(serve)));
-            REQUIRE(m_servers.back()->start().empty());
+            REQUIRE_FALSE(m_servers.back()->start());
         }
 
         scripted_upstream m_upstream;
