--- a/testing/planned_stop_relay_test.cc
+++ b/testing/planned_stop_relay_test.cc
@@ -170,7 +170,7 @@
                         hostAddress(3).to_string() };
                 });
                 m_vm->requestForwarder().reachability().setListener([&](bool) { cutOff.set_value(); });
-                REQUIRE(m_vm->start().empty());
+                REQUIRE_FALSE(m_vm->start());
             });
             auto caller = connect();
             caller.sendRequest("GET", "/repeat/a", "first", 3'000); // Finds the upstreams unreachable.
@@ -187,7 +187,7 @@
                 gateway::session_server_options { .endpoint = { hostAddress(number), m_relayPort },
                     .limits = [] { return gateway::caller_limits(); } },
                 std::move(serve)));
-            REQUIRE(m_servers.back()->start().empty());
+            REQUIRE_FALSE(m_servers.back()->start());
         }
 
         scripted_upstream m_upstream;
--- a/testing/scripted_upstream.cc
+++ b/testing/scripted_upstream.cc
@@ -246,7 +246,8 @@
     auto request = fieldOf(head, m_fields.requestId);
     const std::string start = "HTTP/1.1 200 OK\r\n" + m_fields.requestId + ": " + request + "\r\n"
         + m_fields.seal + ": seal-" + request + "\r\n" + stateFields();
-    const std::string whole = start + "Content-Length: " + std::to_string(m_body.size()) + "\r\n\r\n" + m_body;
+    const std::string whole
+        = start + "Content-Length: " + std::to_string(m_body.size()) + "\r\n\r\n" + m_body;
     if (step == upstream_step::early) {
         sendText(socket,
             "HTTP/1.1 413 Too Large\r\n" + m_fields.requestId + ": " + request + "\r\n" + stateFields()
