--- a/testing/gateway_test.cc
+++ b/testing/gateway_test.cc
@@ -681,7 +681,13 @@
                 return tested.sendAndReceive("GET", "/repeat/slow", id);
             }));
         }
-        std::this_thread::sleep_for(milliseconds(50));
+        std::size_t inFlight = 0;
+        for (auto until = deadlineAfter(slowWork);
+             inFlight < slow.size() && !hasPassed(until, steady_clock::now());) {
+            tested.runOnEventLoop(
+                [&](gateway::gateway& entry) { inFlight = entry.requestForwarder().inFlightRequests(); });
+        }
+        REQUIRE(inFlight == slow.size());
         REQUIRE(
             tested.sendAndReceive("GET", "/repeat/a", "refused", 300, {}, accountField(each.refusedAccount))
                 .status
