--- a/marlsill/placement/service_links_test.cc
+++ b/marlsill/placement/service_links_test.cc
@@ -43,9 +43,9 @@
         {
             auto list = entries();
             for (int index = 0; index < vms; ++index) {
-                m_vms.push_back({ load_balancer({ .failureDomain = index % 2 == 0 ? "near" : "far" },
-                                      static_cast<std::uint64_t>(index) + 1),
-                    {}, false });
+                load_balancer balancer({ .failureDomain = index % 2 == 0 ? "near" : "far" },
+                    static_cast<std::uint64_t>(index) + 1);
+                m_vms.push_back(vm { .balancer = std::move(balancer), .links = service_links() });
                 m_vms.back().balancer.replaceUpstreams(list, m_now);
                 m_vms.back().balancer.setServiceShare("s", vms, nullptr);
             }
