planned_stop_relay_test: sockets end before the event loop that they use

Cause: the fixture destroyed the event loops before the relay's pooled connections and the peers' servers, whose destructors use them. The daemon itself declares its loops first, so that they end last. Change: loops are stopped first and destroyed last. With AddressSanitizer, beside a build: heap-use-after-free in 3 of 3 runs before, 3 of 3 runs clean after.

--- a/testing/planned_stop_relay_test.cc
+++ b/testing/planned_stop_relay_test.cc
@@ -61,10 +61,15 @@
         {
         }
 
-        ~loop_thread()
+        ~loop_thread() { stop(); }
+
+        // Ends the loop, whose event loop object stays for what still refers to it.
+        void stop()
         {
             io.stop();
-            m_thread.join();
+            if (m_thread.joinable()) {
+                m_thread.join();
+            }
         }
 
         template <typename Work> void run(Work work)
@@ -102,8 +107,8 @@
             if (m_ending.joinable()) {
                 m_ending.join();
             }
-            m_vmLoop.reset();
-            m_vm.reset();
+            endVm();
+            m_peerLoop.stop();
         }
 
         scripted_upstream& upstream() { return m_upstream; }
@@ -119,12 +124,19 @@
             });
             m_ending = std::thread([this] {
                 m_done.get_future().wait();
-                m_vmLoop.reset();
-                m_vm.reset(); // Closes the connections.
+                endVm();
             });
         }
 
     private:
+        // Ends the VM's loop and closes its connections, whose sockets must not outlive the loop.
+        void endVm()
+        {
+            m_vmLoop->stop();
+            m_vm.reset();
+            m_relay.reset();
+        }
+
         void startPeers(milliseconds declineAfter)
         {
             m_peer = std::make_unique<gateway::gateway>(m_peerLoop.io,
@@ -193,12 +205,12 @@
         scripted_upstream m_upstream;
         const unsigned short m_relayPort;
         const unsigned short m_callerPort;
+        loop_thread m_peerLoop; // Outlives the peers.
         std::unique_ptr<gateway::gateway> m_peer;
         std::vector<std::unique_ptr<gateway::session_server>> m_servers;
-        loop_thread m_peerLoop; // Ends before what it uses.
+        std::unique_ptr<loop_thread> m_vmLoop; // Outlives the VM and its relay.
         std::unique_ptr<gateway::request_relay> m_relay;
         std::unique_ptr<gateway::gateway> m_vm;
-        std::unique_ptr<loop_thread> m_vmLoop;
         std::promise<void> m_done;
         std::thread m_ending;
     };
