Failure episodes: learned exclusions, one prober, and a floor that counts what is in use

Each failure episode of an upstream cost at-most-once callers two to four requests: probes after 3.5 s hit the same episode of seven seconds, and from 15 % unused upstreams on, any first request was sent to an excluded one, which raised the loss that the floor reacts to.

The state and the decisions of exclusions are circuit_breaker now. The length of the first exclusion follows how long the failures of the service last (learned_exclusion). The VM that saw the failure probes first, the others 100 to 400 ms later. Failures of one onset count once. capacity_floor allows as many unused upstreams as keep 70 % of the healthy ones in use whichever these are, and requests that can be retried have the first turn at unused ones.

--- a/marlsill/model/compare_main.cc
+++ b/marlsill/model/compare_main.cc
@@ -83,7 +83,7 @@
     }
     options.isAtMostOnce = !isRepeatable;
     options.turnAwayTime = std::chrono::milliseconds(turnAwayMs);
-    options.loadBalancer.exclusionAtMostOnce = std::chrono::milliseconds(holdMs);
+    options.loadBalancer.exclusion.atMostOnce.initial = std::chrono::milliseconds(holdMs);
     std::cout << " load  policy  utility  compliant  repeating  twice  turned away\n";
     for (double offeredLoad : { 0.5, 1.0, 1.4, 2.0, 3.0 }) {
         options.load = offeredLoad;
--- a/marlsill/placement/load_balancer.cc
+++ b/marlsill/placement/load_balancer.cc
@@ -1,8 +1,9 @@
 #include "marlsill/placement/load_balancer.h"
 
+#include "marlsill/placement/loss_monitor.h"
+
 #include <algorithm>
 #include <cmath>
-#include <deque>
 #include <set>
 #include <utility>
 
@@ -16,16 +17,13 @@
     constexpr double warmUpUtilization = 0.34;
     constexpr double slowFactor = 2.0; // Multiple of the service's latency that counts as slow.
     constexpr int minSamples = 3; // An average of fewer is not used.
-    constexpr double exclusionGrowth = 0.5; // Added share of the exclusion time per further failure.
-    constexpr int maxCountedFailures = 3;
-    constexpr std::chrono::milliseconds lossWindow { 2'000 }; // Equals the window of the capacity floor.
-    // Own request rate; longer than `lossWindow`, because one VM alone sees only a few requests per second.
-    constexpr std::chrono::milliseconds rateWindow { 10'000 };
     constexpr std::chrono::milliseconds refusalWindow { 1'000 };
-    constexpr int minOutcomes = 8; // Smallest denominator of the loss share.
     // At-most-once requests and those without a retry do not probe if a request that can be retried arrived
     // within this time.
     constexpr std::chrono::milliseconds repeatableWindow { 1'000 };
+    // Such requests use an unused upstream for the capacity floor only this much later than others. Together
+    // with `unusedAfter` and a probe's delay it must stay below the two-second window of the floor.
+    constexpr std::chrono::milliseconds unsafeUseDelay { 100 };
     constexpr int samplesOutsidePart = 6;
     constexpr int overcommit = 1; // Requests beyond the slots, because the known load lags behind.
 
@@ -39,6 +37,12 @@
         return std::chrono::duration<double, std::milli>(length).count();
     }
 
+    // Returns whether a failed probe by the request costs only a retry.
+    bool isSafeToProbeWith(const choice_request& request)
+    {
+        return !request.isAtMostOnce && request.canBeRetried;
+    }
+
 }
 
 struct load_balancer::upstream_state {
@@ -48,33 +52,24 @@
     };
 
     upstream_entry entry;
+    service_state* service = nullptr;
     int inFlight = 0;
     std::multiset<steady_clock::time_point> started; // Start times of this VM's attempts in flight.
     std::map<std::string, peer_load, std::less<>> peers;
     double latencyMs = 0;
     int samples = 0;
-    bool isExcluded = false;
-    int consecutiveFailures = 0; // Failed probes included; capped at maxCountedFailures.
-    int probesLeft = 0; // Successful probes until readmission.
-    int rampUpLeft = 0; // Successes until it gets more than one request at a time by preference.
-    double probeDelayFraction = 0; // Fraction (0 to 1) of `probeJitter` by which this VM delays its probe.
-    deadline excludedUntil {}; // Probes are due from then on.
-    deadline probeUntil {}; // Another VM or this one is probing until then.
-    steady_clock::time_point excludedSince {};
-    steady_clock::time_point lastUsedAt {}; // Last known request of any VM.
+    upstream_health health;
     steady_clock::time_point lastRefusedAt {};
-    steady_clock::time_point lastErrorAfterProcessing {};
     bool hasChangedLoad = false;
     bool isListed = false; // Among the upstreams of its service, as it is registered and not leaving.
     bool isWithdrawn = false; // Registered as not leaving, but has said itself that it leaves.
 };
 
 struct load_balancer::service_state {
-    struct outcome {
-        steady_clock::time_point at;
-        bool isServed = false;
-        bool isFromPeer = false;
-    };
+    explicit service_state(const exclusion_options& exclusion)
+        : breaker(exclusion)
+    {
+    }
 
     std::vector<upstream_state*> upstreams; // Those of this VM's part that are not leaving.
     std::vector<upstream_state*> others; // Those of other VMs' parts that are not leaving.
@@ -83,7 +78,8 @@
     int sharingVms = 1;
     int slots = 0; // Sum over all upstreams of the service.
     double latencyMs = 0;
-    std::deque<outcome> outcomes;
+    circuit_breaker breaker;
+    loss_monitor losses;
     steady_clock::time_point lastRepeatableAt {};
 };
 
@@ -142,9 +138,10 @@
                 unlist(current);
             }
             current = std::make_unique<upstream_state>();
-            current->lastUsedAt = now;
+            current->health.lastUsedAt = now;
         }
         auto& service = serviceOf(entry.service);
+        current->service = &service;
         m_leavingNotices.noteRegistered(entry);
         bool hasNotice = m_leavingNotices.isLeaving(entry);
         bool wasListed = std::exchange(current->isListed, !entry.isLeaving && !hasNotice);
@@ -198,7 +195,7 @@
 {
     auto& service = m_services[name];
     if (!service) {
-        service = std::make_unique<service_state>();
+        service = std::make_unique<service_state>(m_options.exclusion);
     }
     return *service;
 }
@@ -275,24 +272,6 @@
     return newest;
 }
 
-bool load_balancer::isExcluded(const upstream_state& each, steady_clock::time_point) const
-{
-    return each.isExcluded;
-}
-
-bool load_balancer::isProbeDue(const upstream_state& each, steady_clock::time_point now) const
-{
-    return each.isExcluded && hasPassed(each.excludedUntil + probeDelay(each), now)
-        && hasPassed(each.probeUntil, now);
-}
-
-// Returns how long this VM delays a probe that is due, in case a peer starts it first.
-std::chrono::milliseconds load_balancer::probeDelay(const upstream_state& each) const
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-        each.probeDelayFraction * m_options.probeJitter);
-}
-
 int load_balancer::inFlightAt(const upstream_state& each, steady_clock::time_point now) const
 {
     int sum = each.inFlight;
@@ -302,55 +281,35 @@
     return sum;
 }
 
-// Returns how many of a service's upstreams may be excluded without receiving probes.
-int load_balancer::maxUnused(const service_state& service, steady_clock::time_point now) const
-{
-    auto count = static_cast<double>(service.upstreams.size());
-    if (lossShare(service, now) < m_options.lowLossShare) {
-        return static_cast<int>(m_options.maxUnusedShareAtLowLoss * count);
-    }
-    auto floorLimit = static_cast<int>((1 - m_options.capacityFloor) * count);
-    return std::max(
-        static_cast<int>(m_options.maxUnusedShare * count), std::min(m_options.minUnusedLimit, floorLimit));
-}
-
 // Returns the upstream that has been unused longest if more than the allowed number is unused, else nullptr.
 load_balancer::upstream_state* load_balancer::longestUnused(
     service_state& service, const choice_request& request, steady_clock::time_point now) const
 {
     upstream_state* oldest = nullptr;
     int unused = 0;
+    int excluded = 0;
+    // Requests that can be retried have the first turn, where there are some.
+    bool mustLeaveTurn = !isSafeToProbeWith(request) && hasRepeatable(service, now);
+    auto delay = mustLeaveTurn ? unsafeUseDelay : std::chrono::milliseconds(0);
     for (auto* each : service.upstreams) {
-        bool isUnused = each->isExcluded && each->lastUsedAt + m_options.unusedAfter + probeDelay(*each) < now
-            && hasPassed(each->probeUntil, now);
-        if (!isUnused || m_holds.isHeld(each->entry, now)) {
+        excluded += each->health.isExcluded ? 1 : 0;
+        if (!service.breaker.isUnused(each->health, delay, now) || m_holds.isHeld(each->entry, now)) {
             continue;
         }
         ++unused;
         bool isUntried
             = std::find(request.tried.begin(), request.tried.end(), each->entry.id) == request.tried.end();
         bool isPermitted = !request.limits || request.limits->hasPermit(each->entry.id, now);
-        if (isUntried && isPermitted && (!oldest || each->lastUsedAt < oldest->lastUsedAt)) {
+        if (isUntried && isPermitted && (!oldest || each->health.lastUsedAt < oldest->health.lastUsedAt)) {
             oldest = each;
         }
     }
-    return unused > maxUnused(service, now) ? oldest : nullptr;
-}
-
-// Returns the share of the service's recent requests that failed, on all VMs. The total is extrapolated from
-// this VM's own requests, because peers report failures but not successes.
-double load_balancer::lossShare(const service_state& service, steady_clock::time_point now) const
-{
-    double lost = 0;
-    double own = 0;
-    auto first = now - lossWindow;
-    for (const auto& each : service.outcomes) {
-        lost += !each.isServed && each.at + lossWindow >= now ? 1 : 0;
-        own += each.isFromPeer ? 0 : 1;
-        first = std::min(first, each.at);
+    floor_state state { .upstreams = static_cast<int>(service.upstreams.size()), .excluded = excluded };
+    if (unused <= maxUnused(state, m_options.floor)) {
+        return nullptr; // Whatever the losses are.
     }
-    auto ownOutcomes = own * toMilliseconds(lossWindow) / toMilliseconds(now - first);
-    return lost / std::max<double>(minOutcomes, ownOutcomes * service.sharingVms);
+    state.lossShare = service.losses.share(service.sharingVms, now);
+    return unused > maxUnused(state, m_options.floor) ? oldest : nullptr;
 }
 
 void load_balancer::recordOutcome(std::string_view service, bool isServed, steady_clock::time_point now)
@@ -359,11 +318,7 @@
     if (found == m_services.end()) {
         return;
     }
-    auto& outcomes = found->second->outcomes;
-    outcomes.push_back({ now, isServed, false });
-    while (outcomes.front().at + rateWindow < now) {
-        outcomes.pop_front();
-    }
+    found->second->losses.recordOutcome(isServed, now);
 }
 
 // Returns how many permits for upstreams of the service this VM holds.
@@ -386,7 +341,7 @@
         && each.latencyMs > slowFactor * service.latencyMs;
     double preferredInFlight
         = std::max(1.0, std::round(slots * (isWarm ? preferredUtilization : warmUpUtilization)));
-    if (each.rampUpLeft > 0) {
+    if (each.health.rampUpLeft > 0) {
         preferredInFlight = 1;
     }
     bool isLocal = each.entry.failureDomain == m_options.failureDomain;
@@ -407,15 +362,14 @@
     }
     auto& service = *found->second;
     bool isRetry = !request.tried.empty();
+    if (isSafeToProbeWith(request)) {
+        service.lastRepeatableAt = now;
+    }
     auto* overdue = isRetry ? nullptr : longestUnused(service, request, now);
     if (overdue) {
         return { choice_status::chosen, &overdue->entry, true, inFlightAt(*overdue, now) };
     }
-    bool isSafeToProbeWith = !request.isAtMostOnce && request.canBeRetried;
-    if (isSafeToProbeWith) {
-        service.lastRepeatableAt = now;
-    }
-    bool skipsProbes = isRetry || (!isSafeToProbeWith && service.lastRepeatableAt + repeatableWindow > now);
+    bool skipsProbes = isRetry || (!isSafeToProbeWith(request) && hasRepeatable(service, now));
     struct candidate {
         upstream_state* upstream = nullptr;
         int tier = 0; // Lower is preferred.
@@ -453,19 +407,20 @@
         bool isLimited = request.limits && request.limits->limitOf(each->entry.id);
         bool holdsPermit = isLimited && request.limits->hasPermit(each->entry.id, now);
         bool needsPermit = isLimited && (!holdsPermit || mustLeavePermits);
-        if (each->isExcluded && needsPermit) {
-            bool mayProbe = isProbeDue(*each, now) && !skipsProbes;
+        if (each->health.isExcluded && needsPermit) {
+            bool mayProbe = service.breaker.isProbeDue(each->health, now) && !skipsProbes;
             probeWithoutPermit
                 = mayProbe && request.limits->shouldRequest(each->entry.id, now) ? each : probeWithoutPermit;
             continue;
         }
-        if (each->isExcluded) {
-            bool isEarliest = !dueProbe || each->excludedUntil < dueProbe->excludedUntil;
-            if (isProbeDue(*each, now) && isEarliest && !skipsProbes) {
+        if (each->health.isExcluded) {
+            bool isEarliest = !dueProbe || each->health.excludedUntil < dueProbe->health.excludedUntil;
+            if (service.breaker.isProbeDue(each->health, now) && isEarliest && !skipsProbes) {
                 dueProbe = each;
             }
             if (inFlight < each->entry.slots
-                && (!excludedFallback || each->excludedUntil < excludedFallback->excludedUntil)) {
+                && (!excludedFallback
+                    || each->health.excludedUntil < excludedFallback->health.excludedUntil)) {
                 excludedFallback = each;
             }
             continue;
@@ -536,7 +491,7 @@
             = std::find(request.tried.begin(), request.tried.end(), each->entry.id) != request.tried.end();
         bool isLimited = request.limits && request.limits->limitOf(each->entry.id);
         auto maxInFlight = m_holds.maxInFlight(each->entry, now).value_or(each->entry.slots);
-        bool isUsable = !isTried && !isLimited && !each->isExcluded && each->inFlight < maxInFlight
+        bool isUsable = !isTried && !isLimited && !each->health.isExcluded && each->inFlight < maxInFlight
             && !m_holds.isHeld(each->entry, now);
         if (isUsable && (!best || each->inFlight < best->inFlight)) {
             best = each;
@@ -554,73 +509,23 @@
     ++found->inFlight;
     found->started.insert(now);
     m_used.insert(found->entry.id);
-    found->lastUsedAt = now;
+    found->health.lastUsedAt = now;
     noteChangedLoad(*found);
     if (isProbe) {
-        found->probeUntil = now + m_options.probeTimeout;
+        found->service->breaker.recordProbe(found->health, now);
     }
 }
 
-void load_balancer::exclude(
-    upstream_state& each, std::chrono::milliseconds exclusion, steady_clock::time_point now)
+// Returns whether a request that can be retried has arrived recently.
+bool load_balancer::hasRepeatable(const service_state& service, steady_clock::time_point now)
 {
-    if (!each.isExcluded) {
-        each.excludedSince = now;
-    }
-    each.isExcluded = true;
-    each.excludedUntil = std::max(each.excludedUntil, now + exclusion);
-    each.probeUntil = now;
-    each.probeDelayFraction = std::uniform_real_distribution<>()(m_random);
-}
-
-void load_balancer::recordFailure(upstream_state& each, bool isAtMostOnce, steady_clock::time_point now)
-{
-    each.consecutiveFailures = std::min(each.consecutiveFailures + 1, maxCountedFailures);
-    each.probesLeft = m_options.probesToReadmit;
-    each.rampUpLeft = m_options.rampUpSuccesses;
-    auto base = isAtMostOnce ? m_options.exclusionAtMostOnce : m_options.exclusionRepeatable;
-    double factor = 1 + exclusionGrowth * (each.consecutiveFailures - 1);
-    exclude(each,
-        std::chrono::milliseconds(static_cast<std::int64_t>(static_cast<double>(base.count()) * factor)),
-        now);
-}
-
-// Records an error after processing. The second one within `errorWindow` counts as a failure; returns whether
-// this was the second.
-bool load_balancer::recordErrorAfterProcessing(
-    upstream_state& each, bool isAtMostOnce, steady_clock::time_point now)
-{
-    bool isSecond = each.lastErrorAfterProcessing + m_options.errorWindow > now;
-    each.lastErrorAfterProcessing = now;
-    if (isSecond) {
-        recordFailure(each, isAtMostOnce, now);
-    }
-    return isSecond;
-}
-
-// Makes the next probe due on this VM at once. The evidence sent to the peers keeps them from probing.
-void load_balancer::scheduleNextProbe(upstream_state& each, steady_clock::time_point now)
-{
-    each.excludedUntil = now;
-    each.probeUntil = now;
-    each.probeDelayFraction = 0;
-}
-
-void load_balancer::readmit(upstream_state& each)
-{
-    each.isExcluded = false;
-    each.excludedUntil = {};
-    each.probeUntil = {};
+    return service.lastRepeatableAt + repeatableWindow > now;
 }
 
 // Returns whether so many upstreams of the service refuse requests that excluding one would not help.
 bool load_balancer::isRefusalWidespread(const upstream_state& each, steady_clock::time_point now) const
 {
-    auto service = m_services.find(each.entry.service);
-    if (service == m_services.end()) {
-        return false;
-    }
-    const auto& upstreams = service->second->upstreams;
+    const auto& upstreams = each.service->upstreams;
     auto refusing = std::count_if(upstreams.begin(), upstreams.end(),
         [&](const upstream_state* other) { return other->lastRefusedAt + refusalWindow > now; });
     return static_cast<double>(refusing)
@@ -640,48 +545,34 @@
     if (auto own = found->started.find(started); own != found->started.end()) {
         found->started.erase(own);
     }
-    upstream_evidence evidence { std::string(upstream) };
+    auto& breaker = found->service->breaker;
+    auto& health = found->health;
+    observed_failure failure { .isOwn = true,
+        .probesAtMostOnce = isAtMostOnce && !hasRepeatable(*found->service, now),
+        .startedAt = started };
+    auto evidenceOf = [&](evidence_kind kind) { return upstream_evidence { std::string(upstream), kind }; };
     switch (signal) {
     case health_signal::succeeded: {
         double sample = toMilliseconds(elapsed);
         found->latencyMs = smooth(found->latencyMs, sample);
         ++found->samples;
-        if (auto service = m_services.find(found->entry.service); service != m_services.end()) {
-            service->second->latencyMs = smooth(service->second->latencyMs, sample);
-        }
-        if (found->isExcluded && started < found->excludedSince) {
-            return std::nullopt; // The attempt started before the upstream was excluded.
-        }
-        found->rampUpLeft = std::max(0, found->rampUpLeft - 1);
-        found->consecutiveFailures = found->rampUpLeft == 0 ? 0 : found->consecutiveFailures;
-        if (!found->isExcluded) {
-            return std::nullopt;
-        }
-        if (--found->probesLeft > 0) {
-            scheduleNextProbe(*found, now);
-            evidence.kind = evidence_kind::probe;
-            return evidence;
-        }
-        readmit(*found);
-        evidence.kind = evidence_kind::recovered;
-        return evidence;
+        found->service->latencyMs = smooth(found->service->latencyMs, sample);
+        auto told = breaker.recordSuccess(health, started, now);
+        return told ? std::optional(evidenceOf(*told)) : std::nullopt;
     }
     case health_signal::failed:
-        recordFailure(*found, isAtMostOnce, now);
-        evidence.kind = evidence_kind::failed;
-        return evidence;
+        breaker.recordFailure(health, failure, randomFraction(), now);
+        return evidenceOf(evidence_kind::failed);
     case health_signal::errorAfterProcessing:
-        recordErrorAfterProcessing(*found, isAtMostOnce, now);
-        evidence.kind = evidence_kind::errorAfterProcessing;
-        return evidence;
+        breaker.recordErrorAfterProcessing(health, failure, randomFraction(), now);
+        return evidenceOf(evidence_kind::errorAfterProcessing);
     case health_signal::unreachable:
-        exclude(*found, m_options.exclusionUnreachable, now);
-        evidence.kind = evidence_kind::unreachable;
-        return evidence;
+        breaker.exclude(health, m_options.exclusion.unreachable, randomFraction(), now);
+        return evidenceOf(evidence_kind::unreachable);
     case health_signal::refused:
         found->lastRefusedAt = now;
         if (!isRefusalWidespread(*found, now)) {
-            exclude(*found, m_options.exclusionRefused, now);
+            breaker.exclude(health, m_options.exclusion.refused, randomFraction(), now);
         }
         return std::nullopt;
     case health_signal::inconclusive:
@@ -690,16 +581,6 @@
     return std::nullopt;
 }
 
-// Counts a peer's failed attempt as a lost request, unless the request can be repeated.
-void load_balancer::recordPeerLoss(
-    const upstream_state& each, bool isAtMostOnce, steady_clock::time_point now)
-{
-    auto service = m_services.find(each.entry.service);
-    if (isAtMostOnce && service != m_services.end()) {
-        service->second->outcomes.push_back({ now, false, true });
-    }
-}
-
 std::optional<bool> load_balancer::applyEvidence(
     const upstream_evidence& evidence, bool isAtMostOnce, steady_clock::time_point now)
 {
@@ -707,31 +588,38 @@
     if (!found) {
         return std::nullopt;
     }
-    bool wasExcluded = found->isExcluded;
+    auto& service = *found->service;
+    auto& health = found->health;
+    observed_failure failure { .probesAtMostOnce = isAtMostOnce && !hasRepeatable(service, now) };
+    bool wasExcluded = health.isExcluded;
     switch (evidence.kind) {
     case evidence_kind::failed:
-        recordFailure(*found, isAtMostOnce, now);
-        recordPeerLoss(*found, isAtMostOnce, now);
-        break;
     case evidence_kind::errorAfterProcessing:
-        recordErrorAfterProcessing(*found, isAtMostOnce, now);
-        recordPeerLoss(*found, isAtMostOnce, now);
+        // A request that can be repeated is not lost, and where there are such, they probe.
+        if (isAtMostOnce && !(wasExcluded && hasRepeatable(service, now))) {
+            service.losses.recordPeerLoss(now);
+        }
+        if (evidence.kind == evidence_kind::failed) {
+            service.breaker.recordFailure(health, failure, randomFraction(), now);
+        } else {
+            service.breaker.recordErrorAfterProcessing(health, failure, randomFraction(), now);
+        }
         break;
     case evidence_kind::stalled:
-        recordFailure(*found, isAtMostOnce, now);
+        service.breaker.recordFailure(health, failure, randomFraction(), now);
         break;
     case evidence_kind::unreachable:
-        exclude(*found, m_options.exclusionUnreachable, now);
+        service.breaker.exclude(health, m_options.exclusion.unreachable, randomFraction(), now);
         break;
     case evidence_kind::probe:
-        found->probeUntil = now + m_options.probeTimeout;
-        found->lastUsedAt = now;
+        service.breaker.recordProbe(health, now);
+        health.lastUsedAt = now;
         break;
     case evidence_kind::recovered:
-        readmit(*found);
+        service.breaker.readmit(health);
         break;
     }
-    return found->isExcluded == wasExcluded ? std::nullopt : std::optional(found->isExcluded);
+    return health.isExcluded == wasExcluded ? std::nullopt : std::optional(health.isExcluded);
 }
 
 void load_balancer::applyPeerLoad(
@@ -743,7 +631,7 @@
     }
     found->peers[std::string(peer)] = { load.inFlight, now + m_options.peerLoadLifetime };
     if (load.inFlight > 0) {
-        found->lastUsedAt = now;
+        found->health.lastUsedAt = now;
     }
     if (load.latencyMs > 0) {
         found->latencyMs = smooth(found->latencyMs, load.latencyMs);
@@ -760,12 +648,13 @@
             id = m_used.erase(id);
             continue;
         }
-        const auto& service = *m_services.find(each->entry.service)->second;
+        const auto& service = *each->service;
         auto usual
             = std::chrono::milliseconds(static_cast<std::int64_t>(m_options.stallFactor * service.latencyMs));
         auto limit = std::max(m_options.minStallTime, usual);
-        if (!each->isExcluded && now - *each->started.begin() > limit) {
-            exclude(*each, m_options.exclusionRepeatable, now);
+        if (!each->health.isExcluded && now - *each->started.begin() > limit) {
+            each->service->breaker.exclude(
+                each->health, m_options.exclusion.repeatable.initial, randomFraction(), now);
             stalled.push_back({ *id, evidence_kind::stalled });
         }
         ++id;
@@ -847,7 +736,7 @@
             auto rank = turn / services.size(); // Of this service's upstreams.
             if (rank < all.size()) {
                 const auto& each = *all[(offset + rank) % all.size()];
-                if (each.isExcluded == isExcluded) {
+                if (each.health.isExcluded == isExcluded) {
                     sampled.push_back(each.entry.address);
                 }
             }
@@ -877,7 +766,7 @@
         auto limit = limits ? limits->limitOf(each->entry.id) : std::nullopt;
         bool isHeld = m_holds.isHeld(each->entry, now);
         condition.hasHeld = condition.hasHeld || isHeld;
-        if (each->isExcluded) {
+        if (each->health.isExcluded) {
             ++condition.excluded;
         } else if (!limit && !isHeld) {
             condition.slots += each->entry.slots;
--- a/marlsill/placement/load_balancer.h
+++ b/marlsill/placement/load_balancer.h
@@ -9,13 +9,15 @@
 //     balancer.finishAttempt(
 //         chosen.upstream->id, health_signal::succeeded, elapsed, startedAt, isAtMostOnce, now);
 //
-// Each upstream has a circuit breaker: a failure excludes the upstream (open) for an exclusion time, after
-// which single requests probe it (half-open) until it is readmitted (closed). The share of a service's
-// upstreams that are excluded and receive no requests at all is limited, so that exclusions, justified or
+// Each upstream has a circuit breaker, see circuit_breaker. The share of a service's upstreams that are
+// excluded and receive no requests at all is limited, see capacity_floor, so that exclusions, justified or
 // not, cannot concentrate the load on too few upstreams. In a large fleet a VM uses a part of the upstreams
 // only; those of other VMs are a last resort for its overload, as it does not know their load. Performs no
 // I/O. Not thread safe.
 
+#include "marlsill/placement/capacity_floor.h"
+#include "marlsill/placement/circuit_breaker.h"
+#include "marlsill/placement/health_evidence.h"
 #include "marlsill/placement/leaving_notices.h"
 #include "marlsill/placement/rate_limits.h"
 #include "marlsill/placement/retry_after_holds.h"
@@ -37,42 +39,6 @@
 
 namespace marlsill::placement {
 
-// What the outcome of one attempt indicates about the health of its upstream.
-enum class health_signal {
-    succeeded,
-    failed, // A server error, a malformed response, or no response.
-    errorAfterProcessing, // A server error after real processing time; the request may be the cause.
-    refused, // The upstream refused the request for lack of capacity.
-    unreachable, // No connection to this upstream; the request was not executed.
-    inconclusive, // Does not affect the upstream's health.
-};
-
-// Returns whether the attempt failed and the upstream may be the cause.
-constexpr bool isFailure(health_signal signal)
-{
-    return signal == health_signal::failed || signal == health_signal::errorAfterProcessing
-        || signal == health_signal::unreachable;
-}
-
-// Kinds of health evidence that VMs exchange. The numeric values are sent to peers.
-enum class evidence_kind {
-    failed,
-    stalled, // A request in flight takes far longer than the service's usual latency.
-    unreachable,
-    probe, // The sending VM probes the upstream with one request.
-    recovered,
-    errorAfterProcessing, // Counts as a failure only if a second one follows within the error window.
-};
-constexpr auto lastEvidenceKind = evidence_kind::errorAfterProcessing;
-
-// Health evidence about one upstream, as sent to peers.
-struct upstream_evidence {
-    std::string upstream;
-    evidence_kind kind = evidence_kind::failed;
-
-    bool operator==(const upstream_evidence&) const = default;
-};
-
 // One VM's requests in flight at one upstream, as reported to its peers.
 struct upstream_load {
     std::string upstream;
@@ -85,32 +51,8 @@
 // Settings of a load balancer.
 struct load_balancer_options {
     std::string failureDomain; // This VM's; its upstreams are preferred.
-    // Exclusion after a failure, for services with repeatable and with at-most-once requests. Partial
-    // failures of an upstream last about seven seconds. Repeatable requests allow earlier probes, as a failed
-    // probe costs only a retry.
-    std::chrono::milliseconds exclusionRepeatable { 1'500 };
-    std::chrono::milliseconds exclusionAtMostOnce { 3'500 };
-    // Two errors after processing within this time count as a failure of the upstream.
-    std::chrono::milliseconds errorWindow { 1'000 };
-    std::chrono::milliseconds exclusionUnreachable { 1'000 }; // A crashed upstream restarts within seconds.
-    std::chrono::milliseconds exclusionRefused { 200 }; // About the service time of one request.
-    std::chrono::milliseconds probeTimeout { 1'500 }; // A pending probe blocks further ones this long.
-    // Staggers the VMs' probes of an upstream, so that most VMs hear of a peer's probe before they start one.
-    std::chrono::milliseconds probeJitter { 300 };
-    // Successful probes until readmission. One is not enough: a partially failed upstream still answers about
-    // one request in six.
-    int probesToReadmit = 2;
-    // An excluded upstream counts as unused after this time without a request from any VM. Together with
-    // `probeJitter` it must stay below the two-second window of the capacity floor.
-    std::chrono::milliseconds unusedAfter { 1'500 };
-    // Largest share of a service's upstreams that may be unused while requests fail. Half of
-    // 1 - capacityFloor, because the floor counts only healthy upstreams, of which there may be few.
-    double maxUnusedShare = 0.15;
-    int minUnusedLimit = 2; // Lower bound of that limit in small services, unless it violates the floor.
-    double capacityFloor = 0.7; // Share of a service's upstreams that must stay in use.
-    double maxUnusedShareAtLowLoss = 0.5; // Low loss shows that the exclusions are justified.
-    double lowLossShare = 0.06; // Share of failed requests. The capacity floor applies from 0.1.
-    int rampUpSuccesses = 3; // Successes, probes included, before an upstream gets its full load.
+    exclusion_options exclusion {};
+    capacity_floor_options floor {};
     double stallFactor = 3.0; // Multiple of the service's average latency that counts as a stall.
     std::chrono::milliseconds minStallTime { 700 };
     // If a larger share of a service's upstreams refuses requests, the service is overloaded, and a refusal
@@ -270,9 +212,6 @@
         steady_clock::time_point now) const;
     static std::size_t heldPermits(
         const service_state& service, const rate_limits& limits, steady_clock::time_point now);
-    bool isExcluded(const upstream_state& each, steady_clock::time_point now) const;
-    bool isProbeDue(const upstream_state& each, steady_clock::time_point now) const;
-    std::chrono::milliseconds probeDelay(const upstream_state& each) const;
     int inFlightAt(const upstream_state& each, steady_clock::time_point now) const;
     upstream_state* chooseOutsidePart(
         const service_state& service, const choice_request& request, steady_clock::time_point now);
@@ -281,16 +220,10 @@
     void divideUpstreams(service_state& service);
     upstream_state* longestUnused(
         service_state& service, const choice_request& request, steady_clock::time_point now) const;
-    void exclude(upstream_state& each, std::chrono::milliseconds exclusion, steady_clock::time_point now);
-    bool recordErrorAfterProcessing(upstream_state& each, bool isAtMostOnce, steady_clock::time_point now);
-    void recordPeerLoss(const upstream_state& each, bool isAtMostOnce, steady_clock::time_point now);
+    static bool hasRepeatable(const service_state& service, steady_clock::time_point now);
+    double randomFraction() { return std::uniform_real_distribution<>()(m_random); }
     void noteChangedLoad(upstream_state& each);
-    void recordFailure(upstream_state& each, bool isAtMostOnce, steady_clock::time_point now);
-    void scheduleNextProbe(upstream_state& each, steady_clock::time_point now);
-    void readmit(upstream_state& each);
     bool isRefusalWidespread(const upstream_state& each, steady_clock::time_point now) const;
-    int maxUnused(const service_state& service, steady_clock::time_point now) const;
-    double lossShare(const service_state& service, steady_clock::time_point now) const;
     upstream_state* findState(std::string_view upstream) const;
 
     const load_balancer_options m_options;
