Even load: VMs fill the upstreams that they are the home of, and tell failures at once

VMs that share upstreams of two slots chose the same idle one by reports of up to 150 ms ago, and several met the onset of the same failure episode within the 35 ms that evidence took.

Of the VMs of a cell, one is an upstream's home: in its failure domain, by rendezvous hashing among several. home_ranking, in force up to two slots on average, fills a VM's own upstreams before it borrows idle ones; others choose as before (spread_ranking). Evidence is sent after 2 ms, at most one such batch in 30 ms. An upstream that a VM left excluded long ago, and a failure long after a readmission, are new episodes. Losses at other parts of a service no longer count as losses of a VM's own part.

--- a/marlsill/cluster/peer_mesh.cc
+++ b/marlsill/cluster/peer_mesh.cc
@@ -63,6 +63,7 @@
     , m_builds(m_options.build)
     , m_socket(io)
     , m_batchTimer(io)
+    , m_batches(m_options.batches)
 {
 }
 
@@ -477,7 +478,7 @@
         message.evidence.push_back(evidence);
         message.wantsEvidence = message.wantsEvidence || wantsEvidence;
     }
-    scheduleBatch();
+    scheduleBatch(true);
 }
 
 void peer_mesh::publish(const placement::rate_limit_notice& limit)
@@ -504,12 +505,14 @@
     scheduleBatch();
 }
 
-void peer_mesh::scheduleBatch()
+// Sends a batch soon; at once if its new message is urgent.
+void peer_mesh::scheduleBatch(bool isUrgent)
 {
-    if (std::exchange(m_isBatchPending, true)) {
+    auto sendAt = m_batches.sendAt(isUrgent, steady_clock::now());
+    if (std::exchange(m_batchAt, sendAt) == sendAt) {
         return;
     }
-    m_batchTimer.expires_after(m_options.batchDelay);
+    m_batchTimer.expires_at(sendAt);
     m_batchTimer.async_wait([this](const boost::system::error_code& error) {
         if (!error) {
             sendBatch();
@@ -520,7 +523,8 @@
 // Sends what is due to each host. As most hosts are told the same, that is encoded once.
 void peer_mesh::sendBatch()
 {
-    m_isBatchPending = false;
+    m_batches.recordSent(steady_clock::now());
+    m_batchAt = {};
     const peer_message* previous = nullptr;
     std::vector<std::uint8_t> bytes;
     auto batch = std::exchange(m_outbox, {});
--- a/marlsill/cluster/peer_mesh.h
+++ b/marlsill/cluster/peer_mesh.h
@@ -12,6 +12,7 @@
 // by one event loop.
 
 #include "marlsill/base/build_version.h"
+#include "marlsill/cluster/batch_schedule.h"
 #include "marlsill/cluster/fleet_builds.h"
 #include "marlsill/cluster/peer_message.h"
 
@@ -36,7 +37,7 @@
     std::vector<std::string> seeds; // Hosts to join the fleet through; some may be down.
     // One VM is pinged per interval; an unreachable VM is detected within about three.
     std::chrono::milliseconds pingInterval { 250 };
-    std::chrono::milliseconds batchDelay { 30 }; // Evidence, loads and crashes are batched this long.
+    batch_schedule_options batches {}; // Evidence, loads and crashes are batched.
     std::chrono::milliseconds loadInterval { 150 }; // Between reports of changed loads.
     // Between later contacts with seeds, which rejoin a partitioned fleet.
     std::chrono::milliseconds seedInterval { 5'000 };
@@ -153,7 +154,7 @@
     void answerPermitRequests(const peer_message& message);
     void noteCrashPart(const peer_message& message);
     void logBuilds() const;
-    void scheduleBatch();
+    void scheduleBatch(bool isUrgent = false);
     void sendBatch();
 
     asio::io_context& m_io;
@@ -174,7 +175,8 @@
     std::size_t m_nextSeed = 0;
     int m_seedContacts = 0;
     std::uint64_t m_lastPingId = 0;
-    bool m_isBatchPending = false;
+    batch_schedule m_batches;
+    deadline m_batchAt {}; // For which the timer is set; zero if it is not.
     peer_mesh_counters m_counters;
 };
 
--- a/marlsill/cluster/serving_cells.cc
+++ b/marlsill/cluster/serving_cells.cc
@@ -122,13 +122,19 @@
         if (own.empty()) {
             own.push_back(routing::cellOf(m_members.self().host, static_cast<int>(cells.cells.size())));
         }
+        std::vector<std::vector<placement::sharing_vm>> vms;
         for (int cell : own) {
+            auto& ofCell = vms.emplace_back();
             for (auto index : cells.cells[static_cast<std::size_t>(cell)]) {
-                sharing.insert(m_candidates[index].host);
+                const auto& vm = m_candidates[index];
+                sharing.insert(vm.host);
+                ofCell.push_back({ vm.host, vm.failureDomain });
             }
         }
-        partition.divisions.push_back({ static_cast<int>(cells.cells.size()), std::move(own) });
+        partition.divisions.push_back(
+            { static_cast<int>(cells.cells.size()), std::move(own), std::move(vms) });
     }
+    partition.self = m_members.self().host;
     service_view view { .hosts = { all.begin(), all.end() },
         .isServing = all.contains(m_members.self().host),
         .sharingVms = static_cast<int>(sharing.size()),
--- a/marlsill/model/episode_model.cc
+++ b/marlsill/model/episode_model.cc
@@ -127,12 +127,17 @@
                 entries.push_back(each.entry);
             }
             for (int cell = 0; cell < m_cells; ++cell) {
-                placement::upstream_partition own { .divisions = { { m_cells, { cell } } } };
-                auto partition = std::make_shared<const placement::upstream_partition>(std::move(own));
+                std::vector<placement::sharing_vm> sharing;
                 for (int rank = 0; rank < m_options.vmsPerCell; ++rank) {
+                    sharing.push_back({ vmName(cell, rank), domainOf(rank) });
+                }
+                for (int rank = 0; rank < m_options.vmsPerCell; ++rank) {
+                    placement::upstream_partition own { .divisions = { { m_cells, { cell }, { sharing } } },
+                        .self = vmName(cell, rank) };
+                    auto partition = std::make_shared<const placement::upstream_partition>(std::move(own));
                     auto balancerOptions = m_options.loadBalancer;
                     balancerOptions.failureDomain = domainOf(rank);
-                    m_vms.push_back({ cell, "vm" + std::to_string(m_vms.size()),
+                    m_vms.push_back({ cell, vmName(cell, rank),
                         placement::load_balancer(balancerOptions, seed * 1000 + m_vms.size()),
                         placement::windowed_retry_budget(
                             { .ratio = m_options.retryRatio, .slack = m_options.retrySlackPerVm }),
@@ -143,6 +148,11 @@
             }
         }
 
+        static std::string vmName(int cell, int rank)
+        {
+            return "vm" + std::to_string(cell) + "-" + std::to_string(rank);
+        }
+
         std::string domainOf(int index) const { return "d" + std::to_string(index % m_options.vmsPerCell); }
 
         double randomFraction() { return std::uniform_real_distribution<>()(m_random); }
--- a/marlsill/placement/capacity_floor.h
+++ b/marlsill/placement/capacity_floor.h
@@ -23,7 +23,12 @@
     double minUnusedShare = 0.15;
     int minUnused = 2; // Likewise in small services, unless it violates the floor.
     double maxUnusedShareAtLowLoss = 0.5; // Low loss shows that the exclusions are justified.
-    double lowLossShare = 0.06; // Share of failed requests. The floor applies from 0.1.
+    // Share of failed requests. The floor applies from 0.1, with a margin for what one VM's estimate misses.
+    double lowLossShare = 0.06;
+    // Likewise where the state is of a part of the service's upstreams: the floor goes by the whole service,
+    // of which one part's losses are a sample. With 0.06, parts force requests into failing upstreams while
+    // the service loses 5 %.
+    double lowLossShareOfPart = 0.08;
 };
 
 // State of a service, as far as this VM uses it.
@@ -31,13 +36,14 @@
     int upstreams = 0;
     int excluded = 0;
     double lossShare = 0;
+    bool isPart = false; // Other VMs use other upstreams of the service.
 };
 
 // Returns how many upstreams may be excluded without receiving requests.
 inline int maxUnused(const floor_state& state, const capacity_floor_options& options = {})
 {
     double count = state.upstreams;
-    if (state.lossShare < options.lowLossShare) {
+    if (state.lossShare < (state.isPart ? options.lowLossShareOfPart : options.lowLossShare)) {
         return static_cast<int>(options.maxUnusedShareAtLowLoss * count);
     }
     auto floorLimit = static_cast<int>((1 - options.floor) * count);
--- a/marlsill/placement/circuit_breaker.cc
+++ b/marlsill/placement/circuit_breaker.cc
@@ -39,14 +39,17 @@
     each.probeDelay = isOwn ? std::chrono::milliseconds(0) : each.probeDelay + m_options.peerProbeDelay;
 }
 
-// Returns the exclusion after the failure that was just counted.
+// Returns the exclusion after the failure that was just counted. After a failed probe it need not be longer
+// than what failures of the service usually last.
 std::chrono::milliseconds circuit_breaker::exclusionOf(const upstream_health& each) const
 {
+    auto learned = (each.probesAtMostOnce ? m_atMostOnce : m_repeatable).length();
     if (each.consecutiveFailures == 1) {
-        return each.probesAtMostOnce ? m_atMostOnce.length() : m_repeatable.length();
+        return learned;
     }
     auto base = each.probesAtMostOnce ? m_options.atMostOnce.initial : m_options.repeatable.initial;
-    return times(base, 1 + exclusionGrowth * (each.consecutiveFailures - 1));
+    auto growth = 1 + exclusionGrowth * (each.consecutiveFailures - 1);
+    return each.consecutiveFailures == 2 ? std::min(learned, times(base, growth)) : times(base, growth);
 }
 
 void circuit_breaker::recordFailure(
@@ -67,7 +70,13 @@
         excludeFailed(each, m_options.repeatable.initial, failure.isOwn, fraction, now);
         return;
     }
-    if (wasExcluded && each.consecutiveFailures == 1) {
+    // An upstream of another VM's part may stay excluded long after a probe was due.
+    auto relapseUntil
+        = (wasExcluded ? each.excludedUntil + each.probeDelay : each.readmittedAt) + m_options.relapseTime;
+    if (now >= relapseUntil) {
+        each.consecutiveFailures = 0;
+        each.excludedSince = now;
+    } else if (wasExcluded && each.consecutiveFailures == 1) {
         learnedFor(each).recordFirstProbe(false);
     }
     each.probesAtMostOnce = failure.probesAtMostOnce;
@@ -103,16 +112,17 @@
         each.probeDelay = {};
         return evidence_kind::probe;
     }
-    readmit(each);
+    readmit(each, now);
     each.consecutiveFailures = each.rampUpLeft == 0 ? 0 : each.consecutiveFailures;
     return evidence_kind::recovered;
 }
 
-void circuit_breaker::readmit(upstream_health& each)
+void circuit_breaker::readmit(upstream_health& each, steady_clock::time_point now)
 {
     if (each.isExcluded && each.hasFailed && each.consecutiveFailures == 1) {
         learnedFor(each).recordFirstProbe(true);
     }
+    each.readmittedAt = now;
     each.isExcluded = false;
     each.hasFailed = false;
     each.excludedUntil = {};
--- a/marlsill/placement/circuit_breaker.h
+++ b/marlsill/placement/circuit_breaker.h
@@ -45,6 +45,9 @@
     std::chrono::milliseconds probeJitter { 300 };
     // Failures this soon after the first one are of the same onset; VMs hear of it within about 35 ms.
     std::chrono::milliseconds onsetTime { 150 };
+    // A failure this long after a readmission is the first of another episode, also on a VM that has sent no
+    // request to the upstream since.
+    std::chrono::milliseconds relapseTime { 2'000 };
     // Successful probes until readmission. One is not enough: a partially failed upstream still answers about
     // one request in six.
     int probesToReadmit = 2;
@@ -66,6 +69,7 @@
     deadline excludedUntil {}; // Probes are due from then on.
     deadline probeUntil {}; // Another VM or this one is probing until then.
     steady_clock::time_point excludedSince {};
+    steady_clock::time_point readmittedAt {};
     steady_clock::time_point lastUsedAt {}; // Last known request of any VM.
     steady_clock::time_point lastErrorAfterProcessing {};
 };
@@ -126,7 +130,7 @@
         upstream_health& each, steady_clock::time_point startedAt, steady_clock::time_point now);
 
     // Readmits an upstream.
-    void readmit(upstream_health& each);
+    void readmit(upstream_health& each, steady_clock::time_point now);
 
     const exclusion_options& options() const { return m_options; }
 
--- a/marlsill/placement/load_balancer.cc
+++ b/marlsill/placement/load_balancer.cc
@@ -12,9 +12,6 @@
 namespace {
 
     constexpr double latencyWeight = 0.2; // Weight of a new sample in the moving average.
-    // Shares of an upstream's slots up to which it is preferred. Some upstreams slow down near full load.
-    constexpr double preferredUtilization = 0.67;
-    constexpr double warmUpUtilization = 0.34;
     constexpr double slowFactor = 2.0; // Multiple of the service's latency that counts as slow.
     constexpr int minSamples = 3; // An average of fewer is not used.
     constexpr std::chrono::milliseconds refusalWindow { 1'000 };
@@ -24,6 +21,7 @@
     // Such requests use an unused upstream for the capacity floor only this much later than others. Together
     // with `unusedAfter` and a probe's delay it must stay below the two-second window of the floor.
     constexpr std::chrono::milliseconds unsafeUseDelay { 100 };
+    constexpr int fewSlots = 2; // Per upstream; home_ranking is used up to here.
     constexpr int samplesOutsidePart = 6;
     constexpr int overcommit = 1; // Requests beyond the slots, because the known load lags behind.
 
@@ -62,6 +60,8 @@
     steady_clock::time_point lastRefusedAt {};
     bool hasChangedLoad = false;
     bool isListed = false; // Among the upstreams of its service, as it is registered and not leaving.
+    bool isHome = false; // This VM uses it before its peers do.
+    bool isOfOwnPart = true; // Of this VM's part of the service's upstreams.
     bool isWithdrawn = false; // Registered as not leaving, but has said itself that it leaves.
 };
 
@@ -77,6 +77,7 @@
     std::shared_ptr<const upstream_partition> partition; // Null: this VM uses all upstreams.
     int sharingVms = 1;
     int slots = 0; // Sum over all upstreams of the service.
+    bool hasFewSlots = false; // Two or fewer for each of them on average.
     double latencyMs = 0;
     circuit_breaker breaker;
     loss_monitor losses;
@@ -209,11 +210,14 @@
     std::erase_if(service.withdrawn, [](const upstream_state* each) { return !each->isWithdrawn; });
     divideUpstreams(service);
     service.slots = 0;
+    std::size_t count = 0;
     for (const auto* part : { &service.upstreams, &service.others, &service.withdrawn }) {
         for (const auto* each : *part) {
             service.slots += each->entry.slots;
         }
+        count += part->size();
     }
+    service.hasFewSlots = service.slots <= fewSlots * static_cast<int>(count);
 }
 
 void load_balancer::setServiceShare(
@@ -237,6 +241,12 @@
     auto& own = service.upstreams;
     own.insert(own.end(), service.others.begin(), service.others.end());
     service.others.clear();
+    for (auto* each : own) {
+        auto isHome = service.partition ? service.partition->isHome(each->entry.id, each->entry.failureDomain)
+                                        : std::nullopt;
+        each->isOfOwnPart = true;
+        each->isHome = isHome.value_or(each->entry.failureDomain == m_options.failureDomain);
+    }
     if (!service.partition) {
         return;
     }
@@ -245,6 +255,9 @@
     if (firstOther != own.begin()) {
         service.others.assign(firstOther, own.end());
         own.erase(firstOther, own.end());
+        for (auto* each : service.others) {
+            each->isOfOwnPart = false;
+        }
     }
 }
 
@@ -304,7 +317,12 @@
             oldest = each;
         }
     }
-    floor_state state { .upstreams = static_cast<int>(service.upstreams.size()), .excluded = excluded };
+    floor_state state {
+        .upstreams = static_cast<int>(service.upstreams.size()),
+        .excluded = excluded,
+        .lossShare = 1,
+        .isPart = !service.others.empty(),
+    };
     if (unused <= maxUnused(state, m_options.floor)) {
         return nullptr; // Whatever the losses are.
     }
@@ -331,27 +349,18 @@
         }));
 }
 
-// Returns the tier of an upstream that is not excluded; lower ones are preferred.
-int load_balancer::tierOf(const upstream_state& each, const service_state& service, int inFlight,
+// Returns what the ranking of an upstream that is not excluded needs to know.
+ranked_upstream load_balancer::ranked(const upstream_state& each, const service_state& service, int inFlight,
     steady_clock::time_point now) const
 {
-    double slots = std::max(1, each.entry.slots);
-    bool isWarm = hasPassed(each.entry.warmUpUntil, now);
-    bool isSlow = each.samples >= minSamples && service.latencyMs > 0
-        && each.latencyMs > slowFactor * service.latencyMs;
-    double preferredInFlight
-        = std::max(1.0, std::round(slots * (isWarm ? preferredUtilization : warmUpUtilization)));
-    if (each.health.rampUpLeft > 0) {
-        preferredInFlight = 1;
-    }
-    bool isLocal = each.entry.failureDomain == m_options.failureDomain;
-    int tier = 0;
-    if (inFlight + 1 <= preferredInFlight) {
-        tier = isLocal ? 0 : 1;
-    } else {
-        tier = inFlight + 1 <= slots ? 2 : 4;
-    }
-    return isSlow ? std::max(tier, 3) : tier;
+    return { .inFlight = inFlight,
+        .slots = each.entry.slots,
+        .isLocal = each.entry.failureDomain == m_options.failureDomain,
+        .isHome = each.isHome,
+        .isWarm = hasPassed(each.entry.warmUpUntil, now),
+        .isSlow = each.samples >= minSamples && service.latencyMs > 0
+            && each.latencyMs > slowFactor * service.latencyMs,
+        .isRampingUp = each.health.rampUpLeft > 0 };
 }
 
 choice load_balancer::choose(const choice_request& request, steady_clock::time_point now)
@@ -361,6 +370,14 @@
         return {};
     }
     auto& service = *found->second;
+    return service.hasFewSlots ? chooseBy(home_ranking(), service, request, now)
+                               : chooseBy(spread_ranking(), service, request, now);
+}
+
+template <upstream_ranking Ranking>
+choice load_balancer::chooseBy(const Ranking& ranking, service_state& service, const choice_request& request,
+    steady_clock::time_point now)
+{
     bool isRetry = !request.tried.empty();
     if (isSafeToProbeWith(request)) {
         service.lastRepeatableAt = now;
@@ -372,12 +389,11 @@
     bool skipsProbes = isRetry || (!isSafeToProbeWith(request) && hasRepeatable(service, now));
     struct candidate {
         upstream_state* upstream = nullptr;
-        int tier = 0; // Lower is preferred.
-        double load = 0;
+        upstream_rank rank;
     };
     constexpr double heldPermitBonus = 0.01; // Decides between equal loads, as a permit is lost if not used.
     auto isBetter = [](const candidate& left, const std::optional<candidate>& right) {
-        return !right || left.tier < right->tier || (left.tier == right->tier && left.load < right->load);
+        return !right || left.rank < right->rank;
     };
     std::optional<candidate> best;
     std::optional<candidate> bestWithoutPermit; // The best limited one for which a permit may be asked.
@@ -432,8 +448,8 @@
         if (inFlight >= slots + overcommit || (rampUpLimit && each->inFlight >= *rampUpLimit)) {
             continue;
         }
-        candidate current { each, tierOf(*each, service, inFlight, now),
-            inFlight / slots - (isLimited ? heldPermitBonus : 0) };
+        candidate current { each, ranking.rank(ranked(*each, service, inFlight, now)) };
+        current.rank.load -= isLimited ? heldPermitBonus : 0;
         if (!needsPermit && isBetter(current, best)) {
             best = current;
         }
@@ -595,8 +611,9 @@
     switch (evidence.kind) {
     case evidence_kind::failed:
     case evidence_kind::errorAfterProcessing:
-        // A request that can be repeated is not lost, and where there are such, they probe.
-        if (isAtMostOnce && !(wasExcluded && hasRepeatable(service, now))) {
+        // A request that can be repeated is not lost, and where there are such, they probe. Losses at other
+        // VMs' parts are no part of those that the share is worked out from.
+        if (isAtMostOnce && found->isOfOwnPart && !(wasExcluded && hasRepeatable(service, now))) {
             service.losses.recordPeerLoss(now);
         }
         if (evidence.kind == evidence_kind::failed) {
@@ -616,7 +633,7 @@
         health.lastUsedAt = now;
         break;
     case evidence_kind::recovered:
-        service.breaker.readmit(health);
+        service.breaker.readmit(health, now);
         break;
     }
     return health.isExcluded == wasExcluded ? std::nullopt : std::optional(health.isExcluded);
--- a/marlsill/placement/load_balancer.h
+++ b/marlsill/placement/load_balancer.h
@@ -24,6 +24,7 @@
 #include "marlsill/placement/return_schedule.h"
 #include "marlsill/placement/upstream_entry.h"
 #include "marlsill/placement/upstream_partition.h"
+#include "marlsill/placement/upstream_ranking.h"
 
 #include <algorithm>
 #include <chrono>
@@ -208,7 +209,10 @@
     struct upstream_state;
     struct service_state;
 
-    int tierOf(const upstream_state& each, const service_state& service, int inFlight,
+    template <upstream_ranking Ranking>
+    choice chooseBy(const Ranking& ranking, service_state& service, const choice_request& request,
+        steady_clock::time_point now);
+    ranked_upstream ranked(const upstream_state& each, const service_state& service, int inFlight,
         steady_clock::time_point now) const;
     static std::size_t heldPermits(
         const service_state& service, const rate_limits& limits, steady_clock::time_point now);
