Client accounts: directory, key digests, access control at the entry

The configuration may hold client accounts, of which each has keys. Where it does, a request needs a key unless its route is public.

accounts/account_directory finds the account of a key by its digest. gateway/access_control takes the key off a request, names the account and looks the key up again before each send to an upstream. Requests that peers relay carry the digest. gateway::setKeyFreshnessCheck() sets what tells whether keys may be acted on; the default is yes. The queue orders by the priority of the account first.

--- a/marlsill/events/events.cc
+++ b/marlsill/events/events.cc
@@ -65,6 +65,8 @@
             "A request came after a planned stop began; the fields give why it was taken or refused." },
         { event::requestRelayed, severity::info, "request_relayed",
             "This VM is cut off from all upstreams and sent a request through a peer; status 0: no answer." },
+        { event::accessDenied, severity::info, "access_denied",
+            "A request was not sent, as it has no valid key or keys cannot be checked now; `digest` begins the key's digest." },
         { event::configurationInForce, severity::info, "configuration_in_force",
             "A generation of the configuration was applied." },
         { event::configurationAccepted, severity::info, "configuration_accepted",
--- a/marlsill/events/events.h
+++ b/marlsill/events/events.h
@@ -40,6 +40,7 @@
     requestNotRouted = 2104,
     requestDuringStop = 2105,
     requestRelayed = 2106,
+    accessDenied = 2107,
     outcomesHandedOver = 2031,
     configurationInForce = 3001,
     configurationAccepted = 3002,
--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -1,6 +1,5 @@
 #include "marlsill/gateway/forwarder.h"
 
-#include "marlsill/base/hash.h"
 #include "marlsill/events/events.h"
 #include "marlsill/gateway/endpoint.h"
 #include "marlsill/http/message_writer.h"
@@ -21,6 +20,7 @@
 
     // Waiting callers come back when others may have told them of VMs that are not cut off.
     constexpr std::chrono::milliseconds cutOffRetryDelay { 300 };
+    constexpr std::chrono::milliseconds staleKeysRetryDelay { 300 }; // Likewise, of VMs that know the keys.
     constexpr const char* connectFailed = "cannot connect";
     constexpr const char* permitsUsedUp = "the upstreams' limits are used up";
     constexpr const char* vmIsStopping = "this VM is stopping";
@@ -36,11 +36,6 @@
 
     std::int64_t toMs(steady_clock::duration interval) { return toMilliseconds(interval).count(); }
 
-    bool isSuccess(const placement::completed_attempt& attempt)
-    {
-        return attempt.outcome == attempt_outcome::answered && attempt.status >= 200 && attempt.status < 300;
-    }
-
     std::string_view toText(attempt_outcome end)
     {
         constexpr std::string_view names[] = { "answered", "refused", "wrong_upstream", "not_sent",
@@ -67,51 +62,13 @@
 
 }
 
-std::uint64_t fingerprintOf(const http::request_message& request, const std::string& accountField)
-{
-    auto fingerprint = fastHash(request.head.getMethod());
-    fingerprint = fastHash(request.head.getHost(), fingerprint);
-    fingerprint = fastHash(request.head.getURI(), fingerprint);
-    fingerprint = fastHash(request.head.get(accountField, ""), fingerprint);
-    return fastHash(request.body, fingerprint);
-}
-
-std::string callerOf(
-    const http::request_message& request, const std::string& accountField, const std::string& address)
-{
-    auto account = request.head.get(accountField, "");
-    return account.empty() ? address : "account " + std::to_string(fastHash(account));
-}
-
-void active_request::cancel()
-{
-    isCancelled = true;
-    wakeTimer.cancel();
-    if (relayConnection) {
-        relayConnection->abort();
-    }
-}
-
-bool active_request::mayHaveRun() const
-{
-    return std::any_of(attempts.begin(), attempts.end(), [](const auto& each) {
-        bool isProvenNotRun = each->isEvaluated && !placement::mayHaveRun(each->outcome.outcome);
-        return each->isSent && !isProvenNotRun;
-    });
-}
-
-bool active_request::hasSucceeded() const
-{
-    return std::any_of(
-        attempts.begin(), attempts.end(), [](const auto& each) { return isSuccess(each->outcome); });
-}
-
 forwarder::forwarder(asio::io_context& io, forwarder_options options, wire_fields wire)
     : m_io(io)
     , m_options(std::move(options))
     , m_wire(std::move(wire))
     , m_loadBalancer({ .failureDomain = m_options.failureDomain })
     , m_responseBuffers(m_options.maxResponseBuffers)
+    , m_access(m_wire, m_counters)
     , m_crashMonitor(io, m_loadBalancer, m_counters,
           { .connectTimeout = m_options.connectTimeout,
               .source = m_options.upstreamSource,
@@ -246,6 +203,13 @@
     return http::makeResponse(status, "text/plain", std::string(why) + "\n");
 }
 
+http::response_message forwarder::makeUnauthorized(std::string_view why) const
+{
+    auto message = makeLocalReply(Poco::Net::HTTPResponse::HTTP_UNAUTHORIZED, why);
+    message.head.set("WWW-Authenticate", "Bearer");
+    return message;
+}
+
 http::response_message forwarder::makeServiceUnavailable(
     std::string_view why, std::chrono::milliseconds expectedWait)
 {
@@ -310,7 +274,7 @@
     if (failure) {
         logEvent(
             event::handlerFailed, { { "request", current->id }, { "cause", describeException(failure) } });
-        abortAttempts(*current);
+        current->abortAttempts();
         co_return finishWithLocalReply(
             *current, current->mayHaveRun() ? next_step::giveUp : next_step::refuse, "internal error");
     }
@@ -459,10 +423,12 @@
         connection->abort();
         connection = nullptr; // The upstream began to drain during the connect.
     }
-    if (connection && m_loadBalancer.isHeld(thisAttempt->upstream, steady_clock::now())) {
+    bool isHeld = m_loadBalancer.isHeld(thisAttempt->upstream, steady_clock::now());
+    if (connection && (isHeld || accessOf(*current) != access_decision::granted)) {
         thisAttempt->outcome.isHeldBack = true;
         connection->abort();
-        connection = nullptr; // The upstream turned another request away during the connect.
+        connection
+            = nullptr; // During the connect, the upstream turned another request away or the key ended.
     }
     if (!connection || thisAttempt->isFinished || current->isCancelled) {
         thisAttempt->outcome.outcome = thisAttempt->isFinished || current->isCancelled
@@ -649,8 +615,37 @@
         && (needsAttempt || tryTakeRetry(current, true, now));
 }
 
+access_decision forwarder::accessOf(active_request& current) const
+{
+    return m_access.recheck(current, *m_configuration);
+}
+
+const std::string& forwarder::accountFieldOf(const active_request& current) const
+{
+    return current.isUnderAccounts ? m_wire.clientAccount : m_wire.statedAccount;
+}
+
+final_response forwarder::denyAccess(active_request& current, access_decision decision)
+{
+    m_access.recordDenial(current, decision);
+    current.abortAttempts();
+    auto why = toText(decision);
+    if (current.mayHaveRun() || current.earlierArrivals > 0) {
+        return finishWithLocalReply(current, next_step::giveUp, why);
+    }
+    final_response response { decision == access_decision::staleKeys
+            ? makeServiceUnavailable(why, staleKeysRetryDelay)
+            : makeUnauthorized(why) };
+    recordCompletion(current, response, why);
+    return response;
+}
+
 final_response forwarder::finishUnrelayed(active_request& current, bool mayHaveRun)
 {
+    auto access = accessOf(current);
+    if (access != access_decision::granted && !mayHaveRun) {
+        return denyAccess(current, access);
+    }
     if (mayHaveRun || current.mayHaveRun()) {
         return finishWithLocalReply(current, next_step::giveUp, "the relayed request got no answer");
     }
@@ -679,7 +674,8 @@
 {
     if (!std::exchange(current->isQueued, true)) {
         m_queues[current->service].enqueue(current,
-            { .priority = current->matchedRoute->priority,
+            { .accountPriority = current->account ? current->account->priority.value_or(0) : 0,
+                .priority = current->matchedRoute->priority,
                 .limit = current->effectiveDeadline,
                 .caller = current->caller },
             steady_clock::now());
@@ -760,18 +756,6 @@
     return true;
 }
 
-void forwarder::abortAttempts(active_request& current)
-{
-    for (auto& each : current.attempts) {
-        if (!each->isFinished) {
-            each->isFinished = true;
-            if (each->connection) {
-                each->connection->abort();
-            }
-        }
-    }
-}
-
 final_response forwarder::finishWithLocalReply(active_request& current, next_step step, std::string_view why)
 {
     final_response response;
@@ -876,7 +860,7 @@
 
 final_response forwarder::finishTimedOut(active_request& current)
 {
-    abortAttempts(current);
+    current.abortAttempts();
     if (!current.mayHaveRun()) {
         return finishWithLocalReply(current, next_step::refuse, "no upstream had room in time");
     }
@@ -902,9 +886,14 @@
     auto decision = placement::decideNextStep(thisAttempt.outcome, current.state);
     auto step = decision.step;
     if (step == next_step::tryAnother) {
+        auto access = accessOf(current);
+        if (access != access_decision::granted && !current.mayHaveRun()) {
+            return denyAccess(current, access);
+        }
         bool countsAsRetry = thisAttempt.outcome.outcome != attempt_outcome::notSent;
-        bool mayTry = !m_crashMonitor.isQuarantined(current.fingerprint, now)
-            && mayStartDuringStop(current, now) && tryTakeRetry(current, countsAsRetry, now);
+        bool mayTry = access == access_decision::granted
+            && !m_crashMonitor.isQuarantined(current.fingerprint, now) && mayStartDuringStop(current, now)
+            && tryTakeRetry(current, countsAsRetry, now);
         if (mayTry && current.state.isAnotherInFlight) {
             step = next_step::wait;
         } else if (mayTry) {
@@ -919,7 +908,7 @@
         return std::nullopt;
     }
     if (step == next_step::deliver) {
-        abortAttempts(current);
+        current.abortAttempts();
         ++m_counters.answered;
         final_response response { std::move(thisAttempt.response), true };
         recordCompletion(current, response, "upstream_answer");
@@ -935,7 +924,7 @@
     auto now = steady_clock::now();
     current->effectiveDeadline
         = std::min(current->callerDeadline, current->arrivedAt + current->matchedRoute->timeout);
-    current->fingerprint = fingerprintOf(current->request, m_wire.clientAccount);
+    current->fingerprint = fingerprintOf(current->request, accountFieldOf(*current));
     current->state.isAtMostOnce = current->matchedRoute->isAtMostOnce;
     current->state.maxUpstreams = current->matchedRoute->maxUpstreams;
     const auto* target
@@ -953,7 +942,7 @@
     while (true) {
         now = steady_clock::now();
         if (current->isCancelled) {
-            abortAttempts(*current);
+            current->abortAttempts();
             co_return std::nullopt;
         }
         std::optional<final_response> response;
@@ -973,6 +962,10 @@
             co_return finishTimedOut(*current);
         }
         m_crashMonitor.noteRunning();
+        auto access = accessOf(*current);
+        if (needsAttempt && access != access_decision::granted) {
+            co_return denyAccess(*current, access);
+        }
         if (needsAttempt && !mayStartDuringStop(*current, now)) {
             if (current->mayHaveRun()) {
                 co_return finishWithLocalReply(*current, next_step::giveUp, vmIsStopping);
@@ -983,7 +976,7 @@
             co_return refusal;
         }
         if (shouldRelay(*current, needsAttempt, now)) {
-            abortAttempts(*current);
+            current->abortAttempts();
             co_return final_response { .mustRelay = true };
         }
         if (needsAttempt && !current->isCrashProbe
@@ -995,7 +988,7 @@
             }
         }
         auto hedgeAt = hedgeTime(*current);
-        bool isHedge = !needsAttempt && hasPassed(hedgeAt, now);
+        bool isHedge = !needsAttempt && hasPassed(hedgeAt, now) && access == access_decision::granted;
         placement::choice chosen;
         bool isCatchingUp = m_crashMonitor.isCatchingUp(now);
         if (!isCatchingUp && (needsAttempt || (isHedge && tryTakeHedge(*current, now)))) {
--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -11,6 +11,8 @@
 // Not thread safe; used from a single event loop.
 
 #include "marlsill/base/absence_detector.h"
+#include "marlsill/gateway/access_control.h"
+#include "marlsill/gateway/active_request.h"
 #include "marlsill/gateway/configuration.h"
 #include "marlsill/gateway/connection_pool.h"
 #include "marlsill/gateway/crash_monitor.h"
@@ -70,75 +72,6 @@
     std::chrono::milliseconds retryWindow { 10'000 }; // The sliding window of the retry budget.
 };
 
-// Returns a hash of what makes two requests copies of one another: method, host, target, body and the client
-// account in the header field `accountField`, if there is one. Upstreams do not see the caller's address.
-std::uint64_t fingerprintOf(const http::request_message& request, const std::string& accountField);
-
-// Returns what tells callers apart that compete for room: the client account in the header field
-// `accountField`, or the IP address if the request names none. Its length is bounded.
-std::string callerOf(
-    const http::request_message& request, const std::string& accountField, const std::string& address);
-
-// A request in flight. The gateway fills in the members above cancel(); the forwarder manages those below it.
-struct active_request {
-    active_request(asio::io_context& io, http::request_message message)
-        : request(std::move(message))
-        , wakeTimer(io)
-    {
-    }
-
-    http::request_message request;
-    std::string id;
-    std::string caller; // See callerOf().
-    steady_clock::time_point arrivedAt;
-    deadline callerDeadline; // When the caller stops waiting.
-    std::shared_ptr<const configuration> config; // The configuration in force when the request arrived.
-    const route* matchedRoute = nullptr; // Points into `config`.
-
-    // Aborts all attempts. Called when the caller has disconnected.
-    void cancel();
-
-    bool isCancelled = false;
-    bool isRelayed = false; // Sent by a peer for one of its callers; not relayed again.
-    std::shared_ptr<upstream_connection> relayConnection; // To the peer that works on it; may be null.
-
-    // One attempt to send the request to an upstream.
-    struct attempt {
-        std::string upstream;
-        std::string address;
-        std::int64_t upstreamStartedUnixMs = 0; // As registered when the attempt began; 0 if unknown.
-        bool isProbe = false; // Tests whether a suspect upstream has recovered.
-        steady_clock::time_point startedAt;
-        std::shared_ptr<upstream_connection> connection;
-        bool isSent = false; // Some bytes may have reached the upstream.
-        bool isRecorded = false; // recordAttemptResult() has been called.
-        bool isFinished = false;
-        bool isEvaluated = false; // evaluateAttempt() has processed its outcome.
-        placement::completed_attempt outcome;
-        std::string_view failure; // Why the response was given up; empty if it was not.
-        http::response_message response;
-    };
-
-    asio::steady_timer wakeTimer; // Cancelled to resume processRequest() on an event.
-
-    // Returns whether some upstream may have executed the request or may still execute it.
-    bool mayHaveRun() const;
-
-    // Returns whether some upstream has completed the request.
-    bool hasSucceeded() const;
-
-    std::string service;
-    deadline effectiveDeadline; // The earlier of the caller's deadline and the route's timeout.
-    std::vector<std::string> triedUpstreams;
-    std::vector<std::shared_ptr<attempt>> attempts;
-    placement::retry_state state;
-    std::uint64_t fingerprint = 0; // See fingerprintOf().
-    bool isCounted = false; // In the retry budget, by this VM or the one that relayed it.
-    bool isQueued = false; // Waits in the service's admission queue.
-    bool isStopDecisionLogged = false;
-    bool isCrashProbe = false; // Quarantined, but sent once to find out whether it crashes upstreams.
-};
-
 // The response that the caller receives.
 struct final_response {
     http::response_message message;
@@ -206,12 +139,27 @@
     // Gives up all requests in flight: each gets its final response as if its deadline had passed.
     void expireRequests();
 
+    access_control& accessControl() { return m_access; }
+
+    // Returns the header field that names the account of a request, whether verified or stated by the caller.
+    const std::string& accountFieldOf(const active_request& current) const;
+
+    // Returns whether the request may be sent under its account now, see access_control::recheck().
+    bool hasAccess(active_request& current) const { return accessOf(current) == access_decision::granted; }
+
+    // Refuses a request that may not be sent: with 401, or with 503 if its key cannot be checked now. One
+    // that may have run ends as if its attempts had failed.
+    final_response denyAccess(active_request& current, access_decision decision);
+
     // Finishes a request that was to be relayed and that no peer has answered.
     final_response finishUnrelayed(active_request& current, bool mayHaveRun);
 
     // Makes a plain-text response of this VM.
     http::response_message makeLocalReply(int status, std::string_view why) const;
 
+    // Makes a 401 response.
+    http::response_message makeUnauthorized(std::string_view why) const;
+
     // Makes a 503 response whose Retry-After field is `expectedWait` with random jitter.
     http::response_message makeServiceUnavailable(
         std::string_view why, std::chrono::milliseconds expectedWait);
@@ -245,10 +193,10 @@
         const active_request& current, const attempt& thisAttempt, steady_clock::time_point now);
     http::response_message makeServiceUnavailableAfter(
         std::string_view why, std::chrono::milliseconds delay) const;
-    void abortAttempts(active_request& current);
     void recordAttemptResult(active_request& current, attempt& thisAttempt, steady_clock::time_point now);
     void endFailedAttempt(active_request& current, attempt& thisAttempt, const std::exception_ptr& failure);
     bool tryTakeRetry(active_request& current, bool countsAsRetry, steady_clock::time_point now);
+    access_decision accessOf(active_request& current) const;
     bool shouldRelay(active_request& current, bool needsAttempt, steady_clock::time_point now);
     void reportEvidence(std::string_view service, const placement::upstream_evidence& evidence);
     void recordReachability(
@@ -282,6 +230,7 @@
     buffer_budget m_responseBuffers;
     connection_pool m_pool;
     traffic_counters m_counters;
+    access_control m_access;
     crash_monitor m_crashMonitor;
     rate_limiter m_rateLimiter;
     leaving_monitor m_leavingMonitor;
--- a/marlsill/gateway/gateway.cc
+++ b/marlsill/gateway/gateway.cc
@@ -74,14 +74,12 @@
     return m_knowsUpstreams && m_forwarder.currentConfiguration() && !isStopping();
 }
 
-http::response_message gateway::makeUnroutedReply(
-    const served_request& request, int status, std::string_view why)
+http::response_message gateway::makeUnroutedReply(const std::string& id, int status, std::string_view why)
 {
     const auto& config = m_forwarder.currentConfiguration();
     ++m_forwarder.counters().noRoute;
     logEvent(event::requestNotRouted,
-        { { "request", request.message.head.get(m_forwarder.wire().requestId, "") },
-            { "status", std::to_string(status) }, { "why", std::string(why) },
+        { { "request", id }, { "status", std::to_string(status) }, { "why", std::string(why) },
             { "config", config ? std::to_string(config->version()) : "none" } });
     auto message = status == Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE
         ? m_forwarder.makeServiceUnavailable(why, isStopping() ? drainRetryDelay : startupRetryDelay)
@@ -91,42 +89,64 @@
 
 asio::awaitable<std::optional<http::response_message>> gateway::serve(std::shared_ptr<served_request> request)
 {
-    const auto& head = request->message.head;
+    auto& head = request->message.head;
     const auto& wire = m_forwarder.wire();
+    removeRelayFields(head); // Those of peers have been taken off before.
+    auto id = head.get(wire.requestId, "");
     auto config = m_forwarder.currentConfiguration();
     if (!config || !m_knowsUpstreams) {
-        co_return makeUnroutedReply(*request, 503, "no configuration is known yet");
+        co_return makeUnroutedReply(id, 503, "no configuration is known yet");
     }
     const auto* matchedRoute = config->routes().find(head.getHost(), head.getURI());
     if (!matchedRoute) {
-        co_return makeUnroutedReply(*request, 404, "no route");
+        co_return makeUnroutedReply(id, 404, "no route");
+    }
+    auto current = std::make_shared<active_request>(m_io, std::move(request->message));
+    head.setMethod(current->request.head.getMethod());
+    current->id = id;
+    current->arrivedAt = request->arrivedAt;
+    current->earlierArrivals = request->earlierArrivals;
+    current->keyDigest = request->relayedKey;
+    current->config = config;
+    current->matchedRoute = matchedRoute;
+    auto access = m_forwarder.accessControl().admit(*current, *config, *matchedRoute);
+    if (access != access_decision::granted) {
+        co_return withId(m_forwarder.denyAccess(*current, access), *current);
     }
     bool isValid = true;
-    auto timeout = callerTimeout(head.get(wire.timeoutMs, ""), isValid);
+    auto timeout = callerTimeout(current->request.head.get(wire.timeoutMs, ""), isValid);
     if (!isValid) {
-        co_return makeUnroutedReply(*request, 400, "malformed time limit");
+        co_return makeUnroutedReply(id, 400, "malformed time limit");
     }
-    auto current = std::make_shared<active_request>(m_io, std::move(request->message));
-    current->id = current->request.head.get(wire.requestId, "");
-    current->caller = callerOf(current->request, wire.clientAccount, request->caller);
-    current->arrivedAt = request->arrivedAt;
+    current->caller = callerOf(current->request, m_forwarder.accountFieldOf(*current), request->caller);
     current->callerDeadline = request->arrivedAt + timeout.value_or(std::chrono::milliseconds(maxTimeoutMs));
     current->isRelayed = request->isRelayed;
     current->isCounted = request->isCounted;
     current->state.possibleRuns = request->earlierArrivals;
-    current->config = config;
-    current->matchedRoute = matchedRoute;
-    request->message.head.setMethod(current->request.head.getMethod());
     request->cancel = [current] { current->cancel(); };
+    bool isCountedHere = current->account && !current->isRelayed;
+    auto& accounts = m_forwarder.counters().accounts;
+    if (isCountedHere) {
+        accounts.countRequest(current->account->name);
+    }
     auto response = co_await forwardOrRelay(current);
     request->cancel = {};
     if (!response) {
         co_return std::nullopt;
     }
-    if (!response->isFromUpstream && !current->id.empty()) {
-        response->message.head.set(wire.requestId, current->id);
+    if (isCountedHere && response->isFromUpstream) {
+        accounts.countAnswered(current->account->name);
+    }
+    co_return withId(std::move(*response), *current);
+}
+
+// Returns the message of a response, which names the request also if this VM has generated it.
+http::response_message gateway::withId(final_response response, const active_request& current) const
+{
+    if (!response.isFromUpstream && !current.id.empty()) {
+        response.message.head.set(m_forwarder.wire().requestId, current.id);
     }
-    co_return std::move(response->message);
+    return std::move(response.message);
 }
 
 // Forwards a request to an upstream, or to a peer if this VM cannot reach any.
@@ -155,10 +175,11 @@
 asio::awaitable<std::optional<http::response_message>> gateway::serveRelayed(
     std::shared_ptr<served_request> request)
 {
-    auto version = takeRelayField(*request);
+    auto version = takeRelayFields(*request);
     const auto& config = m_forwarder.currentConfiguration();
-    bool canServe
-        = version && isReady() && config->version() >= *version && !m_forwarder.reachability().isCutOff();
+    bool canCheckKey = !request->relayedKey || m_forwarder.accessControl().areKeysFresh();
+    bool canServe = version && isReady() && config->version() >= *version && canCheckKey
+        && !m_forwarder.reachability().isCutOff();
     if (!canServe) {
         co_return makeDecliningReply("this VM does not take relayed requests now");
     }
--- a/marlsill/gateway/gateway.h
+++ b/marlsill/gateway/gateway.h
@@ -57,11 +57,19 @@
     {
         m_relay = &relay;
         m_relay->setStartCheck([this](active_request& current) {
-            return m_forwarder.mayStartDuringStop(current, steady_clock::now());
+            return m_forwarder.hasAccess(current)
+                && m_forwarder.mayStartDuringStop(current, steady_clock::now());
         });
         m_relayPeersFor = std::move(peersFor);
     }
 
+    // Sets what tells whether the keys of the configuration in force may still be acted on; until then they
+    // may always. See access_control::setFreshnessCheck().
+    void setKeyFreshnessCheck(std::function<bool()> areKeysFresh)
+    {
+        m_forwarder.accessControl().setFreshnessCheck(std::move(areKeysFresh));
+    }
+
     // Serves a request that a peer relays, or declines it unprocessed.
     asio::awaitable<std::optional<http::response_message>> serveRelayed(
         std::shared_ptr<served_request> request);
@@ -76,9 +84,10 @@
     asio::awaitable<std::optional<http::response_message>> serve(std::shared_ptr<served_request> request);
     bool isBusy() const;
     asio::awaitable<std::optional<final_response>> forwardOrRelay(std::shared_ptr<active_request> current);
+    http::response_message withId(final_response response, const active_request& current) const;
     asio::awaitable<void> sweepLoop();
     asio::awaitable<void> drainLoop(std::function<void()> onDone);
-    http::response_message makeUnroutedReply(const served_request& request, int status, std::string_view why);
+    http::response_message makeUnroutedReply(const std::string& id, int status, std::string_view why);
 
     asio::io_context& m_io;
     const gateway_options m_options;
--- a/marlsill/gateway/request_relay.cc
+++ b/marlsill/gateway/request_relay.cc
@@ -10,7 +10,10 @@
 
 namespace {
 
-    constexpr const char* relayField = "Marlsill-Relay"; // Caller, configuration, arrivals so far, counted.
+    // Caller, configuration, arrivals so far, counted; and whether the sender vouches for `accountField`,
+    // which builds before 0.5 leave out, as they let a caller's own field of that name pass.
+    constexpr const char* relayField = "Marlsill-Relay";
+    constexpr const char* accountField = "Marlsill-Relay-Account"; // Digest of the key, in hexadecimal.
     constexpr const char* declinedField = "Marlsill-Relay-Declined";
 
 }
@@ -25,16 +28,30 @@
     return message;
 }
 
-std::optional<std::uint64_t> takeRelayField(served_request& request)
+void removeRelayFields(Poco::Net::HTTPRequest& head)
+{
+    head.erase(relayField);
+    head.erase(accountField);
+}
+
+std::optional<std::uint64_t> takeRelayFields(served_request& request)
 {
     std::istringstream field(request.message.head.get(relayField, ""));
-    request.message.head.erase(relayField);
+    auto digest = request.message.head.get(accountField, "");
+    removeRelayFields(request.message.head);
     std::uint64_t version = 0;
     bool isCounted = false;
     if (!(field >> request.caller >> version >> request.earlierArrivals >> isCounted)
         || request.earlierArrivals < 0) {
         return std::nullopt;
     }
+    bool hasAccount = false;
+    if (field >> hasAccount && hasAccount) {
+        request.relayedKey = accounts::parseDigest(digest);
+        if (!request.relayedKey) {
+            return std::nullopt;
+        }
+    }
     request.isCounted = isCounted;
     request.isRelayed = true;
     return version;
@@ -50,6 +67,10 @@
     std::ostringstream field;
     field << current.caller << ' ' << current.config->version() << ' ' << current.state.possibleRuns << ' '
           << current.isCounted;
+    if (current.keyDigest) {
+        field << " 1";
+        relayed.head.set(accountField, accounts::toHex(*current.keyDigest));
+    }
     relayed.head.set(relayField, field.str());
     return http::serialize(relayed);
 }
--- a/marlsill/gateway/request_relay.h
+++ b/marlsill/gateway/request_relay.h
@@ -52,9 +52,12 @@
 // Makes the response that declines a relayed request.
 http::response_message makeDecliningReply(std::string_view why);
 
-// Takes the relay's own header field off a request that a peer has sent, and fills in what the field says.
-// Returns std::nullopt if it is missing or malformed, or the oldest configuration version that may route it.
-std::optional<std::uint64_t> takeRelayField(served_request& request);
+// Takes the relay's own header fields off a request that a peer has sent, and fills in what they say. Returns
+// std::nullopt if one is missing or malformed, or the oldest configuration version that may route it.
+std::optional<std::uint64_t> takeRelayFields(served_request& request);
+
+// Removes the relay's own header fields from a request of a caller, who may not use them.
+void removeRelayFields(Poco::Net::HTTPRequest& head);
 
 // See the file comment.
 class request_relay {
--- a/marlsill/gateway/route.h
+++ b/marlsill/gateway/route.h
@@ -27,6 +27,7 @@
     std::chrono::milliseconds latencyObjective { 1'000 }; // A response within it counts as on time.
     int priority = 0; // 0 is the highest.
     int maxUpstreams = 1; // Upstreams that may execute one request, the first included.
+    bool isPublic = false; // Needs no key, and is served without an account.
     std::vector<weighted_service> weightedServices;
 };
 
--- a/marlsill/gateway/session_server.h
+++ b/marlsill/gateway/session_server.h
@@ -37,6 +37,7 @@
     bool isRelayed = false; // Sent by a peer for one of its callers, which `caller` names.
     int earlierArrivals = 0; // At upstreams, from that peer.
     bool isCounted = false; // That peer has counted the request in the retry budget.
+    std::optional<accounts::key_digest> relayedKey; // Of the key that the peer has taken off the request.
     std::function<void()> cancel; // Set by the handler; called when the caller disconnects.
 };
 
--- a/marlsill/gateway/traffic_counters.cc
+++ b/marlsill/gateway/traffic_counters.cc
@@ -62,6 +62,12 @@
     appendCounter("reused_connections_total", reusedConnections);
     appendCounter("late_answers_skipped_total", lateAnswersSkipped);
     appendCounter("directory_answers_total", directoryAnswers);
+    appendCounter("keys_missing_total", keysMissing);
+    appendCounter("keys_malformed_total", keysMalformed);
+    appendCounter("keys_unknown_total", keysUnknown);
+    appendCounter("keys_withdrawn_total", keysWithdrawn);
+    appendCounter("keys_stale_total", keysStale);
+    accounts.appendTo(out);
     callerLatency.appendTo(out, "caller_latency_ms");
     upstreamLatency.appendTo(out, "upstream_latency_ms");
     return out;
--- a/marlsill/gateway/traffic_counters.h
+++ b/marlsill/gateway/traffic_counters.h
@@ -2,6 +2,8 @@
 
 // Counters and latency histograms of the request path, in the Prometheus text format. Not thread safe.
 
+#include "marlsill/gateway/account_counters.h"
+
 #include <array>
 #include <chrono>
 #include <cstdint>
@@ -55,6 +57,12 @@
     std::uint64_t reusedConnections = 0;
     std::uint64_t lateAnswersSkipped = 0;
     std::uint64_t directoryAnswers = 0;
+    std::uint64_t keysMissing = 0; // Requests refused as they have no key; likewise the next ones.
+    std::uint64_t keysMalformed = 0;
+    std::uint64_t keysUnknown = 0;
+    std::uint64_t keysWithdrawn = 0; // While the request waited.
+    std::uint64_t keysStale = 0; // This VM could not tell whether the key had been withdrawn.
+    account_counters accounts;
     latency_histogram callerLatency;
     latency_histogram upstreamLatency;
 
--- a/marlsill/placement/admission_queue.h
+++ b/marlsill/placement/admission_queue.h
@@ -7,8 +7,9 @@
 //     if (auto next = queue.peekNext())
 //         next->wake();
 //
-// Handles overload of a service: requests are ordered by priority, then round-robin by caller, then by
-// deadline, and requests that would miss their deadline are shed at once. Not thread safe.
+// Handles overload of a service: requests are ordered by priority (of the account, then of the route), then
+// round-robin by caller, then by deadline, and requests that would miss their deadline are shed at once. Not
+// thread safe.
 
 #include "marlsill/base/time.h"
 
@@ -23,7 +24,8 @@
 
 // Determines the position of a request in the queue.
 struct queue_key {
-    int priority = 0; // Lower values are served first.
+    int accountPriority = 0; // Of the client account; lower values are served first.
+    int priority = 0; // Of the route, among accounts of equal priority; likewise.
     deadline limit {}; // When its response is due.
     std::string caller; // Callers of equal priority take turns.
 };
@@ -97,9 +99,9 @@
         std::ptrdiff_t turn = 0; // Requests of its caller that were queued before it.
     };
 
-    static std::tuple<int, std::ptrdiff_t, deadline> rankOf(const entry& each)
+    static std::tuple<int, int, std::ptrdiff_t, deadline> rankOf(const entry& each)
     {
-        return { each.key.priority, each.turn, each.key.limit };
+        return { each.key.accountPriority, each.key.priority, each.turn, each.key.limit };
     }
 
     // Longer than bursts and upstream restarts, during which a late response is better than a refusal.
