--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -1,6 +1,7 @@
 #include "marlsill/gateway/forwarder.h"
 
 #include "marlsill/events/events.h"
+#include "marlsill/gateway/attempt_response.h"
 #include "marlsill/gateway/endpoint.h"
 #include "marlsill/http/message_writer.h"
 #include "marlsill/supervisor/loop_guard.h"
@@ -36,30 +37,6 @@
 
     std::int64_t toMs(steady_clock::duration interval) { return toMilliseconds(interval).count(); }
 
-    std::string_view toText(attempt_outcome end)
-    {
-        constexpr std::string_view names[] = { "answered", "refused", "wrong_upstream", "not_sent",
-            "no_answer", "broken", "timed_out", "cancelled" };
-        return names[static_cast<int>(end)];
-    }
-
-    attempt_outcome toAttemptOutcome(exchange_status status)
-    {
-        switch (status) {
-        case exchange_status::completed:
-            return attempt_outcome::answered;
-        case exchange_status::closed:
-            return attempt_outcome::noAnswer;
-        case exchange_status::broken:
-            return attempt_outcome::broken;
-        case exchange_status::timedOut:
-            return attempt_outcome::timedOut;
-        case exchange_status::aborted:
-            break;
-        }
-        return attempt_outcome::cancelled;
-    }
-
 }
 
 forwarder::forwarder(asio::io_context& io, forwarder_options options, wire_fields wire)
@@ -334,43 +311,6 @@
     return current.attempts.front()->startedAt + delay;
 }
 
-std::string forwarder::serializeFor(
-    const active_request& current, const attempt& thisAttempt, steady_clock::time_point now) const
-{
-    auto forwarded = current.request;
-    http::removeHopByHopFields(forwarded.head);
-    auto left = std::max<std::int64_t>(
-        1, millisecondsUntil(current.effectiveDeadline - m_options.responseTransitTime, now));
-    forwarded.head.set(m_wire.timeoutMs, std::to_string(left));
-    forwarded.head.set(m_wire.expectedUpstream, thisAttempt.upstream);
-    return http::serialize(forwarded);
-}
-
-bool forwarder::isResponseTo(
-    const active_request& current, const attempt& thisAttempt, const http::response_message& response) const
-{
-    if (response.head.has(m_wire.requestId)) {
-        return response.head.get(m_wire.requestId) == current.id;
-    }
-    if (current.id.empty()) {
-        return true;
-    }
-    // On a kept connection, a refusal that names no request may be the repetition of an earlier one.
-    bool isRefusal = response.head.has(m_wire.notRun)
-        || response.head.getStatus() == Poco::Net::HTTPResponse::HTTP_MISDIRECTED_REQUEST;
-    return isRefusal && !thisAttempt.outcome.wasReused;
-}
-
-// Returns whether the response to a request can be told apart, on a connection that has carried others, from
-// an earlier response that the upstream repeats. Its id does, unless the request has none or has been at this
-// upstream before.
-bool forwarder::mayReuseConnection(const active_request& current, const attempt& thisAttempt)
-{
-    return !current.id.empty()
-        && std::count(current.triedUpstreams.begin(), current.triedUpstreams.end(), thisAttempt.upstream)
-        <= 1;
-}
-
 // Takes effect at once on what is idle or waits; attempts whose connect is under way look for themselves.
 void forwarder::handleLeaving(const placement::upstream_entry& upstream)
 {
@@ -438,7 +378,7 @@
         exchange_options options { .isHead = current->request.head.getMethod() == "HEAD",
             .matchesRequest
             = [this, current, thisAttempt](
-                  const auto& response) { return isResponseTo(*current, *thisAttempt, response); },
+                  const auto& response) { return isResponseTo(m_wire, *current, *thisAttempt, response); },
             .onHead =
                 [this, thisAttempt](const auto& head) {
                     m_leavingMonitor.recordResponse(
@@ -447,25 +387,17 @@
             .limits = { .maxBodyBytes = m_options.maxResponseBytes },
             .buffers = &m_responseBuffers };
         thisAttempt->isSent = true;
-        auto result = co_await connection->exchange(serializeFor(*current, *thisAttempt, steady_clock::now()),
-            std::move(options), current->effectiveDeadline);
+        auto left = std::max<std::int64_t>(1,
+            millisecondsUntil(
+                current->effectiveDeadline - m_options.responseTransitTime, steady_clock::now()));
+        auto bytes = serializeFor(m_wire, *current, *thisAttempt, std::chrono::milliseconds(left));
+        auto result
+            = co_await connection->exchange(std::move(bytes), std::move(options), current->effectiveDeadline);
         m_counters.lateAnswersSkipped += static_cast<std::uint64_t>(result.skippedResponses);
-        thisAttempt->outcome.outcome = toAttemptOutcome(result.status);
+        thisAttempt->outcome.outcome = outcomeOf(m_wire, result);
         thisAttempt->failure = result.failure;
         thisAttempt->outcome.status = result.response.head.getStatus();
         thisAttempt->response = std::move(result.response);
-        bool isMisdirected = thisAttempt->outcome.status == Poco::Net::HTTPResponse::HTTP_MISDIRECTED_REQUEST;
-        if (thisAttempt->outcome.outcome == attempt_outcome::answered && isMisdirected) {
-            thisAttempt->outcome.outcome = attempt_outcome::wrongUpstream;
-        } else if (thisAttempt->outcome.outcome == attempt_outcome::answered
-            && thisAttempt->response.head.has(m_wire.notRun)) {
-            thisAttempt->outcome.outcome = attempt_outcome::refused;
-        } else if (thisAttempt->outcome.outcome == attempt_outcome::answered
-            && thisAttempt->outcome.status < 300
-            && (!thisAttempt->response.head.has(m_wire.seal)
-                || thisAttempt->response.head.has("Content-Encoding"))) {
-            thisAttempt->outcome.outcome = attempt_outcome::broken;
-        }
         bool mayReuse
             = m_loadBalancer.isAcceptingRequests(thisAttempt->upstream) && isRegisteredAs(*thisAttempt);
         if (connection->isReusable() && mayReuse
@@ -567,7 +499,7 @@
 bool forwarder::recordTurnAway(
     const active_request& current, const attempt& thisAttempt, steady_clock::time_point now)
 {
-    bool isAnswer = thisAttempt.isSent && isResponseTo(current, thisAttempt, thisAttempt.response);
+    bool isAnswer = thisAttempt.isSent && isResponseTo(m_wire, current, thisAttempt, thisAttempt.response);
     return isAnswer
         && m_turnAways.recordResponse(
             {
@@ -633,6 +565,7 @@
     if (current.mayHaveRun() || current.earlierArrivals > 0) {
         return finishWithLocalReply(current, next_step::giveUp, why);
     }
+    m_counters.refused += decision == access_decision::staleKeys ? 1 : 0;
     final_response response { decision == access_decision::staleKeys
             ? makeServiceUnavailable(why, staleKeysRetryDelay)
             : makeUnauthorized(why) };
@@ -963,7 +896,8 @@
         }
         m_crashMonitor.noteRunning();
         auto access = accessOf(*current);
-        if (needsAttempt && access != access_decision::granted) {
+        bool isGranted = access == access_decision::granted;
+        if (needsAttempt && !isGranted) {
             co_return denyAccess(*current, access);
         }
         if (needsAttempt && !mayStartDuringStop(*current, now)) {
@@ -975,7 +909,7 @@
             recordCompletion(*current, refusal, vmIsStopping);
             co_return refusal;
         }
-        if (shouldRelay(*current, needsAttempt, now)) {
+        if (isGranted && shouldRelay(*current, needsAttempt, now)) {
             current->abortAttempts();
             co_return final_response { .mustRelay = true };
         }
@@ -988,10 +922,10 @@
             }
         }
         auto hedgeAt = hedgeTime(*current);
-        bool isHedge = !needsAttempt && hasPassed(hedgeAt, now) && access == access_decision::granted;
+        bool isHedge = !needsAttempt && hasPassed(hedgeAt, now);
         placement::choice chosen;
         bool isCatchingUp = m_crashMonitor.isCatchingUp(now);
-        if (!isCatchingUp && (needsAttempt || (isHedge && tryTakeHedge(*current, now)))) {
+        if (!isCatchingUp && (needsAttempt || (isHedge && isGranted && tryTakeHedge(*current, now)))) {
             if (startAttempt(current, now, chosen)) {
                 m_counters.hedges += isHedge ? 1 : 0;
                 needsAttempt = false;
--- a/marlsill/placement/admission_queue_test.cc
+++ b/marlsill/placement/admission_queue_test.cc
@@ -23,6 +23,7 @@
         int priority;
         int limitMs;
         const char* caller;
+        int accountPriority = 0;
     };
     struct queue_case {
         const char* name;
@@ -37,6 +38,12 @@
             { "a", "c", "b" } },
         { "priority outranks turns", { { "a", 1, 100, "x" }, { "b", 1, 200, "x" }, { "c", 2, 50, "y" } },
             { "a", "b", "c" } },
+        { "the account's priority outranks the route's",
+            { { "a", 1, 100, "x", 2 }, { "b", 9, 900, "y", 1 }, { "c", 5, 100, "z", 1 } },
+            { "c", "b", "a" } },
+        { "accounts of equal priority take turns",
+            { { "a", 1, 100, "x", 1 }, { "b", 1, 200, "x", 1 }, { "c", 1, 900, "y", 1 } },
+            { "a", "c", "b" } },
     };
     for (const auto& each : cases) {
         CAPTURE(each.name);
@@ -45,7 +52,8 @@
         for (const auto& joined : each.joined) {
             waiting.push_back(std::make_shared<waiter>(waiter { joined.name }));
             queue.enqueue(waiting.back(),
-                { .priority = joined.priority,
+                { .accountPriority = joined.accountPriority,
+                    .priority = joined.priority,
                     .limit = start + milliseconds(joined.limitMs),
                     .caller = joined.caller },
                 start);
