--- a/marlsill/gateway/access_control.cc
+++ b/marlsill/gateway/access_control.cc
@@ -39,9 +39,6 @@
 access_decision access_control::takeKey(active_request& current) const
 {
     auto& head = current.request.head;
-    // The Connection field names fields that are removed when the request is sent. It could name the one that
-    // is set here.
-    http::removeHopByHopFields(head);
     int fields = 0;
     std::string value;
     for (const auto& [name, each] : head) {
@@ -50,6 +47,9 @@
             value = each;
         }
     }
+    // The Connection field names fields that are removed when the request is sent. It could name the one that
+    // is set here.
+    http::removeHopByHopFields(head);
     head.erase(m_fields.authorization);
     head.erase(m_fields.clientAccount);
     head.erase(m_fields.statedAccount);
