--- a/testing/request_relay_test.cc
+++ b/testing/request_relay_test.cc
@@ -28,26 +28,42 @@
 
     std::string hostOf(int number) { return "127.0.0." + std::to_string(number); }
 
-    std::shared_ptr<const gateway::configuration> makeConfiguration()
+    // With a public route beside the other one, and with accounts if a directory is given.
+    std::shared_ptr<const gateway::configuration> makeConfiguration(
+        std::shared_ptr<const accounts::account_directory> directory = nullptr, std::uint64_t version = 5)
     {
         std::vector<gateway::route> routes;
-        routes.push_back({ .name = "once",
-            .host = "h.example",
-            .pathPrefix = "/once/",
-            .timeout = milliseconds(3'000),
-            .weightedServices = { { "s" } } });
-        return std::make_shared<const gateway::configuration>(5, std::move(routes));
+        for (const std::string name : { "once", "open" }) {
+            routes.push_back({ .name = name,
+                .host = "h.example",
+                .pathPrefix = "/" + name + "/",
+                .timeout = milliseconds(3'000),
+                .isPublic = name == "open",
+                .weightedServices = { { "s" } } });
+        }
+        return std::make_shared<const gateway::configuration>(
+            version, std::move(routes), gateway::caller_limits(), std::move(directory));
+    }
+
+    const accounts::key_digest northKey = accounts::digestOf("key-of-north");
+    const accounts::key_digest southKey = accounts::digestOf("key-of-south");
+
+    std::shared_ptr<const accounts::account_directory> northAndSouth()
+    {
+        return std::make_shared<const accounts::account_directory>(
+            std::vector<accounts::client_account> { { .name = "north" }, { .name = "south" } },
+            std::vector<accounts::account_key> { { northKey, 0 }, { southKey, 1 } });
     }
 
     // A VM that takes relayed requests, and its peers, all on one thread and one port of several hosts.
     class relay_fixture {
     public:
-        relay_fixture()
+        explicit relay_fixture(std::shared_ptr<const gateway::configuration> config = makeConfiguration())
             : m_upstream("u0", gateway::wire_fields())
             , m_port(freePort())
             , m_vm(m_io, { .callerEndpoint = { asio::ip::make_address_v4(hostOf(serving)), 0 } }, {})
             , m_relay(m_io, { .port = m_port }, {})
-            , m_config(makeConfiguration())
+            , m_config(std::move(config))
         {
             m_vm.requestForwarder().setConfiguration(m_config);
             placement::upstream_entry entry {
@@ -74,8 +90,19 @@
         scripted_upstream& upstream() { return m_upstream; }
         std::string address() const { return hostOf(serving) + ":" + std::to_string(m_port); }
 
-        // Relays a request through the first of some hosts that takes it.
-        gateway::relay_outcome relay(const std::vector<int>& hosts, const std::string& id)
+        void setFreshness(std::function<bool()> check)
+        {
+            std::promise<void> done;
+            asio::post(m_io, [&] {
+                m_vm.setKeyFreshnessCheck(check);
+                done.set_value();
+            });
+            done.get_future().wait();
+        }
+
+        // Relays a request through the first of some hosts that takes it, under an account if there is a key.
+        gateway::relay_outcome relay(const std::vector<int>& hosts, const std::string& id,
+            const std::optional<accounts::key_digest>& key = {}, const std::string& account = {})
         {
             http::request_message message;
             message.head.setMethod("POST");
@@ -83,10 +110,15 @@
             message.head.setHost("h.example");
             message.head.setURI("/once/a");
             message.head.set(gateway::wire_fields().requestId, id);
+            if (!account.empty()) {
+                message.head.set(gateway::wire_fields().clientAccount, account);
+            }
             message.body = "body";
             auto current = std::make_shared<gateway::active_request>(m_io, std::move(message));
             current->id = id;
-            current->caller = "10.0.0.9";
+            current->caller
+                = gateway::callerOf(current->request, gateway::wire_fields().clientAccount, "10.0.0.9");
+            current->keyDigest = key;
             current->effectiveDeadline = deadlineAfter(milliseconds(2'000));
             current->config = m_config;
             std::vector<std::string> peers;
@@ -124,10 +156,11 @@
         std::thread m_thread;
     };
 
-    std::string relayedRequest(const std::string& relayField, const std::string& id)
+    std::string relayedRequest(
+        const std::string& relayField, const std::string& id, const std::string& path = "/once/a")
     {
         gateway::wire_fields fields;
-        return "POST /once/a HTTP/1.1\r\nHost: h.example\r\n" + fields.requestId + ": " + id + "\r\n"
+        return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\n" + fields.requestId + ": " + id + "\r\n"
             + fields.timeoutMs + ": 1000\r\n" + relayField + "Content-Length: 4\r\n\r\nbody";
     }
 
@@ -197,6 +230,120 @@
     CHECK(timeoutMs <= 1'000);
 }
 
+TEST_CASE("A relayed request runs under the account of the key that its sender has checked")
+{
+    // Guards against digests that a caller has slipped in, through a VM of an earlier build that passes the
+    // field on unread, and against keys that nobody has checked.
+    struct row {
+        const char* name;
+        std::string fields;
+        int status;
+        std::string account = {}; // That the upstream gets.
+        std::string path = "/once/a";
+    };
+    const std::string plain = "Marlsill-Relay: 10.0.0.9 5 0 0\r\n"; // As builds without accounts send it.
+    const std::string vouched = "Marlsill-Relay: 10.0.0.9 5 0 0 1\r\n";
+    const auto north = "Marlsill-Relay-Account: " + accounts::toHex(northKey) + "\r\n";
+    const auto withdrawn
+        = "Marlsill-Relay-Account: " + accounts::toHex(accounts::digestOf("key-of-east")) + "\r\n";
+    const std::string key = "Authorization: Bearer key-of-south\r\n";
+    const std::string forged = "X-Client-Account: south\r\n";
+    const row rows[] = {
+        { "a digest", vouched + north, 200, "north" },
+        { "a digest and the account's name", vouched + north + "X-Client-Account: north\r\n", 200, "north" },
+        { "a digest and another name", vouched + north + forged, 200, "north" },
+        { "a digest that this VM does not know", vouched + withdrawn + "X-Client-Account: east\r\n", 401 },
+        { "vouched for, but no digest", vouched, 421 },
+        { "vouched for, but a malformed digest", vouched + "Marlsill-Relay-Account: north\r\n", 421 },
+        { "a digest, not vouched for", plain + north, 401 },
+        { "a digest, not vouched for, and a key", plain + north + key, 200, "south" },
+        { "an earlier build: a key", plain + key, 200, "south" },
+        { "an earlier build: a key and a name", plain + key + "X-Client-Account: north\r\n", 200, "south" },
+        { "an earlier build: an unknown key", plain + "Authorization: Bearer x\r\n", 401 },
+        { "an earlier build: no key", plain + forged, 401 },
+        { "a public route", plain, 200, "", "/open/a" },
+        { "a public route and all fields", vouched + north + key + forged, 200, "", "/open/a" },
+    };
+    relay_fixture fleet(makeConfiguration(northAndSouth()));
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        raw_caller peer(fleet.address());
+        peer.send(relayedRequest(each.fields, each.name, each.path));
+        CHECK(peer.receive().status == each.status);
+        CHECK(fleet.upstream().runsOf(each.name) == (each.status == 200 ? 1 : 0));
+        if (each.status != 200) {
+            continue;
+        }
+        auto head = fleet.upstream().lastHead();
+        auto account = each.account.empty() ? "" : "\r\nX-Client-Account: " + each.account + "\r\n";
+        CHECK((account.empty() || head.find(account) != std::string::npos));
+        auto at = head.find("X-Client-Account");
+        CHECK((at == std::string::npos) == account.empty());
+        CHECK((account.empty() || head.find("X-Client-Account", at + 1) == std::string::npos));
+        for (const char* text : { "Marlsill-Relay", "Authorization", "key-of" }) {
+            CHECK(head.find(text) == std::string::npos);
+        }
+        CHECK(head.find(accounts::toHex(northKey)) == std::string::npos);
+    }
+}
+
+TEST_CASE("A VM that cannot check keys declines relayed requests with a key")
+{
+    // Guards against a refusal where another peer could have served the request.
+    relay_fixture fleet(makeConfiguration(northAndSouth()));
+    fleet.setFreshness([] { return false; });
+    struct row {
+        const char* name;
+        std::string fields;
+        std::string path;
+        int status;
+    };
+    const auto digest
+        = "Marlsill-Relay: 10.0.0.9 5 0 0 1\r\nMarlsill-Relay-Account: " + accounts::toHex(northKey) + "\r\n";
+    const row rows[] = { { "a digest", digest, "/once/a", 421 },
+        { "an earlier build", "Marlsill-Relay: 10.0.0.9 5 0 0\r\nAuthorization: Bearer key-of-north\r\n",
+            "/once/a", 503 },
+        { "public", "Marlsill-Relay: 10.0.0.9 5 0 0\r\n", "/open/a", 200 } };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        raw_caller peer(fleet.address());
+        peer.send(relayedRequest(each.fields, each.name, each.path));
+        CHECK(peer.receive().status == each.status);
+        CHECK(fleet.upstream().runsOf(each.name) == (each.status == 200 ? 1 : 0));
+    }
+}
+
+TEST_CASE("What a VM relays under an account is served under it by its peer")
+{
+    struct row {
+        const char* name;
+        std::optional<accounts::key_digest> key;
+        std::string account;
+        bool hasAccounts; // Of the peer.
+        int status;
+    };
+    const row rows[] = {
+        { "a known key", northKey, "north", true, 200 },
+        { "a key that the peer does not know", accounts::digestOf("key-of-east"), "east", true, 401 },
+        { "a peer without accounts", northKey, "north", false, 200 },
+        // Guards against names that cannot be told from the next part of the relay's field.
+        { "an account that the caller states, without accounts", std::nullopt, "north west", false, 200 },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        relay_fixture fleet(makeConfiguration(each.hasAccounts ? northAndSouth() : nullptr));
+        auto outcome = fleet.relay({ serving }, each.name, each.key, each.account);
+        CHECK(outcome.status == gateway::relay_status::answered);
+        CHECK(outcome.response.head.getStatus() == each.status);
+        CHECK(fleet.upstream().runsOf(each.name) == (each.status == 200 ? 1 : 0));
+        if (each.status == 200) {
+            auto head = fleet.upstream().lastHead();
+            CHECK(head.find("\r\nX-Client-Account: " + each.account + "\r\n") != std::string::npos);
+            CHECK(head.find("Marlsill-Relay") == std::string::npos);
+        }
+    }
+}
+
 TEST_CASE("A relayed request whose sender leaves is cancelled at the upstream")
 {
     relay_fixture fleet;
