--- a/marlsill/gateway/request_relay.cc
+++ b/marlsill/gateway/request_relay.cc
@@ -11,7 +11,7 @@
 namespace {
 
     // Caller, configuration, arrivals so far, counted; and whether the sender vouches for `accountField`,
-    // which builds before 0.5 leave out, as they let a caller's own field of that name pass.
+    // which builds without accounts leave out, as they let a caller's own field of that name pass.
     constexpr const char* relayField = "Marlsill-Relay";
     constexpr const char* accountField = "Marlsill-Relay-Account"; // Digest of the key, in hexadecimal.
     constexpr const char* declinedField = "Marlsill-Relay-Declined";
