--- a/marlsill/gateway/access_control.cc
+++ b/marlsill/gateway/access_control.cc
@@ -121,7 +121,8 @@
     m_counters.keysWithdrawn += decision == access_decision::withdrawnKey ? 1 : 0;
     m_counters.keysStale += decision == access_decision::staleKeys ? 1 : 0;
     logEvent(event::accessDenied,
-        { { "request", current.id }, { "why", std::string(toText(decision)) },
+        { { "request", current.id }, { "status", decision == access_decision::staleKeys ? "503" : "401" },
+            { "why", std::string(toText(decision)) },
             { "account", current.account ? current.account->name : "" },
             { "digest", current.keyDigest ? accounts::toShortHex(*current.keyDigest) : "" },
             { "route", current.matchedRoute->name },
--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -569,7 +569,9 @@
     final_response response { decision == access_decision::staleKeys
             ? makeServiceUnavailable(why, staleKeysRetryDelay)
             : makeUnauthorized(why) };
-    recordCompletion(current, response, why);
+    if (!current.service.empty()) { // Otherwise it has not been taken over.
+        recordCompletion(current, response, why);
+    }
     return response;
 }
 
