--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -1,7 +1,7 @@
 #include "marlsill/gateway/forwarder.h"
 
-#include "marlsill/base/hash.h"
 #include "marlsill/events/events.h"
+#include "marlsill/gateway/attempt_response.h"
 #include "marlsill/gateway/endpoint.h"
 #include "marlsill/http/message_writer.h"
 #include "marlsill/supervisor/loop_guard.h"
@@ -21,6 +21,7 @@
 
     // Waiting callers come back when others may have told them of VMs that are not cut off.
     constexpr std::chrono::milliseconds cutOffRetryDelay { 300 };
+    constexpr std::chrono::milliseconds staleKeysRetryDelay { 300 }; // Likewise, of VMs that know the keys.
     constexpr const char* connectFailed = "cannot connect";
     constexpr const char* permitsUsedUp = "the upstreams' limits are used up";
     constexpr const char* vmIsStopping = "this VM is stopping";
@@ -36,74 +37,6 @@
 
     std::int64_t toMs(steady_clock::duration interval) { return toMilliseconds(interval).count(); }
 
-    bool isSuccess(const placement::completed_attempt& attempt)
-    {
-        return attempt.outcome == attempt_outcome::answered && attempt.status >= 200 && attempt.status < 300;
-    }
-
-    std::string_view toText(attempt_outcome end)
-    {
-        constexpr std::string_view names[] = { "answered", "refused", "wrong_upstream", "not_sent",
-            "no_answer", "broken", "timed_out", "cancelled" };
-        return names[static_cast<int>(end)];
-    }
-
-    attempt_outcome toAttemptOutcome(exchange_status status)
-    {
-        switch (status) {
-        case exchange_status::completed:
-            return attempt_outcome::answered;
-        case exchange_status::closed:
-            return attempt_outcome::noAnswer;
-        case exchange_status::broken:
-            return attempt_outcome::broken;
-        case exchange_status::timedOut:
-            return attempt_outcome::timedOut;
-        case exchange_status::aborted:
-            break;
-        }
-        return attempt_outcome::cancelled;
-    }
-
-}
-
-std::uint64_t fingerprintOf(const http::request_message& request, const std::string& accountField)
-{
-    auto fingerprint = fastHash(request.head.getMethod());
-    fingerprint = fastHash(request.head.getHost(), fingerprint);
-    fingerprint = fastHash(request.head.getURI(), fingerprint);
-    fingerprint = fastHash(request.head.get(accountField, ""), fingerprint);
-    return fastHash(request.body, fingerprint);
-}
-
-std::string callerOf(
-    const http::request_message& request, const std::string& accountField, const std::string& address)
-{
-    auto account = request.head.get(accountField, "");
-    return account.empty() ? address : "account " + std::to_string(fastHash(account));
-}
-
-void active_request::cancel()
-{
-    isCancelled = true;
-    wakeTimer.cancel();
-    if (relayConnection) {
-        relayConnection->abort();
-    }
-}
-
-bool active_request::mayHaveRun() const
-{
-    return std::any_of(attempts.begin(), attempts.end(), [](const auto& each) {
-        bool isProvenNotRun = each->isEvaluated && !placement::mayHaveRun(each->outcome.outcome);
-        return each->isSent && !isProvenNotRun;
-    });
-}
-
-bool active_request::hasSucceeded() const
-{
-    return std::any_of(
-        attempts.begin(), attempts.end(), [](const auto& each) { return isSuccess(each->outcome); });
 }
 
 forwarder::forwarder(asio::io_context& io, forwarder_options options, wire_fields wire)
@@ -112,6 +45,7 @@
     , m_wire(std::move(wire))
     , m_loadBalancer({ .failureDomain = m_options.failureDomain })
     , m_responseBuffers(m_options.maxResponseBuffers)
+    , m_access(m_wire, m_counters)
     , m_crashMonitor(io, m_loadBalancer, m_counters,
           { .connectTimeout = m_options.connectTimeout,
               .source = m_options.upstreamSource,
@@ -246,6 +180,13 @@
     return http::makeResponse(status, "text/plain", std::string(why) + "\n");
 }
 
+http::response_message forwarder::makeUnauthorized(std::string_view why) const
+{
+    auto message = makeLocalReply(Poco::Net::HTTPResponse::HTTP_UNAUTHORIZED, why);
+    message.head.set("WWW-Authenticate", "Bearer");
+    return message;
+}
+
 http::response_message forwarder::makeServiceUnavailable(
     std::string_view why, std::chrono::milliseconds expectedWait)
 {
@@ -310,7 +251,7 @@
     if (failure) {
         logEvent(
             event::handlerFailed, { { "request", current->id }, { "cause", describeException(failure) } });
-        abortAttempts(*current);
+        current->abortAttempts();
         co_return finishWithLocalReply(
             *current, current->mayHaveRun() ? next_step::giveUp : next_step::refuse, "internal error");
     }
@@ -370,43 +311,6 @@
     return current.attempts.front()->startedAt + delay;
 }
 
-std::string forwarder::serializeFor(
-    const active_request& current, const attempt& thisAttempt, steady_clock::time_point now) const
-{
-    auto forwarded = current.request;
-    http::removeHopByHopFields(forwarded.head);
-    auto left = std::max<std::int64_t>(
-        1, millisecondsUntil(current.effectiveDeadline - m_options.responseTransitTime, now));
-    forwarded.head.set(m_wire.timeoutMs, std::to_string(left));
-    forwarded.head.set(m_wire.expectedUpstream, thisAttempt.upstream);
-    return http::serialize(forwarded);
-}
-
-bool forwarder::isResponseTo(
-    const active_request& current, const attempt& thisAttempt, const http::response_message& response) const
-{
-    if (response.head.has(m_wire.requestId)) {
-        return response.head.get(m_wire.requestId) == current.id;
-    }
-    if (current.id.empty()) {
-        return true;
-    }
-    // On a kept connection, a refusal that names no request may be the repetition of an earlier one.
-    bool isRefusal = response.head.has(m_wire.notRun)
-        || response.head.getStatus() == Poco::Net::HTTPResponse::HTTP_MISDIRECTED_REQUEST;
-    return isRefusal && !thisAttempt.outcome.wasReused;
-}
-
-// Returns whether the response to a request can be told apart, on a connection that has carried others, from
-// an earlier response that the upstream repeats. Its id does, unless the request has none or has been at this
-// upstream before.
-bool forwarder::mayReuseConnection(const active_request& current, const attempt& thisAttempt)
-{
-    return !current.id.empty()
-        && std::count(current.triedUpstreams.begin(), current.triedUpstreams.end(), thisAttempt.upstream)
-        <= 1;
-}
-
 // Takes effect at once on what is idle or waits; attempts whose connect is under way look for themselves.
 void forwarder::handleLeaving(const placement::upstream_entry& upstream)
 {
@@ -459,10 +363,12 @@
         connection->abort();
         connection = nullptr; // The upstream began to drain during the connect.
     }
-    if (connection && m_loadBalancer.isHeld(thisAttempt->upstream, steady_clock::now())) {
+    bool isHeld = m_loadBalancer.isHeld(thisAttempt->upstream, steady_clock::now());
+    if (connection && (isHeld || accessOf(*current) != access_decision::granted)) {
         thisAttempt->outcome.isHeldBack = true;
         connection->abort();
-        connection = nullptr; // The upstream turned another request away during the connect.
+        connection
+            = nullptr; // During the connect, the upstream turned another request away or the key ended.
     }
     if (!connection || thisAttempt->isFinished || current->isCancelled) {
         thisAttempt->outcome.outcome = thisAttempt->isFinished || current->isCancelled
@@ -472,7 +378,7 @@
         exchange_options options { .isHead = current->request.head.getMethod() == "HEAD",
             .matchesRequest
             = [this, current, thisAttempt](
-                  const auto& response) { return isResponseTo(*current, *thisAttempt, response); },
+                  const auto& response) { return isResponseTo(m_wire, *current, *thisAttempt, response); },
             .onHead =
                 [this, thisAttempt](const auto& head) {
                     m_leavingMonitor.recordResponse(
@@ -481,25 +387,17 @@
             .limits = { .maxBodyBytes = m_options.maxResponseBytes },
             .buffers = &m_responseBuffers };
         thisAttempt->isSent = true;
-        auto result = co_await connection->exchange(serializeFor(*current, *thisAttempt, steady_clock::now()),
-            std::move(options), current->effectiveDeadline);
+        auto left = std::max<std::int64_t>(1,
+            millisecondsUntil(
+                current->effectiveDeadline - m_options.responseTransitTime, steady_clock::now()));
+        auto bytes = serializeFor(m_wire, *current, *thisAttempt, std::chrono::milliseconds(left));
+        auto result
+            = co_await connection->exchange(std::move(bytes), std::move(options), current->effectiveDeadline);
         m_counters.lateAnswersSkipped += static_cast<std::uint64_t>(result.skippedResponses);
-        thisAttempt->outcome.outcome = toAttemptOutcome(result.status);
+        thisAttempt->outcome.outcome = outcomeOf(m_wire, result);
         thisAttempt->failure = result.failure;
         thisAttempt->outcome.status = result.response.head.getStatus();
         thisAttempt->response = std::move(result.response);
-        bool isMisdirected = thisAttempt->outcome.status == Poco::Net::HTTPResponse::HTTP_MISDIRECTED_REQUEST;
-        if (thisAttempt->outcome.outcome == attempt_outcome::answered && isMisdirected) {
-            thisAttempt->outcome.outcome = attempt_outcome::wrongUpstream;
-        } else if (thisAttempt->outcome.outcome == attempt_outcome::answered
-            && thisAttempt->response.head.has(m_wire.notRun)) {
-            thisAttempt->outcome.outcome = attempt_outcome::refused;
-        } else if (thisAttempt->outcome.outcome == attempt_outcome::answered
-            && thisAttempt->outcome.status < 300
-            && (!thisAttempt->response.head.has(m_wire.seal)
-                || thisAttempt->response.head.has("Content-Encoding"))) {
-            thisAttempt->outcome.outcome = attempt_outcome::broken;
-        }
         bool mayReuse
             = m_loadBalancer.isAcceptingRequests(thisAttempt->upstream) && isRegisteredAs(*thisAttempt);
         if (connection->isReusable() && mayReuse
@@ -601,7 +499,7 @@
 bool forwarder::recordTurnAway(
     const active_request& current, const attempt& thisAttempt, steady_clock::time_point now)
 {
-    bool isAnswer = thisAttempt.isSent && isResponseTo(current, thisAttempt, thisAttempt.response);
+    bool isAnswer = thisAttempt.isSent && isResponseTo(m_wire, current, thisAttempt, thisAttempt.response);
     return isAnswer
         && m_turnAways.recordResponse(
             {
@@ -649,8 +547,40 @@
         && (needsAttempt || tryTakeRetry(current, true, now));
 }
 
+access_decision forwarder::accessOf(active_request& current) const
+{
+    return m_access.recheck(current, *m_configuration);
+}
+
+const std::string& forwarder::accountFieldOf(const active_request& current) const
+{
+    return current.isUnderAccounts ? m_wire.clientAccount : m_wire.statedAccount;
+}
+
+final_response forwarder::denyAccess(active_request& current, access_decision decision)
+{
+    m_access.recordDenial(current, decision);
+    current.abortAttempts();
+    auto why = toText(decision);
+    if (current.mayHaveRun() || current.earlierArrivals > 0) {
+        return finishWithLocalReply(current, next_step::giveUp, why);
+    }
+    m_counters.refused += decision == access_decision::staleKeys ? 1 : 0;
+    final_response response { decision == access_decision::staleKeys
+            ? makeServiceUnavailable(why, staleKeysRetryDelay)
+            : makeUnauthorized(why) };
+    if (!current.service.empty()) { // Otherwise it has not been taken over.
+        recordCompletion(current, response, why);
+    }
+    return response;
+}
+
 final_response forwarder::finishUnrelayed(active_request& current, bool mayHaveRun)
 {
+    auto access = accessOf(current);
+    if (access != access_decision::granted && !mayHaveRun) {
+        return denyAccess(current, access);
+    }
     if (mayHaveRun || current.mayHaveRun()) {
         return finishWithLocalReply(current, next_step::giveUp, "the relayed request got no answer");
     }
@@ -679,7 +609,8 @@
 {
     if (!std::exchange(current->isQueued, true)) {
         m_queues[current->service].enqueue(current,
-            { .priority = current->matchedRoute->priority,
+            { .accountPriority = current->account ? current->account->priority.value_or(0) : 0,
+                .priority = current->matchedRoute->priority,
                 .limit = current->effectiveDeadline,
                 .caller = current->caller },
             steady_clock::now());
@@ -760,18 +691,6 @@
     return true;
 }
 
-void forwarder::abortAttempts(active_request& current)
-{
-    for (auto& each : current.attempts) {
-        if (!each->isFinished) {
-            each->isFinished = true;
-            if (each->connection) {
-                each->connection->abort();
-            }
-        }
-    }
-}
-
 final_response forwarder::finishWithLocalReply(active_request& current, next_step step, std::string_view why)
 {
     final_response response;
@@ -876,7 +795,7 @@
 
 final_response forwarder::finishTimedOut(active_request& current)
 {
-    abortAttempts(current);
+    current.abortAttempts();
     if (!current.mayHaveRun()) {
         return finishWithLocalReply(current, next_step::refuse, "no upstream had room in time");
     }
@@ -902,9 +821,14 @@
     auto decision = placement::decideNextStep(thisAttempt.outcome, current.state);
     auto step = decision.step;
     if (step == next_step::tryAnother) {
+        auto access = accessOf(current);
+        if (access != access_decision::granted && !current.mayHaveRun()) {
+            return denyAccess(current, access);
+        }
         bool countsAsRetry = thisAttempt.outcome.outcome != attempt_outcome::notSent;
-        bool mayTry = !m_crashMonitor.isQuarantined(current.fingerprint, now)
-            && mayStartDuringStop(current, now) && tryTakeRetry(current, countsAsRetry, now);
+        bool mayTry = access == access_decision::granted
+            && !m_crashMonitor.isQuarantined(current.fingerprint, now) && mayStartDuringStop(current, now)
+            && tryTakeRetry(current, countsAsRetry, now);
         if (mayTry && current.state.isAnotherInFlight) {
             step = next_step::wait;
         } else if (mayTry) {
@@ -919,7 +843,7 @@
         return std::nullopt;
     }
     if (step == next_step::deliver) {
-        abortAttempts(current);
+        current.abortAttempts();
         ++m_counters.answered;
         final_response response { std::move(thisAttempt.response), true };
         recordCompletion(current, response, "upstream_answer");
@@ -935,7 +859,7 @@
     auto now = steady_clock::now();
     current->effectiveDeadline
         = std::min(current->callerDeadline, current->arrivedAt + current->matchedRoute->timeout);
-    current->fingerprint = fingerprintOf(current->request, m_wire.clientAccount);
+    current->fingerprint = fingerprintOf(current->request, accountFieldOf(*current));
     current->state.isAtMostOnce = current->matchedRoute->isAtMostOnce;
     current->state.maxUpstreams = current->matchedRoute->maxUpstreams;
     const auto* target
@@ -953,7 +877,7 @@
     while (true) {
         now = steady_clock::now();
         if (current->isCancelled) {
-            abortAttempts(*current);
+            current->abortAttempts();
             co_return std::nullopt;
         }
         std::optional<final_response> response;
@@ -973,6 +897,11 @@
             co_return finishTimedOut(*current);
         }
         m_crashMonitor.noteRunning();
+        auto access = accessOf(*current);
+        bool isGranted = access == access_decision::granted;
+        if (needsAttempt && !isGranted) {
+            co_return denyAccess(*current, access);
+        }
         if (needsAttempt && !mayStartDuringStop(*current, now)) {
             if (current->mayHaveRun()) {
                 co_return finishWithLocalReply(*current, next_step::giveUp, vmIsStopping);
@@ -982,8 +911,8 @@
             recordCompletion(*current, refusal, vmIsStopping);
             co_return refusal;
         }
-        if (shouldRelay(*current, needsAttempt, now)) {
-            abortAttempts(*current);
+        if (isGranted && shouldRelay(*current, needsAttempt, now)) {
+            current->abortAttempts();
             co_return final_response { .mustRelay = true };
         }
         if (needsAttempt && !current->isCrashProbe
@@ -998,7 +927,7 @@
         bool isHedge = !needsAttempt && hasPassed(hedgeAt, now);
         placement::choice chosen;
         bool isCatchingUp = m_crashMonitor.isCatchingUp(now);
-        if (!isCatchingUp && (needsAttempt || (isHedge && tryTakeHedge(*current, now)))) {
+        if (!isCatchingUp && (needsAttempt || (isHedge && isGranted && tryTakeHedge(*current, now)))) {
             if (startAttempt(current, now, chosen)) {
                 m_counters.hedges += isHedge ? 1 : 0;
                 needsAttempt = false;
