Failures of an upstream are told to all VMs that serve its service

An upstream is used by 11 VMs in the middle and 25 at the most, although its cells have 3 to 9: callers with old directory data and requests without room in their part reach it through others. Each of them met the same failure episode and probed it again; only the cells were told. Change: services of up to 160 serving VMs tell all of these; larger ones as before.

--- a/marlsill/cluster/peer_mesh.cc
+++ b/marlsill/cluster/peer_mesh.cc
@@ -456,10 +456,9 @@
     sendBatch();
 }
 
-// Returns the VMs that serve the same service as the upstream, and subscribers.
-std::vector<std::string> peer_mesh::interestedHosts(const std::string& upstream)
+// Adds the subscribers to `hosts`.
+std::vector<std::string> peer_mesh::withSubscribers(std::vector<std::string> hosts)
 {
-    auto hosts = m_handler.servicePeers(upstream);
     auto now = steady_clock::now();
     std::erase_if(m_subscribers, [&](const auto& each) { return hasPassed(each.second, now); });
     for (const auto& [host, until] : m_subscribers) {
@@ -473,7 +472,7 @@
 void peer_mesh::publish(const placement::upstream_evidence& evidence)
 {
     bool wantsEvidence = !m_handler.isServicePeer(evidence.upstream);
-    for (const auto& host : interestedHosts(evidence.upstream)) {
+    for (const auto& host : withSubscribers(m_handler.evidencePeers(evidence.upstream))) {
         auto& message = m_outbox[host];
         message.evidence.push_back(evidence);
         message.wantsEvidence = message.wantsEvidence || wantsEvidence;
@@ -491,7 +490,7 @@
 
 void peer_mesh::publish(const placement::leaving_notice& notice)
 {
-    for (const auto& host : interestedHosts(notice.upstream)) {
+    for (const auto& host : withSubscribers(m_handler.servicePeers(notice.upstream))) {
         m_outbox[host].leaving.push_back(notice);
     }
     scheduleBatch();
--- a/marlsill/cluster/peer_mesh.h
+++ b/marlsill/cluster/peer_mesh.h
@@ -77,8 +77,10 @@
     std::function<std::vector<placement::upstream_load>()> changedLoads;
     // Called with every message, which may hold data of the store.
     std::function<void(const peer_message&)> storeUpdate;
-    // Returns the hosts of the VMs that serve the same service as the upstream.
+    // Returns the hosts of the VMs that send requests to the same part of a service as the upstream's.
     std::function<std::vector<std::string>(const std::string& upstream)> servicePeers;
+    // Returns the hosts of the VMs that are told of an upstream's failures and recoveries.
+    std::function<std::vector<std::string>(const std::string& upstream)> evidencePeers;
     // Returns whether this VM is among the servicePeers() that others see.
     std::function<bool(const std::string& upstream)> isServicePeer;
 };
@@ -106,8 +108,8 @@
     // Sets whether this VM is cut off from all upstreams, and announces that to all reachable VMs.
     void setCutOff(bool isCutOff);
 
-    // Sends evidence about an upstream, with the next batch, to the VMs that serve the same service and to
-    // subscribers.
+    // Sends evidence about an upstream, with the next batch, to the VMs that serve its service, see
+    // peer_mesh_handler::evidencePeers, and to subscribers.
     void publish(const placement::upstream_evidence& evidence);
 
     // Sends the record of a request that crashed an upstream to all reachable VMs, with the next batch.
@@ -150,7 +152,7 @@
     void exchangeMembers(const std::string& host, std::span<const std::uint32_t> digests);
     void sendCrashes(const std::string& host);
     void sendAllCrashes(const std::string& host, std::uint64_t request);
-    std::vector<std::string> interestedHosts(const std::string& upstream);
+    std::vector<std::string> withSubscribers(std::vector<std::string> hosts);
     void answerPermitRequests(const peer_message& message);
     void noteCrashPart(const peer_message& message);
     void logBuilds() const;
--- a/marlsill/cluster/peer_mesh_test.cc
+++ b/marlsill/cluster/peer_mesh_test.cc
@@ -49,6 +49,7 @@
                     .changedLoads = [] { return std::vector<placement::upstream_load>(); },
                     .storeUpdate = [](const auto&) {},
                     .servicePeers = [this](const auto& upstream) { return sharing[upstream.front()]; },
+                    .evidencePeers = [this](const auto& upstream) { return sharing[upstream.front()]; },
                     .isServicePeer
                     = [this](const auto& upstream) { return own.find(upstream.front()) != own.npos; } })
         {
--- a/marlsill/cluster/serving_cells.cc
+++ b/marlsill/cluster/serving_cells.cc
@@ -166,6 +166,17 @@
     return peers;
 }
 
+std::vector<std::string> serving_cells::evidencePeers(
+    std::string_view service, std::string_view upstream, steady_clock::time_point now)
+{
+    auto peers = viewOf(service, now).hosts;
+    if (peers.size() > m_options.maxEvidencePeers) {
+        return peersSharing(service, upstream, now);
+    }
+    std::erase(peers, m_members.self().host);
+    return peers;
+}
+
 bool serving_cells::isSharing(
     std::string_view service, std::string_view upstream, steady_clock::time_point now)
 {
--- a/marlsill/cluster/serving_cells.h
+++ b/marlsill/cluster/serving_cells.h
@@ -40,6 +40,9 @@
     // The interval is at least this many times as long as the last recalculation took, which was a
     // millisecond of a core with hundreds of VMs, and many on a VM with a small share of one.
     int refreshIntervalPerCost = 20;
+    // A service that more VMs serve tells of an upstream's failures only those that share the upstream. Each
+    // VM of a service with 250 upstreams hears of about 40 changes a second, 4 KB.
+    std::size_t maxEvidencePeers = 160;
 };
 
 // A VM that serves a host.
@@ -83,6 +86,13 @@
     std::vector<std::string> peersSharing(
         std::string_view service, std::string_view upstream, steady_clock::time_point now);
 
+    // Returns the hosts of the other VMs to tell of an upstream's failures and recoveries, sorted: all VMs
+    // that serve the service, or those that peersSharing() returns if they are too many. Callers with old
+    // directory data, and requests that find no room in their part, reach an upstream through many more VMs
+    // than those that share it, and each would meet the same failure.
+    std::vector<std::string> evidencePeers(
+        std::string_view service, std::string_view upstream, steady_clock::time_point now);
+
     // Returns whether this VM is among those that peersSharing() of others names.
     bool isSharing(std::string_view service, std::string_view upstream, steady_clock::time_point now);
 
--- a/marlsill/cluster/serving_cells_test.cc
+++ b/marlsill/cluster/serving_cells_test.cc
@@ -144,6 +144,34 @@
     }
 }
 
+TEST_CASE("Failures of an upstream are told to all VMs that serve its service, unless they are too many")
+{
+    // Guards against VMs of other parts that meet the same failure again, each for itself, and against
+    // messages to hundreds of VMs.
+    struct audience_case {
+        const char* name;
+        int vms;
+        int slots;
+        bool isWholeService;
+    };
+    const audience_case cases[] = {
+        { "one cell", 36, 30, true },
+        { "many cells", 130, 426, true },
+        { "too many VMs", 444, 2'970, false },
+    };
+    for (const auto& each : cases) {
+        CAPTURE(std::string(each.name));
+        fleet_view view(0, each.vms, 5, each.slots);
+        auto told = view.cells.evidencePeers("s", "upstream-1", start);
+        auto sharing = view.cells.peersSharing("s", "upstream-1", start);
+        auto serving = hostsOf(view.cells.servingVms(hosts.front(), start));
+        std::erase(serving, view.members.self().host);
+        std::sort(serving.begin(), serving.end());
+        CHECK(told == (each.isWholeService ? serving : sharing));
+        CHECK(std::includes(told.begin(), told.end(), sharing.begin(), sharing.end()));
+    }
+}
+
 TEST_CASE("Every upstream is in the part of some VM, and parts are of similar size")
 {
     constexpr int upstreams = 348;
