Rate limits of accounts: lender, borrower, order of VMs, peer messages

The limit of an account is divided into seven shares. Each belongs to one of the VMs that come first in the account's rendezvous order, which leases it to the first VM that it reaches.

The limiter is not in use yet.

--- a/marlsill/cluster/member_list.h
+++ b/marlsill/cluster/member_list.h
@@ -118,6 +118,15 @@
     // changes.
     std::vector<const member*> eligibleMembers() const;
 
+    // Calls `handle` with the record of each VM that is known, this one first, and whether it is reachable.
+    template <typename Handle> void forEachKnown(Handle handle) const
+    {
+        handle(m_self, true);
+        for (const auto& [host, each] : m_others) {
+            handle(each.record, !each.isUnreachable);
+        }
+    }
+
     // Returns whether `host` is this VM or another that is known.
     bool isKnown(std::string_view host) const;
 
--- a/marlsill/cluster/peer_mesh.cc
+++ b/marlsill/cluster/peer_mesh.cc
@@ -316,6 +316,13 @@
     for (const auto& each : message.permits) {
         m_handler.permit(each);
     }
+    if (!message.accountLimits.isEmpty() && m_handler.accountLimits) {
+        peer_message answer;
+        answer.accountLimits = m_handler.accountLimits(message.sender, message.accountLimits);
+        if (!answer.accountLimits.isEmpty()) {
+            send(message.sender, std::move(answer));
+        }
+    }
     if (message.crashAnswer) {
         noteCrashPart(message);
     }
--- a/marlsill/cluster/peer_mesh.h
+++ b/marlsill/cluster/peer_mesh.h
@@ -72,6 +72,9 @@
     std::function<placement::permit_answer(const permit_request&)> permitRequest;
     // Called with the answer to a request for a permit.
     std::function<void(const issued_permit&)> permit;
+    // Handles what a peer sent about limits of accounts, and returns the answer, which may be empty.
+    std::function<accounts::limit_message(const std::string& peer, const accounts::limit_message&)>
+        accountLimits;
     // Returns the loads that changed since the last call.
     std::function<std::vector<placement::upstream_load>()> changedLoads;
     // Called with every message, which may hold data of the store.
--- a/marlsill/cluster/peer_message.cc
+++ b/marlsill/cluster/peer_message.cc
@@ -3,6 +3,7 @@
 #include "marlsill/cluster/cbor_document.h"
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace marlsill::cluster {
@@ -36,6 +37,10 @@
     constexpr const char* leavingField = "lv";
     constexpr const char* permitRequestsField = "t";
     constexpr const char* permitsField = "z";
+    constexpr const char* tokenRequestsField = "ar";
+    constexpr const char* tokenAnswersField = "as";
+    constexpr const char* shareRequestsField = "aq";
+    constexpr const char* shareAnswersField = "ag";
     constexpr const char* summaryField = "k";
     constexpr const char* beaconField = "b";
     constexpr const char* wantsConfigurationField = "x";
@@ -149,6 +154,98 @@
         return notice;
     }
 
+    constexpr int maxTokens = 1'000'000; // More than any burst lends at once.
+    constexpr std::int64_t maxTokenDelayMs = 60'000;
+
+    // Returns a number of tokens or requests; 0 for what is none.
+    double boundedNumber(double value)
+    {
+        constexpr double most = 1e9;
+        return std::isfinite(value) ? std::clamp(value, 0.0, most) : 0.0;
+    }
+
+    json limitItem(const std::string& account, std::uint64_t number, const accounts::account_limit& limit)
+    {
+        return json::array({ account, number, limit.version, limit.requestsPerSecond, limit.burst });
+    }
+
+    accounts::account_limit decodeAccountLimit(cbor_items& item)
+    {
+        accounts::account_limit limit { .version = item.integer<std::uint64_t>() };
+        limit.requestsPerSecond = boundedNumber(item.number());
+        limit.burst = boundedNumber(item.number());
+        return limit;
+    }
+
+    void encodeAccountLimits(json& value, const accounts::limit_message& message)
+    {
+        auto put = [&](const char* name, const auto& items, auto encodeItem) {
+            auto list = json::array();
+            for (const auto& each : items) {
+                list.push_back(encodeItem(each));
+            }
+            if (!list.empty()) {
+                value[name] = std::move(list);
+            }
+        };
+        put(tokenRequestsField, message.tokenRequests, [](const auto& entry) {
+            auto item = limitItem(entry.account, entry.number, entry.limit);
+            item.push_back(entry.wanted);
+            return item;
+        });
+        put(tokenAnswersField, message.tokenAnswers, [](const auto& entry) {
+            return json::array(
+                { entry.account, entry.number, entry.tokens, entry.delay.count(), entry.isLending });
+        });
+        put(shareRequestsField, message.shareRequests, [](const auto& entry) {
+            auto item = limitItem(entry.account, entry.number, entry.limit);
+            if (entry.isRelease) {
+                item.push_back(entry.tokens);
+            }
+            return item;
+        });
+        put(shareAnswersField, message.shareAnswers, [](const auto& entry) {
+            return json::array({ entry.account, entry.number, entry.isGranted, entry.tokens });
+        });
+    }
+
+    accounts::limit_message decodeAccountLimits(const cbor_fields& fields)
+    {
+        accounts::limit_message message;
+        fields.forEachItem(tokenRequestsField, [&](auto item) {
+            accounts::token_request entry { .account = item.text(),
+                .number = item.template integer<std::uint64_t>() };
+            entry.limit = decodeAccountLimit(item);
+            entry.wanted = std::clamp(item.template integer<int>(), 0, maxTokens);
+            message.tokenRequests.push_back(std::move(entry));
+        });
+        fields.forEachItem(tokenAnswersField, [&](auto item) {
+            accounts::token_answer entry { .account = item.text(),
+                .number = item.template integer<std::uint64_t>(),
+                .tokens = std::clamp(item.template integer<int>(), 0, maxTokens) };
+            entry.delay = std::chrono::milliseconds(
+                std::clamp<std::int64_t>(item.template integer<std::int64_t>(), 0, maxTokenDelayMs));
+            entry.isLending = item.boolean();
+            message.tokenAnswers.push_back(std::move(entry));
+        });
+        fields.forEachItem(shareRequestsField, [&](auto item) {
+            accounts::share_request entry { .account = item.text(),
+                .number = item.template integer<std::uint64_t>() };
+            entry.limit = decodeAccountLimit(item);
+            entry.isRelease = item.hasNext();
+            entry.tokens = entry.isRelease ? boundedNumber(item.number()) : 0;
+            message.shareRequests.push_back(std::move(entry));
+        });
+        fields.forEachItem(shareAnswersField, [&](auto item) {
+            accounts::share_answer entry { .account = item.text(),
+                .number = item.template integer<std::uint64_t>(),
+                .isGranted = item.boolean() };
+            entry.tokens = boundedNumber(item.number());
+            message.shareAnswers.push_back(std::move(entry));
+        });
+        return message;
+    }
+
     std::vector<std::uint8_t> toBytes(std::span<const std::uint32_t> digests)
     {
         std::vector<std::uint8_t> bytes;
@@ -245,6 +342,7 @@
     putList(value, permitsField, message.permits, [](const issued_permit& entry) {
         return json::array({ entry.upstream, entry.answer.isGranted, entry.answer.delay.count() });
     });
+    encodeAccountLimits(value, message.accountLimits);
     if (message.summary) {
         const auto& entry = *message.summary;
         value[summaryField] = json::array({ entry.configurationVersion, entry.storePosition.version,
@@ -345,6 +443,7 @@
         permit.answer.delay = std::chrono::milliseconds(item.template integer<std::int64_t>());
         message.permits.push_back(std::move(permit));
     });
+    message.accountLimits = decodeAccountLimits(fields);
     if (auto summary = fields.items(summaryField)) {
         message.summary = store_summary { .configurationVersion = summary->integer<std::uint64_t>(),
             .storePosition = { .version = summary->integer<std::uint64_t>() },
--- a/marlsill/cluster/peer_message.h
+++ b/marlsill/cluster/peer_message.h
@@ -6,6 +6,7 @@
 //     reason why;
 //     auto received = decodePeerMessage(bytes, why);
 
+#include "marlsill/accounts/limit_messages.h"
 #include "marlsill/base/reason.h"
 #include "marlsill/cluster/configuration_transfer.h"
 #include "marlsill/cluster/member_list.h"
@@ -72,6 +73,7 @@
     std::vector<placement::leaving_notice> leaving; // Upstreams that said in responses that they leave.
     std::vector<permit_request> permitRequests;
     std::vector<issued_permit> permits; // Answers to `permitRequests`.
+    accounts::limit_message accountLimits;
     std::optional<store_summary> summary;
     bool isBeacon = false; // Whether `summary` is a watcher's periodic announcement.
     bool wantsConfiguration = false; // Requests the configuration.
--- a/marlsill/events/events.h
+++ b/marlsill/events/events.h
@@ -41,6 +41,8 @@
     requestDuringStop = 2105,
     requestRelayed = 2106,
     outcomesHandedOver = 2031,
+    requestOverLimit = 2110,
+    requestWithoutLender = 2111,
     configurationInForce = 3001,
     configurationAccepted = 3002,
     configurationRefused = 3003,
--- a/marlsill/gateway/traffic_counters.h
+++ b/marlsill/gateway/traffic_counters.h
@@ -51,6 +51,10 @@
     std::uint64_t leavingFieldsMalformed = 0;
     std::uint64_t turnAways = 0; // 503 answers of upstreams with a time in Retry-After.
     std::uint64_t heldRefusals = 0; // Requests rejected because all upstreams turn requests away.
+    std::uint64_t tokenQueries = 0; // To other VMs, for requests of accounts with a limit.
+    std::uint64_t tokensLent = 0; // To this VM and others.
+    std::uint64_t overLimitRefusals = 0; // Requests rejected with 429.
+    std::uint64_t noLenderRefusals = 0; // Requests rejected with 503, as no VM lent a token or refused one.
     std::uint64_t newConnections = 0;
     std::uint64_t reusedConnections = 0;
     std::uint64_t lateAnswersSkipped = 0;
