Gateway takes a token for each request of a limited account

The first VM takes it, after authentication and before the request is forwarded; peers that serve a relayed request take none.

--- a/marlsill/gateway/gateway.cc
+++ b/marlsill/gateway/gateway.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <charconv>
+#include <cstdio>
 
 namespace marlsill::gateway {
 
@@ -14,6 +15,7 @@
     constexpr std::int64_t maxTimeoutMs = 3'600'000;
     constexpr std::chrono::milliseconds startupRetryDelay { 500 }; // Retry-After without a configuration.
     constexpr std::chrono::milliseconds drainRetryDelay { 50 }; // The caller only has to choose another VM.
+    constexpr double minRetryAfterSeconds = 0.01; // The resolution of the field.
     constexpr std::chrono::milliseconds drainPollInterval { 50 };
     constexpr std::chrono::milliseconds finalPollInterval { 10 };
     constexpr std::chrono::milliseconds finalWriteTime { 250 }; // For responses to leave the VM before exit.
@@ -129,7 +131,7 @@
     if (isCountedHere) {
         accounts.countRequest(current->account->name);
     }
-    auto response = co_await forwardOrRelay(current);
+    auto response = co_await forwardWithinLimit(current);
     request->cancel = {};
     if (!response) {
         co_return std::nullopt;
@@ -149,6 +151,72 @@
     return std::move(response.message);
 }
 
+// Forwards a request once its account has a token for it. A peer that relays a request has taken one.
+asio::awaitable<std::optional<final_response>> gateway::forwardWithinLimit(
+    std::shared_ptr<active_request> current)
+{
+    bool isLimited = m_accountLimiter && current->account && current->account->requestsPerSecond > 0
+        && !current->isRelayed;
+    if (!isLimited) {
+        co_return co_await forwardOrRelay(current);
+    }
+    auto account = current->account->name;
+    accounts::account_limit limit { .requestsPerSecond = current->account->requestsPerSecond,
+        .burst = current->account->burst,
+        .version = current->config->version() };
+    auto decision = co_await m_accountLimiter->take(account, limit, current);
+    if (decision.status == limit_status::cancelled) {
+        ++m_forwarder.counters().cancelled;
+        co_return std::nullopt;
+    }
+    if (decision.status != limit_status::allowed) {
+        co_return refuseByLimit(*current, decision);
+    }
+    auto response = co_await forwardOrRelay(current);
+    bool isUnrun = response && !response->isFromUpstream && !current->mayHaveRun()
+        && response->message.head.getStatus() == Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
+    if (isUnrun) {
+        m_accountLimiter->giveBack(account, decision);
+    }
+    co_return response;
+}
+
+// Refuses a request without a token: with 429 if its account has used up its limit, else with 503.
+final_response gateway::refuseByLimit(const active_request& current, const limit_decision& decision)
+{
+    bool isOverLimit = decision.status == limit_status::overLimit;
+    auto known = m_accountLimiter->knowledgeOf(current.account->name);
+    auto& counters = m_forwarder.counters();
+    ++(isOverLimit ? counters.overLimitRefusals : counters.noLenderRefusals);
+    if (isOverLimit) {
+        counters.accounts.countLimited(current.account->name);
+    }
+    auto why = decision.status == limit_status::stopping ? "this VM is stopping"
+        : isOverLimit                                    ? "the account has used up its limit"
+                                                         : "no VM lends for the account";
+    logEvent(isOverLimit ? event::requestOverLimit : event::requestWithoutLender,
+        { { "request", current.id }, { "account", current.account->name }, { "why", why },
+            { "rate", std::to_string(current.account->requestsPerSecond) },
+            { "burst", std::to_string(current.account->burst) },
+            { "shares", std::to_string(known.shares) + "/" + std::to_string(known.shareCount) },
+            { "answer_age_ms", known.answerAge ? std::to_string(known.answerAge->count()) : "none" },
+            { "retry_after_ms", std::to_string(decision.retryAfter.count()) },
+            { "elapsed_ms",
+                std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                    steady_clock::now() - current.arrivedAt)
+                                   .count()) },
+            { "config", std::to_string(current.config->version()) } });
+    if (!isOverLimit) {
+        return { m_forwarder.makeServiceUnavailable(why, decision.retryAfter) };
+    }
+    auto message = m_forwarder.makeLocalReply(Poco::Net::HTTPResponse::HTTP_TOO_MANY_REQUESTS, why);
+    char seconds[32];
+    std::snprintf(seconds, sizeof seconds, "%.2f",
+        std::max(minRetryAfterSeconds, std::chrono::duration<double>(decision.retryAfter).count()));
+    message.head.set("Retry-After", seconds);
+    return { std::move(message) };
+}
+
 // Forwards a request to an upstream, or to a peer if this VM cannot reach any.
 asio::awaitable<std::optional<final_response>> gateway::forwardOrRelay(
     std::shared_ptr<active_request> current)
@@ -205,6 +273,9 @@
     }
     m_exitDeadline = exitDeadline;
     m_forwarder.beginStop({ steady_clock::now(), exitDeadline });
+    if (m_accountLimiter) {
+        m_accountLimiter->beginStop();
+    }
     m_callerServer.beginDrain();
     spawnSupervised(m_io, "drain", [this, onDone = std::move(onDone)] { return drainLoop(onDone); });
 }
--- a/marlsill/gateway/gateway.h
+++ b/marlsill/gateway/gateway.h
@@ -11,6 +11,7 @@
 //
 // Not thread safe; used from a single event loop.
 
+#include "marlsill/gateway/account_limiter.h"
 #include "marlsill/gateway/forwarder.h"
 #include "marlsill/gateway/request_relay.h"
 #include "marlsill/gateway/session_server.h"
@@ -70,6 +71,10 @@
         m_forwarder.accessControl().setFreshnessCheck(std::move(areKeysFresh));
     }
 
+    // Sets what limits the requests of client accounts; until then there are no limits. It must outlive the
+    // gateway's use.
+    void setAccountLimiter(account_limiter& limiter) { m_accountLimiter = &limiter; }
+
     // Serves a request that a peer relays, or declines it unprocessed.
     asio::awaitable<std::optional<http::response_message>> serveRelayed(
         std::shared_ptr<served_request> request);
@@ -84,6 +89,9 @@
     asio::awaitable<std::optional<http::response_message>> serve(std::shared_ptr<served_request> request);
     bool isBusy() const;
     asio::awaitable<std::optional<final_response>> forwardOrRelay(std::shared_ptr<active_request> current);
+    asio::awaitable<std::optional<final_response>> forwardWithinLimit(
+        std::shared_ptr<active_request> current);
+    final_response refuseByLimit(const active_request& current, const limit_decision& decision);
     http::response_message withId(final_response response, const active_request& current) const;
     asio::awaitable<void> sweepLoop();
     asio::awaitable<void> drainLoop(std::function<void()> onDone);
@@ -95,6 +103,7 @@
     buffer_budget m_callerBuffers;
     session_server m_callerServer;
     request_relay* m_relay = nullptr;
+    account_limiter* m_accountLimiter = nullptr;
     std::function<std::vector<std::string>(const std::string&)> m_relayPeersFor;
     bool m_isSweeping = false;
     std::optional<deadline> m_exitDeadline;
