--- a/marlsill/accounts/limit_lender.cc
+++ b/marlsill/accounts/limit_lender.cc
@@ -292,8 +292,9 @@
     if (each.ownFrom <= now) {
         answer.tokens = each.bucket.takeFraction(1.0 / static_cast<double>(activeShares(each, now)));
     }
+    // A late copy of an earlier request does not make the lease one that an earlier release names.
+    each.leaseNumber = each.leasedTo == from ? std::max(each.leaseNumber, request.number) : request.number;
     each.leasedTo = from;
-    each.leaseNumber = request.number;
     each.ownFrom = now + m_options.leaseTime;
     each.bucket.fill(0, capacityOf(each, now));
     return answer;
--- a/marlsill/accounts/limit_lender_test.cc
+++ b/marlsill/accounts/limit_lender_test.cc
@@ -230,6 +230,20 @@
     CHECK(drain(holder, orderWith("h"), at(10'022)) == 0);
 }
 
+TEST_CASE("A late copy of an earlier request does not let an earlier release end the lease")
+{
+    limit_lender holder("h", {});
+    holder.start(at(0), false);
+    auto order = orderWith("l");
+    holder.handleShareRequest("l", { "a", 7, tenPerSecond }, order, at(10'000));
+    share_request release { "a", 7, tenPerSecond, true, 2 };
+    holder.handleShareRequest("l", release, order, at(10'010));
+    holder.handleShareRequest("l", { "a", 8, tenPerSecond }, order, at(10'020));
+    holder.handleShareRequest("l", { "a", 7, tenPerSecond }, order, at(10'030)); // The copy.
+    holder.handleShareRequest("l", release, order, at(10'040));
+    CHECK(holder.sharesOf("a", at(10'050)).first == 0);
+}
+
 TEST_CASE("The limit of the newest configuration applies at once")
 {
     struct row {
--- a/marlsill/cluster/peer_message_test.cc
+++ b/marlsill/cluster/peer_message_test.cc
@@ -39,6 +39,11 @@
         message.crashDigest = 12;
         message.crashes = { { 99, "u1", 2, 1, {} } };
         message.leaving = { { "u3", 77, {} } };
+        message.accountLimits = { .tokenRequests = { { "acme", 17, 3, { 12.5, 40, 9 } } },
+            .tokenAnswers = { { "acme", 17, 2, std::chrono::milliseconds(0), true },
+                { "acme", 18, 0, std::chrono::milliseconds(250), false } },
+            .shareRequests = { { "acme", 5, { 12.5, 40, 9 } }, { "acme", 6, { 0, 0, 9 }, true, 1.25 } },
+            .shareAnswers = { { "acme", 5, true, 2.5 } } };
         message.summary = store_summary { 3, { 7, 40 }, 50, 60 };
         message.isBeacon = true;
         message.wantsConfiguration = true;
@@ -78,6 +83,51 @@
     CHECK(decoded->evidence == fullMessage().evidence);
     CHECK(decoded->loads == fullMessage().loads);
     CHECK(decoded->wantsEvidence);
+    CHECK(decoded->accountLimits == fullMessage().accountLimits);
+}
+
+TEST_CASE("Numbers about limits of accounts are bounded, and later builds may add elements")
+{
+    using nlohmann::json;
+    struct row {
+        const char* name;
+        json field;
+        std::function<bool(const accounts::limit_message&)> isExpected;
+    };
+    const row rows[] = {
+        { "a negative number of tokens", { { "as", { { "a", 1, -5, -7, true } } } },
+            [](const auto& found) {
+                const auto& answer = found.tokenAnswers.at(0);
+                return answer.tokens == 0 && answer.delay.count() == 0;
+            } },
+        { "more tokens than any burst", { { "as", { { "a", 1, 2'000'000'000, 1, true } } } },
+            [](const auto& found) { return found.tokenAnswers.at(0).tokens == 1'000'000; } },
+        { "a negative limit", { { "ar", { { "a", 1, 2, -3.5, -1, 4 } } } },
+            [](const auto& found) {
+                const auto& limit = found.tokenRequests.at(0).limit;
+                return limit.requestsPerSecond == 0 && limit.burst == 0 && limit.version == 2;
+            } },
+        { "an infinite number of tokens", { { "ag", { { "a", 1, true, 1e300 * 1e300 } } } },
+            [](const auto& found) { return found.shareAnswers.at(0).tokens == 0; } },
+        { "a further element", { { "as", { { "a", 1, 5, 0, true, "later" } } } },
+            [](const auto& found) { return found.tokenAnswers.at(0).tokens == 5; } },
+        { "a release", { { "aq", { { "a", 1, 2, 3, 4, 0.5 } } } },
+            [](const auto& found) {
+                return found.shareRequests.at(0).isRelease && found.shareRequests.at(0).tokens == 0.5;
+            } },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        json message { { "v", 1 }, { "s", "10.0.0.1" } };
+        message.update(each.field);
+        reason why;
+        auto decoded = decodePeerMessage(json::to_cbor(message), why);
+        REQUIRE(decoded);
+        CHECK(each.isExpected(decoded->accountLimits));
+    }
+    reason why;
+    json wrong { { "v", 1 }, { "s", "10.0.0.1" }, { "ar", { { 1, 2, 3, 4, 5, 6 } } } };
+    CHECK_FALSE(decodePeerMessage(json::to_cbor(wrong), why));
 }
 
 TEST_CASE("Crash records keep their time left, within the retention")
