--- a/marlsill/events/events.h
+++ b/marlsill/events/events.h
@@ -42,6 +42,8 @@
     requestRelayed = 2106,
     accessDenied = 2107,
     outcomesHandedOver = 2031,
+    requestOverLimit = 2110,
+    requestWithoutLender = 2111,
     configurationInForce = 3001,
     configurationAccepted = 3002,
     configurationRefused = 3003,
