--- a/marlsill/cluster/member_list.cc
+++ b/marlsill/cluster/member_list.cc
@@ -50,6 +50,15 @@
     }
 }
 
+void member_list::setStaleKeys(bool hasStaleKeys)
+{
+    if (m_self.hasStaleKeys != hasStaleKeys) {
+        m_self.hasStaleKeys = hasStaleKeys;
+        ++m_self.version;
+        ++m_generation;
+    }
+}
+
 bool member_list::merge(const member& record, steady_clock::time_point now)
 {
     if (record.host == m_self.host) {
@@ -222,6 +231,15 @@
     return found != m_others.end() && found->second.record.isCutOff;
 }
 
+bool member_list::hasStaleKeys(std::string_view host) const
+{
+    if (host == m_self.host) {
+        return m_self.hasStaleKeys;
+    }
+    auto found = m_others.find(host);
+    return found != m_others.end() && found->second.record.hasStaleKeys;
+}
+
 bool member_list::isSuspect(std::string_view host) const
 {
     auto found = m_others.find(host);
--- a/marlsill/cluster/member_list.h
+++ b/marlsill/cluster/member_list.h
@@ -43,6 +43,8 @@
     member_state state = member_state::joining;
     double capacity = 1; // Relative weight in the selection of serving VMs and of watchers.
     bool isCutOff = false; // From all upstreams; callers should use others.
+    // Its configuration may lack the withdrawal of a key, so that it refuses requests with keys.
+    bool hasStaleKeys = false;
 
     bool operator==(const member&) const = default;
 };
@@ -67,6 +69,9 @@
     // Sets whether this VM is cut off, and increments its version if that differs.
     void setCutOff(bool isCutOff);
 
+    // Sets whether this VM cannot check keys, and increments its version if that differs.
+    void setStaleKeys(bool hasStaleKeys);
+
     const member& self() const { return m_self; }
 
     // Merges a record received from another VM. Returns whether it was newer than the known one.
@@ -124,6 +129,9 @@
     // Returns whether a host has declared itself cut off from all upstreams.
     bool isCutOff(std::string_view host) const;
 
+    // Returns whether a host has declared that it cannot check keys.
+    bool hasStaleKeys(std::string_view host) const;
+
     // Returns whether a host has not answered its last ping. In a fleet of hundreds there nearly always is
     // one, mostly a slow VM, and each VM suspects others.
     bool isSuspect(std::string_view host) const;
--- a/marlsill/cluster/peer_mesh.cc
+++ b/marlsill/cluster/peer_mesh.cc
@@ -107,6 +107,14 @@
     }
 }
 
+void peer_mesh::setStaleKeys(bool hasStaleKeys)
+{
+    if (m_members.self().hasStaleKeys != hasStaleKeys) {
+        m_members.setStaleKeys(hasStaleKeys);
+        announceSelf();
+    }
+}
+
 void peer_mesh::announceSelf()
 {
     peer_message message;
@@ -288,7 +296,8 @@
         }
         logEvent(event::memberListed,
             { { "host", each.host }, { "state", std::string(toText(each.state)) },
-                { "cut_off", each.isCutOff ? "1" : "0" }, { "incarnation", std::to_string(each.incarnation) },
+                { "cut_off", each.isCutOff ? "1" : "0" }, { "stale_keys", each.hasStaleKeys ? "1" : "0" },
+                { "incarnation", std::to_string(each.incarnation) },
                 { "version", std::to_string(each.version) } });
     }
 }
--- a/marlsill/cluster/peer_mesh.h
+++ b/marlsill/cluster/peer_mesh.h
@@ -105,6 +105,9 @@
     // Sets whether this VM is cut off from all upstreams, and announces that to all reachable VMs.
     void setCutOff(bool isCutOff);
 
+    // Sets whether this VM cannot check keys, and announces that to all reachable VMs.
+    void setStaleKeys(bool hasStaleKeys);
+
     // Sends evidence about an upstream, with the next batch, to the VMs that serve the same service and to
     // subscribers.
     void publish(const placement::upstream_evidence& evidence);
--- a/marlsill/cluster/peer_message.cc
+++ b/marlsill/cluster/peer_message.cc
@@ -36,6 +36,8 @@
     constexpr const char* leavingField = "lv";
     constexpr const char* permitRequestsField = "t";
     constexpr const char* permitsField = "z";
+    constexpr const char* freshnessQueryField = "fq";
+    constexpr const char* freshnessAnswerField = "fa"; // Query, version of the configuration, age in ms.
     constexpr const char* summaryField = "k";
     constexpr const char* beaconField = "b";
     constexpr const char* wantsConfigurationField = "x";
@@ -149,6 +151,19 @@
         return notice;
     }
 
+    // Returns std::nullopt if an element is missing: without its age, an answer would seem fresher than it
+    // is.
+    std::optional<freshness_answer> decodeFreshnessAnswer(cbor_items item)
+    {
+        freshness_answer answer { .query = item.integer<std::uint64_t>(),
+            .configurationVersion = item.integer<std::uint64_t>() };
+        if (!item.hasNext()) {
+            return std::nullopt;
+        }
+        answer.ageMs = item.integer<std::uint64_t>();
+        return answer;
+    }
+
     std::vector<std::uint8_t> toBytes(std::span<const std::uint32_t> digests)
     {
         std::vector<std::uint8_t> bytes;
@@ -211,8 +226,12 @@
     putList(value, membersField, message.members, [](const member& entry) {
         auto record = json::array({ entry.host, entry.failureDomain, entry.callerAddress, entry.incarnation,
             entry.version, static_cast<int>(entry.state), entry.capacity });
-        if (entry.isCutOff) {
-            record.push_back(true); // Earlier versions ignore it.
+        // Earlier versions ignore either of these.
+        if (entry.isCutOff || entry.hasStaleKeys) {
+            record.push_back(entry.isCutOff);
+        }
+        if (entry.hasStaleKeys) {
+            record.push_back(true);
         }
         return record;
     });
@@ -245,6 +264,13 @@
     putList(value, permitsField, message.permits, [](const issued_permit& entry) {
         return json::array({ entry.upstream, entry.answer.isGranted, entry.answer.delay.count() });
     });
+    if (message.freshnessQuery) {
+        value[freshnessQueryField] = message.freshnessQuery;
+    }
+    if (message.freshnessAnswer) {
+        const auto& entry = *message.freshnessAnswer;
+        value[freshnessAnswerField] = json::array({ entry.query, entry.configurationVersion, entry.ageMs });
+    }
     if (message.summary) {
         const auto& entry = *message.summary;
         value[summaryField] = json::array({ entry.configurationVersion, entry.storePosition.version,
@@ -306,6 +332,7 @@
         record.state = static_cast<member_state>(state);
         record.capacity = item.number();
         record.isCutOff = item.hasNext() && item.boolean();
+        record.hasStaleKeys = item.hasNext() && item.boolean();
         if (state <= static_cast<unsigned>(member_state::leaving)) {
             message.members.push_back(std::move(record));
         }
@@ -345,6 +372,10 @@
         permit.answer.delay = std::chrono::milliseconds(item.template integer<std::int64_t>());
         message.permits.push_back(std::move(permit));
     });
+    message.freshnessQuery = fields.integer<std::uint64_t>(freshnessQueryField);
+    if (auto answer = fields.items(freshnessAnswerField)) {
+        message.freshnessAnswer = decodeFreshnessAnswer(*answer);
+    }
     if (auto summary = fields.items(summaryField)) {
         message.summary = store_summary { .configurationVersion = summary->integer<std::uint64_t>(),
             .storePosition = { .version = summary->integer<std::uint64_t>() },
--- a/marlsill/cluster/peer_message.h
+++ b/marlsill/cluster/peer_message.h
@@ -30,6 +30,15 @@
     std::uint64_t contactAgeMs = 0; // Since the store last responded to that VM or to a known watcher.
 };
 
+// The answer of a VM whose keys are valid to a query for the freshness of its configuration.
+struct freshness_answer {
+    std::uint64_t query = 0; // The number of the query.
+    std::uint64_t configurationVersion = 0;
+    // Every change that the store acknowledged this long before the answer was made, or earlier, is in that
+    // version.
+    std::uint64_t ageMs = 0;
+};
+
 // A request for a permit that begins within `maxDelay`.
 struct permit_request {
     std::string upstream;
@@ -72,6 +81,8 @@
     std::vector<placement::leaving_notice> leaving; // Upstreams that said in responses that they leave.
     std::vector<permit_request> permitRequests;
     std::vector<issued_permit> permits; // Answers to `permitRequests`.
+    std::uint64_t freshnessQuery = 0; // Non-zero: asks for a `freshnessAnswer` with this number.
+    std::optional<freshness_answer> freshnessAnswer;
     std::optional<store_summary> summary;
     bool isBeacon = false; // Whether `summary` is a watcher's periodic announcement.
     bool wantsConfiguration = false; // Requests the configuration.
--- a/marlsill/cluster/serving_cells.cc
+++ b/marlsill/cluster/serving_cells.cc
@@ -100,11 +100,17 @@
 std::vector<serving_vm> serving_cells::offeredVms(std::string_view host, steady_clock::time_point now)
 {
     const auto& all = servingVms(host, now);
-    std::vector<serving_vm> offered;
-    std::copy_if(all.begin(), all.end(), std::back_inserter(offered), [this](const auto& each) {
+    std::vector<serving_vm> reachable;
+    std::copy_if(all.begin(), all.end(), std::back_inserter(reachable), [this](const auto& each) {
         return !m_members.isSuspect(each.host) && !m_members.isCutOff(each.host);
     });
-    return offered.empty() ? all : offered;
+    if (reachable.empty()) {
+        return all;
+    }
+    std::vector<serving_vm> offered;
+    std::copy_if(reachable.begin(), reachable.end(), std::back_inserter(offered),
+        [this](const auto& each) { return !m_members.hasStaleKeys(each.host); });
+    return offered.empty() ? reachable : offered;
 }
 
 service_view serving_cells::makeView(std::string_view service)
--- a/marlsill/cluster/serving_cells.h
+++ b/marlsill/cluster/serving_cells.h
@@ -73,7 +73,8 @@
     const std::vector<serving_vm>& servingVms(std::string_view host, steady_clock::time_point now);
 
     // Returns those of the VMs that serve a host to which callers should be sent now: without those that this
-    // VM suspects or that are cut off from all upstreams, unless that leaves none.
+    // VM suspects, that are cut off from all upstreams, or that cannot check keys. If that leaves none, those
+    // that cannot check keys count, and then all.
     std::vector<serving_vm> offeredVms(std::string_view host, steady_clock::time_point now);
 
     // Returns this VM's view of a service. Valid until the next call.
--- a/marlsill/cluster/store_relay.cc
+++ b/marlsill/cluster/store_relay.cc
@@ -71,11 +71,16 @@
     m_electedHosts.assign(elected.begin(), elected.end());
     std::erase(m_electedHosts, self.host);
     m_relayTargets.clear();
+    m_electedHostsOfDomain.clear();
     for (const auto& each : records) {
-        bool isTarget = each.failureDomain == self.failureDomain || elected.contains(each.host);
+        bool isOfDomain = each.failureDomain == self.failureDomain;
+        bool isTarget = isOfDomain || elected.contains(each.host);
         if (each.host != self.host && isTarget) {
             m_relayTargets.push_back(each.host);
         }
+        if (each.host != self.host && isOfDomain && elected.contains(each.host)) {
+            m_electedHostsOfDomain.push_back(each.host);
+        }
     }
 }
 
--- a/marlsill/cluster/store_relay.h
+++ b/marlsill/cluster/store_relay.h
@@ -98,6 +98,12 @@
     // Returns a digest of all upstreams, including those that are not in use.
     std::uint64_t upstreamDigest() const { return m_upstreams.digest(); }
 
+    // Returns the hosts of the other VMs that are elected to watch the store, as of the last election.
+    std::span<const std::string> electedHosts() const { return m_electedHosts; }
+
+    // Returns those of them that are of this VM's failure domain.
+    std::span<const std::string> electedHostsOfDomain() const { return m_electedHostsOfDomain; }
+
     // Returns how many VMs of this VM's failure domain have a higher score in the election.
     int electionRank() const { return m_electionRank; }
 
@@ -127,6 +133,7 @@
     // The hosts that a watcher sends to: those of its own failure domain and the watchers of the others.
     std::vector<std::string> m_relayTargets;
     std::vector<std::string> m_electedHosts; // Without this VM's.
+    std::vector<std::string> m_electedHostsOfDomain; // Those of this VM's failure domain.
     int m_electionRank = 0;
     const store_relay_options m_options;
     const store_relay_actions m_actions;
--- a/marlsill/events/events.h
+++ b/marlsill/events/events.h
@@ -52,6 +52,8 @@
     storeWatchChanged = 3013,
     storeRestored = 3014,
     storeEraUnreadable = 3015,
+    keysExpired = 3020,
+    keysValid = 3021,
     memberJoined = 4001,
     memberLeaving = 4002,
     memberGone = 4003,
--- a/marlsill/store/kind_watcher.h
+++ b/marlsill/store/kind_watcher.h
@@ -12,6 +12,7 @@
 // cut off is repeated at once without a wait, so that the time in which the store counts as unavailable is
 // short unless it is. Not thread safe; used by one event loop.
 
+#include "marlsill/base/absence_detector.h"
 #include "marlsill/base/random.h"
 #include "marlsill/base/reason.h"
 #include "marlsill/base/time.h"
@@ -48,7 +49,8 @@
 // Settings of a watcher.
 struct watch_options {
     std::string kind;
-    // Longest wait of one watch; bounds how long an unresponsive store goes undetected.
+    // Longest wait of one watch; bounds how long an unresponsive store goes undetected. See
+    // setWatchTimeout().
     std::chrono::milliseconds watchTimeout { 1'000 };
     // Pause after changes, so that the next watch returns several at once; part of the 2 s within which a
     // change must take effect.
@@ -72,6 +74,9 @@
     std::function<void(const reason& why, steady_clock::time_point since)> lost;
     std::function<void()> regained; // The store is available again.
     std::function<void()> contacted; // The store has responded, with or without changes.
+    // Every change of the kind that the store acknowledged before `point` has been reported. `point` is taken
+    // before the call to the store. May be empty.
+    std::function<void(boot_clock::time_point point)> current {};
 };
 
 template <object_client Client> class kind_watcher {
@@ -81,6 +86,7 @@
         , m_options(std::move(options))
         , m_listener(std::move(listener))
         , m_timer(io)
+        , m_watchTimeout(m_options.watchTimeout)
         , m_nextBackoff(m_options.initialBackoff)
     {
     }
@@ -98,6 +104,7 @@
             }
             reason why;
             auto startedAt = steady_clock::now();
+            auto watchTimeout = m_watchTimeout;
             bool isSuccessful = m_position ? co_await watchOnce(why) : co_await listAll(why);
             if (isSuccessful) {
                 noteSuccess();
@@ -110,10 +117,13 @@
             // A call that fails before its wait is over was refused or cut off just now. One that got no
             // response in time may have been sent to a store that was away already.
             auto now = steady_clock::now();
-            co_await backOff(why, now - startedAt < m_options.watchTimeout ? now : startedAt);
+            co_await backOff(why, now - startedAt < watchTimeout ? now : startedAt);
         }
     }
 
+    // Sets the longest wait of one watch, from the next one on.
+    void setWatchTimeout(std::chrono::milliseconds timeout) { m_watchTimeout = timeout; }
+
     // Starts or stops watching. A call in progress is completed, and its result reported, before it stops.
     void setActive(bool isActive)
     {
@@ -124,6 +134,7 @@
 private:
     asio::awaitable<bool> listAll(reason& why)
     {
+        auto point = boot_clock::now();
         std::vector<stored_object> all;
         std::string after;
         std::optional<placement::store_position> position;
@@ -152,6 +163,7 @@
             m_listener.restored(previousEra, m_era);
         }
         m_listener.listed(all, *position);
+        noteCurrent(point, *position);
         co_return true;
     }
 
@@ -159,7 +171,8 @@
     {
         // After a failure, a response at once tells whether the store is there. A watch that waits may be cut
         // off again without any outage.
-        auto wait = m_isLost ? std::chrono::milliseconds(0) : m_options.watchTimeout;
+        auto wait = m_isLost ? std::chrono::milliseconds(0) : m_watchTimeout;
+        auto point = boot_clock::now();
         auto page = co_await m_client.watch(m_options.kind, m_position->version, wait, why);
         if (!page) {
             co_return false;
@@ -172,11 +185,25 @@
         m_position = std::max(*m_position, page->position);
         if (!page->changes.empty()) {
             m_listener.changed(page->changes, *m_position);
+        }
+        noteCurrent(point, page->position);
+        if (!page->changes.empty()) {
             co_await sleepUntil(deadlineAfter(m_options.batchDelay));
         }
         co_return true;
     }
 
+    // Reports the point of a call whose content has been reported, unless the store has responded with an
+    // earlier position than before: such a response is of a stale copy.
+    void noteCurrent(boot_clock::time_point point, placement::store_position position)
+    {
+        bool isStale = position < m_newest;
+        m_newest = std::max(m_newest, position);
+        if (!isStale && m_listener.current) {
+            m_listener.current(point);
+        }
+    }
+
     void noteSuccess()
     {
         m_listener.contacted();
@@ -209,9 +236,11 @@
     const watch_options m_options;
     const watch_listener m_listener;
     asio::steady_timer m_timer;
+    std::chrono::milliseconds m_watchTimeout;
     std::chrono::milliseconds m_nextBackoff;
     std::optional<placement::store_position> m_position; // To watch from; lists all objects if it is not set.
     std::uint64_t m_era = 0; // Of the last list.
+    placement::store_position m_newest; // That the store has stated, also before the last list.
     bool m_isLost = false;
     bool m_isActive = false;
 };
