--- a/marlsill/cluster/freshness_exchange.cc
+++ b/marlsill/cluster/freshness_exchange.cc
@@ -69,19 +69,30 @@
     m_freshness.noteStated(query->sentAt - age, answer.configurationVersion);
     if (query->number == m_lastQuery) {
         m_lastQuery = 0;
-        bool isUseful = !isOlderThan(m_options.maxUsefulAge, now);
+        // The version that a recent answer states may never come.
+        bool isUseful = now - query->sentAt + age <= m_options.maxUsefulAge
+            && !isOlderThan(m_options.maxUsefulAge, now);
         m_misses = isUseful ? 0 : m_misses + 1;
-        auto ofDomain = m_actions.watchersOfDomain();
-        bool isOfDomain = std::find(ofDomain.begin(), ofDomain.end(), query->host) != ofDomain.end();
-        if (isUseful && !isOfDomain && m_preferredHost != query->host) {
-            m_preferredHost = query->host;
-            m_preferredUntil = now + m_options.preferenceDuration;
+        if (isUseful) {
+            notePreference(*query, now);
         }
     }
     *query = {};
     updateValidity(now);
 }
 
+// Remembers who answered, other than a watcher of the failure domain.
+void freshness_exchange::notePreference(const open_query& answered, time_point now)
+{
+    auto ofDomain = m_actions.watchersOfDomain();
+    if (std::find(ofDomain.begin(), ofDomain.end(), answered.host) != ofDomain.end()) {
+        m_preferredHost.clear();
+    } else if (m_preferredHost != answered.host || answered.sentAt >= m_preferredUntil) {
+        m_preferredHost = answered.host;
+        m_preferredUntil = now + m_options.preferenceDuration;
+    }
+}
+
 bool freshness_exchange::isOlderThan(milliseconds age, time_point now) const
 {
     auto point = m_freshness.currentAsOf();
@@ -132,10 +143,10 @@
 // without use another watcher, then any VM. Empty if no VM is known.
 std::string freshness_exchange::chooseHost(time_point now)
 {
-    if (now >= m_preferredUntil) {
-        m_preferredHost.clear();
-    }
-    if (m_misses == 0 && !m_preferredHost.empty()) {
+    // The watchers are tried again from time to time, and if that fails, who answered before is next.
+    bool isPreferred
+        = m_misses == 0 ? now < m_preferredUntil : m_misses == 1 && m_lastHost != m_preferredHost;
+    if (isPreferred && !m_preferredHost.empty()) {
         return m_preferredHost;
     }
     constexpr int choices = 4; // Two of them any VM: if all watchers lost the store, one that has not helps.
--- a/marlsill/cluster/freshness_exchange.h
+++ b/marlsill/cluster/freshness_exchange.h
@@ -38,9 +38,11 @@
     std::chrono::milliseconds responseTimeout { 250 }; // Then another VM is asked.
     // Queries in a row without use until the next ones are sent once per `queryInterval` as well.
     int maxQuickRetries = 3;
-    // An answer that leaves the point older than this is of no use, and another VM is asked next.
+    // An answer whose point is older than this, or that leaves the VM's point older, is of no use, and
+    // another VM is asked next.
     std::chrono::milliseconds maxUsefulAge { 2'000 };
-    // How long a VM that answered is asked in place of a watcher of the failure domain. With 5 s, VMs that
+    // How long a VM that answered is asked in place of a watcher of the failure domain, before one of these
+    // is asked again. With 5 s, VMs that
     // started together went on to ask watchers of other domains, the busiest of which had a tenth more to do.
     std::chrono::milliseconds preferenceDuration { 2'000 };
     // The store is read if the keys expire within this time and this many queries in a row were of no use.
@@ -108,6 +110,7 @@
     };
 
     void applyAnswer(const freshness_answer& answer, time_point now);
+    void notePreference(const open_query& answered, time_point now);
     void sendQuery(time_point now);
     std::string chooseHost(time_point now);
     std::string chooseFrom(std::span<const std::string> hosts);
