--- a/marlsill/cluster/member_list_test.cc
+++ b/marlsill/cluster/member_list_test.cc
@@ -69,6 +69,27 @@
     CHECK(members.self().incarnation > 900);
 }
 
+TEST_CASE("A VM that cannot check keys says so in a newer record of itself")
+{
+    auto members = listOf(2);
+    auto known = members.self();
+    auto digest = members.digest();
+    members.setStaleKeys(true);
+    CHECK(members.self().version == known.version + 1);
+    CHECK(members.digest() != digest);
+    CHECK(members.hasStaleKeys(members.self().host));
+    members.setStaleKeys(true);
+    CHECK(members.self().version == known.version + 1);
+    auto other = record("10.0.1.0", "b");
+    CHECK_FALSE(members.hasStaleKeys(other.host));
+    other.version = 2;
+    other.hasStaleKeys = true;
+    CHECK(members.merge(other, start));
+    CHECK(members.hasStaleKeys(other.host));
+    CHECK_FALSE(members.hasStaleKeys("10.0.1.1"));
+    CHECK_FALSE(members.hasStaleKeys("10.9.9.9"));
+}
+
 TEST_CASE("A host that misses two pings is unreachable until a message arrives from it")
 {
     auto members = listOf(1);
--- a/marlsill/cluster/peer_mesh_test.cc
+++ b/marlsill/cluster/peer_mesh_test.cc
@@ -57,6 +57,9 @@
 
         std::string builds() const { return m_mesh.builds().summary(); }
         bool requestCrashes() { return m_mesh.requestCrashes(); }
+        void setStaleKeys(bool hasStaleKeys) { m_mesh.setStaleKeys(hasStaleKeys); }
+        bool knowsStaleKeysOf(const std::string& host) const { return m_mesh.members().hasStaleKeys(host); }
+        bool knows(const std::string& host) const { return m_mesh.members().isKnown(host); }
         void publishEvidence(const std::string& upstream)
         {
             m_mesh.publish(placement::upstream_evidence { upstream });
@@ -186,6 +189,21 @@
     CHECK(outsider.limitNotices == 1);
 }
 
+TEST_CASE("Peers learn at once that a VM cannot check keys, and that it can again")
+{
+    asio::io_context io;
+    auto port = freePort();
+    mesh_vm stale(io, firstHost, secondHost, port);
+    mesh_vm peer(io, secondHost, firstHost, port);
+    io.run_for(milliseconds(100));
+    REQUIRE(stale.knows(secondHost));
+    for (bool isStale : { true, false }) {
+        stale.setStaleKeys(isStale);
+        io.run_for(milliseconds(50)); // Less than the time to the next ping.
+        CHECK(peer.knowsStaleKeysOf(firstHost) == isStale);
+    }
+}
+
 TEST_CASE("VMs that share an upstream are told that it leaves, and others are not")
 {
     struct row {
--- a/marlsill/cluster/serving_cells_test.cc
+++ b/marlsill/cluster/serving_cells_test.cc
@@ -297,6 +297,43 @@
     }
 }
 
+TEST_CASE("VMs that cannot check keys keep their places but are not offered, unless all are")
+{
+    struct row {
+        const char* name;
+        std::size_t stale; // Of the serving VMs, the first ones.
+        std::size_t cutOff; // Of the serving VMs, the last ones.
+        std::size_t offered;
+    };
+    const row rows[] = { { "none", 0, 0, 9 }, { "one", 1, 0, 8 }, { "all but one", 8, 0, 1 },
+        { "all", 9, 0, 9 }, { "one, and one cut off", 1, 1, 7 }, { "all but one that is cut off", 8, 1, 8 },
+        { "all, and one of them cut off", 9, 1, 8 }, { "all, and all cut off", 9, 9, 9 } };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        fleet_view view(0, 9, 3, 72);
+        auto expected = hostsOf(view.cells.servingVms(hosts.front(), start));
+        REQUIRE(expected.size() == 9);
+        for (std::size_t index = 0; index < expected.size(); ++index) {
+            bool isStale = index < each.stale;
+            bool isCutOff = index >= expected.size() - each.cutOff;
+            if (expected[index] == view.members.self().host) {
+                view.members.setStaleKeys(isStale);
+                view.members.setCutOff(isCutOff);
+                continue;
+            }
+            auto changed = record(0, 3);
+            changed.host = expected[index];
+            changed.version = 2;
+            changed.isCutOff = isCutOff;
+            changed.hasStaleKeys = isStale;
+            view.members.merge(changed, start);
+        }
+        auto now = start + milliseconds(200);
+        CHECK(hostsOf(view.cells.servingVms(hosts.front(), now)).size() == expected.size());
+        CHECK(hostsOf(view.cells.offeredVms(hosts.front(), now)).size() == each.offered);
+    }
+}
+
 TEST_CASE("Many changes of members cause few recalculations, and none is left out")
 {
     fleet_view view(0, 36, 3, 72);
--- a/marlsill/store/kind_watcher_test.cc
+++ b/marlsill/store/kind_watcher_test.cc
@@ -1,5 +1,6 @@
 #include "marlsill/store/kind_watcher.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -16,11 +17,15 @@
         std::deque<std::optional<object_page>> lists {};
         std::deque<std::pair<std::optional<change_page>, reason_code>> watches {};
         std::vector<std::string> calls {};
+        std::vector<boot_clock::time_point> calledAt {};
+        std::vector<std::chrono::milliseconds> waits {}; // Of watches.
+        std::function<void()> onWatch {};
 
         asio::awaitable<std::optional<object_page>> list(
             const std::string&, const std::string& after, deadline, reason& why)
         {
             calls.push_back("list " + after);
+            calledAt.push_back(boot_clock::now());
             if (lists.empty()) {
                 io.stop();
                 co_return fail(why, reason_code::unavailable, "end of script");
@@ -36,6 +41,11 @@
         asio::awaitable<std::optional<change_page>> watch(
             const std::string&, std::uint64_t version, std::chrono::milliseconds wait, reason& why)
         {
+            calledAt.push_back(boot_clock::now());
+            waits.push_back(wait);
+            if (onWatch) {
+                onWatch();
+            }
             calls.push_back(
                 "watch " + std::to_string(version) + (wait == std::chrono::milliseconds(0) ? " now" : ""));
             if (watches.empty()) {
@@ -166,4 +176,80 @@
     }
 }
 
+TEST_CASE("The point of a call is taken before it, and counts after its content has been reported")
+{
+    const auto none = reason_code::none;
+    struct row {
+        const char* name;
+        std::deque<std::optional<object_page>> lists;
+        std::deque<std::pair<std::optional<change_page>, reason_code>> watches;
+        std::vector<std::string> expected; // "point N" is that of the Nth call.
+    };
+    const row rows[] = {
+        { "a list and watches", { page({ "a" }, 5) },
+            { { changes({ "b" }, 7), none }, { changes({}, 9), none } },
+            { "listed", "point 1", "changed", "point 2", "point 3" } },
+        // Guards against a list whose first page is older than the point.
+        { "a list of two pages", { page({ "a", "b" }, 5, true), page({ "c" }, 8) }, {},
+            { "listed", "point 1" } },
+        { "calls that fail", { page({ "a" }, 5) },
+            { { std::nullopt, reason_code::uncertain }, { std::nullopt, reason_code::unavailable },
+                { changes({}, 6), none } },
+            { "listed", "point 1", "point 4" } },
+        // Guard against a withdrawn key that is in an old copy of the store.
+        { "a stale watch", { page({ "a" }, 5) }, { { changes({}, 3), none }, { changes({}, 5), none } },
+            { "listed", "point 1", "point 3" } },
+        { "a stale list after the history is gone", { page({ "a" }, 5), page({ "a" }, 4) },
+            { { std::nullopt, reason_code::notFound }, { changes({}, 4), none }, { changes({}, 6), none } },
+            { "listed", "point 1", "listed", "point 5" } },
+        { "a watch that shows a restored store", { page({ "a" }, 5), page({ "a" }, 2, false, 2) },
+            { { changes({ "b" }, 6, 2), none } }, { "listed", "point 1", "listed", "point 3" } },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(each.name);
+        asio::io_context io;
+        scripted_client client { io, each.lists, each.watches };
+        std::vector<std::string> notifications;
+        watch_listener listener { .listed = [&](const auto&, auto) { notifications.push_back("listed"); },
+            .changed = [&](const auto&, auto) { notifications.push_back("changed"); },
+            .restored = [](auto, auto) {},
+            .lost = [](const reason&, auto) {},
+            .regained = [] {},
+            .contacted = [] {},
+            .current =
+                [&](auto point) {
+                    // The last call that was not begun before the point.
+                    auto call = std::lower_bound(client.calledAt.begin(), client.calledAt.end(), point);
+                    notifications.push_back("point " + std::to_string(call - client.calledAt.begin() + 1));
+                } };
+        kind_watcher watcher(
+            io, client, { .kind = "k", .initialBackoff = std::chrono::milliseconds(1) }, listener);
+        watcher.setActive(true);
+        asio::co_spawn(io, watcher.run(), asio::detached);
+        io.run_for(std::chrono::seconds(10));
+        CHECK(notifications == each.expected);
+    }
+}
+
+TEST_CASE("A changed watch timeout holds from the next watch on")
+{
+    asio::io_context io;
+    scripted_client client { io, { page({ "a" }, 5) },
+        { { changes({}, 5), reason_code::none }, { changes({}, 5), reason_code::none } } };
+    watch_listener listener { .listed = [](const auto&, auto) {},
+        .changed = [](const auto&, auto) {},
+        .restored = [](auto, auto) {},
+        .lost = [](const reason&, auto) {},
+        .regained = [] {},
+        .contacted = [] {} };
+    kind_watcher watcher(io, client, { .kind = "k" }, listener);
+    client.onWatch = [&] { watcher.setWatchTimeout(std::chrono::milliseconds(500)); };
+    watcher.setActive(true);
+    asio::co_spawn(io, watcher.run(), asio::detached);
+    io.run_for(std::chrono::seconds(10));
+    REQUIRE(client.waits.size() >= 2);
+    CHECK(client.waits[0] == std::chrono::milliseconds(1'000));
+    CHECK(client.waits[1] == std::chrono::milliseconds(500));
+}
+
 }
