--- a/marlsill/placement/load_balancer.cc
+++ b/marlsill/placement/load_balancer.cc
@@ -243,10 +243,8 @@
     own.insert(own.end(), service.others.begin(), service.others.end());
     service.others.clear();
     for (auto* each : own) {
-        auto isHome = service.partition ? service.partition->isHome(each->entry.id, each->entry.failureDomain)
-                                        : std::nullopt;
         each->isOfOwnPart = true;
-        each->isHome = isHome.value_or(each->entry.failureDomain == m_options.failureDomain);
+        each->isHome = each->entry.failureDomain == m_options.failureDomain;
     }
     if (!service.partition) {
         return;
@@ -260,6 +258,14 @@
             each->isOfOwnPart = false;
         }
     }
+    std::vector<shared_upstream> shared;
+    for (const auto* each : own) {
+        shared.push_back({ each->entry.id, each->entry.failureDomain });
+    }
+    auto homes = service.partition->homes(shared);
+    for (std::size_t index = 0; index < own.size(); ++index) {
+        own[index]->isHome = homes[index].value_or(own[index]->isHome);
+    }
 }
 
 load_balancer::upstream_state* load_balancer::findState(std::string_view upstream) const
--- a/marlsill/placement/upstream_partition.h
+++ b/marlsill/placement/upstream_partition.h
@@ -7,11 +7,10 @@
 //         ...
 //
 // In a large fleet each VM uses a part only, so that it meets each of its upstreams often enough to keep
-// connections to it and to notice its failures. Of the VMs that use an upstream, one is its home: in its
-// failure domain if possible, by rendezvous hashing among several. VMs with the same members agree on it.
-// Immutable.
+// connections to it and to notice its failures. Of the VMs that use an upstream, one is its home, see
+// upstream_homes.h. Immutable.
 
-#include "marlsill/base/hash.h"
+#include "marlsill/placement/upstream_homes.h"
 #include "marlsill/routing/serving_set.h"
 
 #include <algorithm>
@@ -19,17 +18,10 @@
 #include <span>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 namespace marlsill::placement {
 
-// A VM that sends requests to the upstreams of a cell.
-struct sharing_vm {
-    std::string host;
-    std::string failureDomain;
-};
-
 // See the file comment.
 struct upstream_partition {
     // The cells of one host of the service, and those of them that the VM belongs to.
@@ -54,32 +46,32 @@
         return divisions.empty() || std::any_of(divisions.begin(), divisions.end(), isOwn);
     }
 
-    // Returns whether the VM is the home of an upstream; std::nullopt if it is not known who shares it. The
-    // cost grows with the VMs that do.
-    std::optional<bool> isHome(std::string_view upstream, std::string_view failureDomain) const
+    // Returns whether the VM is the home of each of its upstreams; std::nullopt for those of which it is not
+    // known who shares them.
+    std::vector<std::optional<bool>> homes(std::span<const shared_upstream> upstreams) const
     {
+        std::vector<std::optional<bool>> isHome(upstreams.size());
         for (const auto& each : divisions) {
-            auto cell = each.cells <= 1 ? 0 : routing::cellOf(upstream, each.cells);
-            auto own = std::find(each.ownCells.begin(), each.ownCells.end(), cell);
-            auto index = static_cast<std::size_t>(own - each.ownCells.begin());
-            if (own == each.ownCells.end() || index >= each.sharing.size()) {
-                continue;
+            for (std::size_t own = 0; own < std::min(each.ownCells.size(), each.sharing.size()); ++own) {
+                std::vector<shared_upstream> ofCell;
+                std::vector<std::size_t> indexes;
+                for (std::size_t index = 0; index < upstreams.size(); ++index) {
+                    const auto& upstream = upstreams[index];
+                    bool isOfCell
+                        = each.cells <= 1 || routing::cellOf(upstream.id, each.cells) == each.ownCells[own];
+                    if (!isHome[index] && isOfCell) {
+                        ofCell.push_back(upstream);
+                        indexes.push_back(index);
+                    }
+                }
+                const auto& vms = each.sharing[own];
+                auto assigned = vms.empty() ? std::vector<std::size_t>() : assignHomes(ofCell, vms);
+                for (std::size_t index = 0; index < assigned.size(); ++index) {
+                    isHome[indexes[index]] = vms[assigned[index]].host == self;
+                }
             }
-            return homeOf(each.sharing[index], upstream, failureDomain) == self;
         }
-        return std::nullopt;
-    }
-
-    // Returns the host of the VM that is the home of an upstream; empty if none shares it.
-    static std::string_view homeOf(
-        std::span<const sharing_vm> vms, std::string_view upstream, std::string_view failureDomain)
-    {
-        auto scoreOf = [&](const sharing_vm& vm) {
-            return std::pair(vm.failureDomain == failureDomain, fastHash(vm.host, fastHash(upstream)));
-        };
-        auto best = std::max_element(vms.begin(), vms.end(),
-            [&](const auto& left, const auto& right) { return scoreOf(left) < scoreOf(right); });
-        return best == vms.end() ? std::string_view() : std::string_view(best->host);
+        return isHome;
     }
 };
 
--- a/marlsill/placement/upstream_ranking_test.cc
+++ b/marlsill/placement/upstream_ranking_test.cc
@@ -99,33 +99,64 @@
     }
 }
 
-TEST_CASE("Each upstream has one home among the VMs that share it, in its failure domain if possible")
+TEST_CASE("Each upstream has one home, in its failure domain if possible, and each VM equally many")
 {
-    // Guards against VMs that disagree on whose upstream it is, and against traffic between failure domains
-    // that is not needed.
+    // Guards against VMs that disagree on whose upstream it is, against traffic between failure domains that
+    // is not needed, and against VMs with half as many upstreams as others.
     const std::vector<sharing_vm> vms { { "a1", "a" }, { "a2", "a" }, { "b1", "b" }, { "b2", "b" } };
-    std::map<std::string, int> homes;
-    for (int index = 0; index < 400; ++index) {
-        auto id = "u" + std::to_string(index);
-        std::string domain = index % 4 == 3 ? "c" : index % 4 == 2 ? "b" : "a";
-        int count = 0;
+    struct row {
+        const char* name;
+        int upstreams;
+        int ofDomainA; // The others are of "b", or of "c" where `hasC`.
+        bool hasC;
+        int minLocal;
+    };
+    const row rows[] = {
+        { "equal domains", 24, 12, false, 24 },
+        { "unequal domains", 24, 18, false, 18 },
+        { "a domain without VMs", 24, 12, true, 12 },
+        { "fewer than VMs", 3, 3, false, 2 },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        std::vector<std::string> ids;
+        for (int index = 0; index < each.upstreams; ++index) {
+            ids.push_back("u" + std::to_string(index));
+        }
+        std::vector<shared_upstream> upstreams;
+        for (const auto& id : ids) {
+            bool isOfA = static_cast<int>(upstreams.size()) < each.ofDomainA;
+            upstreams.push_back({ id, isOfA ? "a" : each.hasC ? "c" : "b" });
+        }
+        int local = 0;
+        int homes = 0;
         for (const auto& vm : vms) {
             upstream_partition partition { .divisions = { { 1, { 0 }, { vms } } }, .self = vm.host };
-            if (partition.isHome(id, domain).value_or(false)) {
-                ++count;
-                ++homes[vm.host];
-                CHECK((domain == "c" || vm.failureDomain == domain));
+            auto isHome = partition.homes(upstreams);
+            int own = 0;
+            for (std::size_t index = 0; index < upstreams.size(); ++index) {
+                own += isHome[index].value() ? 1 : 0;
+                local += *isHome[index] && upstreams[index].failureDomain == vm.failureDomain ? 1 : 0;
             }
+            CHECK(own <= (each.upstreams + 3) / 4);
+            homes += own;
         }
-        CHECK(count == 1);
-    }
-    for (const auto& vm : vms) {
-        CHECK(homes[vm.host] >= 40);
+        CHECK(homes == each.upstreams);
+        CHECK(local >= each.minLocal);
+        // One upstream less moves few.
+        auto before = assignHomes(upstreams, vms);
+        auto after = assignHomes(std::span(upstreams).subspan(1), vms);
+        int moved = 0;
+        for (std::size_t index = 0; index < after.size(); ++index) {
+            moved += after[index] != before[index + 1] ? 1 : 0;
+        }
+        CHECK(moved <= each.upstreams / 4 + 1);
     }
     upstream_partition other { .divisions = { { 1, { 0 }, { vms } } }, .self = "x" };
-    CHECK(other.isHome("u1", "a") == false);
+    const shared_upstream one[] = { { "u1", "a" } };
+    CHECK(other.homes(one).front() == false);
     upstream_partition unknown { .divisions = { { 4, { 0 } } } };
-    CHECK_FALSE(unknown.isHome("u1", "a"));
+    CHECK_FALSE(unknown.homes(one).front());
 }
 
 }
