key_revocation_test: VMs that the store does not serve go on by their peers

One VM, and all VMs of a failure domain with its watcher, lose the store for 14 s: no request with a good key is refused, and the withdrawn key is refused within 2.5 s (measured with both kinds of cut).

--- a/testing/key_revocation_test.cc
+++ b/testing/key_revocation_test.cc
@@ -273,6 +273,38 @@
     CHECK(fleet.call(key_fleet::alone, withdrawnKey).status == 401);
 }
 
+TEST_CASE("VMs that the store does not serve know of withdrawals by their peers, and refuse nothing else")
+{
+    struct row {
+        const char* name;
+        std::vector<std::size_t> cut; // Daemons 0 and 3 are one failure domain.
+        link_trouble trouble;
+    };
+    const row rows[] = { { "one VM, silent", { 4 }, link_trouble::silent },
+        { "a failure domain, reset", { 0, 3 }, link_trouble::reset } };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        key_fleet fleet;
+        for (auto entry : each.cut) {
+            fleet.storeLink(entry).setTrouble(each.trouble);
+        }
+        auto cutAt = steady_clock::now();
+        fleet.startCallers(each.cut);
+        std::this_thread::sleep_for(bound + milliseconds(3'000)); // Without peers, keys would expire.
+        fleet.withdraw();
+        std::this_thread::sleep_for(bound + milliseconds(1'000));
+        fleet.stopCallers();
+        checkNoLateRun(fleet);
+        CHECK(fleet.count([&](const auto& call) {
+            return call.key == goodKey && call.status != 200 && call.sentAt > cutAt;
+        }) == 0);
+        CHECK(fleet.count([&](const auto& call) {
+            return call.key == withdrawnKey && call.status != 401
+                && call.sentAt > fleet.withdrawnAt() + applyLimit;
+        }) == 0);
+    }
+}
+
 TEST_CASE("A VM that is stopped for 8 s serves no withdrawn key that waits in its sockets")
 {
     struct row {
