Loss share of a service by the load of all VMs, not by this VM's requests alone

A VM that gets far fewer requests than its peers extrapolated the fleet's requests from its own, so that the failures that peers reported looked like a large share. Change: the number of requests in flight at all VMs, by Little's law, is a second estimate; the larger one counts.

--- a/marlsill/placement/load_balancer.cc
+++ b/marlsill/placement/load_balancer.cc
@@ -408,6 +408,7 @@
     bool mustLeavePermits = request.requestsAhead > 0 && request.limits
         && heldPermits(service, *request.limits, now) <= request.requestsAhead;
     int expectedPermits = 0;
+    int totalInFlight = 0;
     bool hasUnlimited = false;
     upstream_state* dueProbe = nullptr;
     upstream_state* probeWithoutPermit = nullptr; // An excluded one that could be probed with a permit.
@@ -428,6 +429,7 @@
         }
         hasUsable = true;
         int inFlight = inFlightAt(*each, now);
+        totalInFlight += inFlight;
         bool isLimited = request.limits && request.limits->limitOf(each->entry.id);
         bool holdsPermit = isLimited && request.limits->hasPermit(each->entry.id, now);
         bool needsPermit = isLimited && (!holdsPermit || mustLeavePermits);
@@ -472,6 +474,7 @@
             bestWithoutPermit = current;
         }
     }
+    service.losses.recordLoad(totalInFlight, service.latencyMs, now);
     std::string permitWanted;
     if (probeWithoutPermit) {
         permitWanted = probeWithoutPermit->entry.id;
