The capacity floor holds in small services; upstreams without a home in use are home to all

With 15 of 20 upstreams excluded, three could be unused while six were healthy: 3 of 131 windows below 0.7 (traced: upstreams that had got nothing for 2.0 to 2.5 s). The limit follows from the upstreams in use alone now, and at low loss is 35 % where one cell is the whole service, so that losses that rise within two seconds find few unused.

--- a/marlsill/model/episode_model.cc
+++ b/marlsill/model/episode_model.cc
@@ -190,8 +190,11 @@
                     auto current = std::make_shared<request>();
                     current->isAtMostOnce = randomFraction() >= m_options.repeatableShare;
                     current->arrivedAt = m_clock.now();
-                    current->vm
-                        = static_cast<std::size_t>(randomFraction() * static_cast<double>(m_vms.size()));
+                    auto perCell = static_cast<std::size_t>(m_options.vmsPerCell);
+                    do {
+                        current->vm
+                            = static_cast<std::size_t>(randomFraction() * static_cast<double>(m_vms.size()));
+                    } while (static_cast<int>(current->vm % perCell) < m_options.vmsWithoutCallers);
                     m_vms[current->vm].budget.countRequest(m_clock.now());
                     m_result.requests += isMeasured() ? 1 : 0;
                     dispatch(current);
--- a/marlsill/model/episode_model.h
+++ b/marlsill/model/episode_model.h
@@ -23,6 +23,7 @@
     int upstreams = 157;
     int upstreamsPerCell = 24;
     int vmsPerCell = 4;
+    int vmsWithoutCallers = 0; // Of each cell.
     int slots = 2;
     std::size_t upstreamQueueLimit = 8;
     double requestsPerUpstream = 3; // Per second.
--- a/marlsill/placement/capacity_floor.h
+++ b/marlsill/placement/capacity_floor.h
@@ -18,17 +18,17 @@
     double floor = 0.7; // Share of the healthy upstreams that must stay in use.
     // Part of what the floor allows that is used, as VMs learn each other's requests with a delay.
     double usedPart = 0.9;
-    // Share of all upstreams that may be unused in any case. Half of 1 - floor, because of many upstreams
-    // that are excluded few may be healthy.
-    double minUnusedShare = 0.15;
-    int minUnused = 2; // Likewise in small services, unless it violates the floor.
-    double maxUnusedShareAtLowLoss = 0.5; // Low loss shows that the exclusions are justified.
-    // Share of failed requests. The floor applies from 0.1, with a margin for what one VM's estimate misses.
+    // Share of failed requests below which more may be unused, as low loss shows that the exclusions are
+    // justified. The floor applies from 0.1; the margin is for what one VM's estimate misses.
     double lowLossShare = 0.06;
+    // With 0.5, losses that rise within two seconds find too many unused: two windows of a hundred below the
+    // floor, with 12 upstreams.
+    double maxUnusedShareAtLowLoss = 0.35;
     // Likewise where the state is of a part of the service's upstreams: the floor goes by the whole service,
     // of which one part's losses are a sample. With 0.06, parts force requests into failing upstreams while
     // the service loses 5 %.
     double lowLossShareOfPart = 0.08;
+    double maxUnusedShareOfPart = 0.5;
 };
 
 // State of a service, as far as this VM uses it.
@@ -44,14 +44,12 @@
 {
     double count = state.upstreams;
     if (state.lossShare < (state.isPart ? options.lowLossShareOfPart : options.lowLossShare)) {
-        return static_cast<int>(options.maxUnusedShareAtLowLoss * count);
+        return static_cast<int>(
+            (state.isPart ? options.maxUnusedShareOfPart : options.maxUnusedShareAtLowLoss) * count);
     }
-    auto floorLimit = static_cast<int>((1 - options.floor) * count);
-    auto least
-        = std::max(static_cast<int>(options.minUnusedShare * count), std::min(options.minUnused, floorLimit));
     auto perUsed = (1 - options.floor) / options.floor; // Unused upstreams that one in use allows.
-    auto allowed = static_cast<int>(options.usedPart * perUsed * (state.upstreams - state.excluded));
-    return std::max(least, std::min(allowed, floorLimit));
+    auto used = state.upstreams - state.excluded;
+    return static_cast<int>(std::min(options.usedPart * perUsed * used, (1 - options.floor) * count));
 }
 
 }
--- a/marlsill/placement/circuit_breaker_test.cc
+++ b/marlsill/placement/circuit_breaker_test.cc
@@ -119,12 +119,12 @@
         int most;
     };
     const row rows[] = {
-        { "low loss", { 24, 12, 0.05 }, 12, 12 },
+        { "low loss", { 24, 12, 0.05 }, 8, 8 },
         { "low loss of a part", { 24, 12, 0.07, true }, 12, 12 },
         { "the same loss of a whole service", { 24, 12, 0.07 }, 3, 5 },
         { "30 % excluded", { 24, 7, 0.1 }, 6, 7 },
         { "half excluded", { 24, 12, 0.1 }, 3, 5 },
-        { "all excluded", { 40, 40, 1 }, 6, 6 },
+        { "all excluded", { 40, 40, 1 }, 0, 0 },
         { "few upstreams", { 3, 1, 0.2 }, 0, 0 },
     };
     for (const auto& each : rows) {
--- a/marlsill/placement/load_balancer.cc
+++ b/marlsill/placement/load_balancer.cc
@@ -21,6 +21,9 @@
     // Such requests use an unused upstream for the capacity floor only this much later than others. Together
     // with `unusedAfter` and a probe's delay it must stay below the two-second window of the floor.
     constexpr std::chrono::milliseconds unsafeUseDelay { 100 };
+    // An upstream that no VM uses for so long is home to all, as its home may have no callers. Below the
+    // window of the capacity floor, and above the time between reports.
+    constexpr std::chrono::milliseconds homeTimeout { 700 };
     constexpr std::size_t maxWaitingForPart = 3; // Requests of a service on this VM.
     constexpr int fewSlots = 2; // Per upstream; home_ranking is used up to here.
     constexpr int samplesOutsidePart = 6;
@@ -59,6 +62,7 @@
     int samples = 0;
     upstream_health health;
     steady_clock::time_point lastRefusedAt {};
+    steady_clock::time_point reportedAt {}; // Last report of a peer on its requests there.
     bool hasChangedLoad = false;
     bool isListed = false; // Among the upstreams of its service, as it is registered and not leaving.
     bool isHome = false; // This VM uses it before its peers do.
@@ -363,7 +367,8 @@
     return { .inFlight = inFlight,
         .slots = each.entry.slots,
         .isLocal = each.entry.failureDomain == m_options.failureDomain,
-        .isHome = each.isHome,
+        .isHome
+        = each.isHome || hasPassed(std::max(each.health.lastUsedAt, each.reportedAt) + homeTimeout, now),
         .isWarm = hasPassed(each.entry.warmUpUntil, now),
         .isSlow = each.samples >= minSamples && service.latencyMs > 0
             && each.latencyMs > slowFactor * service.latencyMs,
@@ -659,6 +664,7 @@
     if (!found) {
         return;
     }
+    found->reportedAt = now;
     found->peers[std::string(peer)] = { load.inFlight, now + m_options.peerLoadLifetime };
     if (load.inFlight > 0) {
         found->health.lastUsedAt = now;
