An upstream that starts gets a request now and then

Starting upstreams came after all idle ones, so that one got nothing for the three seconds of its start while others were idle, and a rolling replacement left many healthy ones unused.

--- a/marlsill/placement/load_balancer.cc
+++ b/marlsill/placement/load_balancer.cc
@@ -367,9 +367,9 @@
     return { .inFlight = inFlight,
         .slots = each.entry.slots,
         .isLocal = each.entry.failureDomain == m_options.failureDomain,
-        .isHome
-        = each.isHome || hasPassed(std::max(each.health.lastUsedAt, each.reportedAt) + homeTimeout, now),
+        .isHome = each.isHome,
         .isWarm = hasPassed(each.entry.warmUpUntil, now),
+        .isForgotten = hasPassed(std::max(each.health.lastUsedAt, each.reportedAt) + homeTimeout, now),
         .isSlow = each.samples >= minSamples && service.latencyMs > 0
             && each.latencyMs > slowFactor * service.latencyMs,
         .isRampingUp = each.health.rampUpLeft > 0 };
--- a/marlsill/placement/upstream_ranking.h
+++ b/marlsill/placement/upstream_ranking.h
@@ -24,6 +24,7 @@
     bool isLocal = true; // In this VM's failure domain.
     bool isHome = true; // This VM is the one that uses it first; see upstream_partition::isHome().
     bool isWarm = true; // It did not start just now.
+    bool isForgotten = false; // No VM has used it for a while.
     bool isSlow = false; // Far slower than the service's other upstreams.
     bool isRampingUp = false; // Readmitted, or returned, lately.
 };
@@ -77,13 +78,16 @@
         if (!isIdle && (!each.isWarm || each.isRampingUp)) {
             return { each.inFlight < each.slots ? 4 : 5, load };
         }
+        // The home of a forgotten one may have no callers, and one that starts must not be left out till
+        // then.
+        bool isHome = each.isHome || each.isForgotten;
         int tier = 5;
         if (isIdle) {
-            tier = each.isHome ? 0 : 2;
+            tier = isHome ? 0 : 2;
         } else if (each.inFlight < each.slots) {
-            tier = each.isHome ? 1 : 3;
+            tier = isHome ? 1 : 3;
         }
-        bool isLast = each.isSlow || !each.isWarm;
+        bool isLast = each.isSlow || (!each.isWarm && !each.isForgotten);
         return { isLast ? std::max(tier, 3) : tier, load };
     }
 };
