Upstreams of other parts are used again after their exclusion

A VM probes only upstreams of its own part, and hears of the recovery of others for ten seconds after it used one. Later they stayed excluded for it until their registration changed, so that the last resort of an overloaded part shrank. They are used again two seconds after their exclusion has ended.

--- a/marlsill/placement/load_balancer.cc
+++ b/marlsill/placement/load_balancer.cc
@@ -524,8 +524,11 @@
         bool isTried
             = std::find(request.tried.begin(), request.tried.end(), each->entry.id) != request.tried.end();
         bool isLimited = request.limits && request.limits->limitOf(each->entry.id);
+        // This VM probes none of them, and hears of a recovery for a time only.
+        bool isExcluded = each->health.isExcluded
+            && !hasPassed(each->health.excludedUntil + m_options.exclusion.relapseTime, now);
         auto maxInFlight = m_holds.maxInFlight(each->entry, now).value_or(each->entry.slots);
-        bool isUsable = !isTried && !isLimited && !each->health.isExcluded && each->inFlight < maxInFlight
+        bool isUsable = !isTried && !isLimited && !isExcluded && each->inFlight < maxInFlight
             && !m_holds.isHeld(each->entry, now);
         if (isUsable && (!best || each->inFlight < best->inFlight)) {
             best = each;
--- a/marlsill/placement/load_balancer_test.cc
+++ b/marlsill/placement/load_balancer_test.cc
@@ -504,6 +504,35 @@
     }
 }
 
+TEST_CASE("An upstream of another part is used again some time after its exclusion")
+{
+    // Guards against upstreams of other parts that stay excluded for good, as a VM probes only its own part.
+    constexpr int count = 8;
+    auto balancer = balancerOf(count, 2);
+    auto part = std::make_shared<const upstream_partition>(
+        upstream_partition { .divisions = { { .cells = 4, .ownCells = { 2 } } } });
+    balancer.setServiceShare("s", 3, part);
+    for (const auto& entry : entries(count)) {
+        if (!part->includes(entry.id)) {
+            fail(balancer, entry.id, start, false);
+        }
+    }
+    auto usesOther = [&](int atMs) {
+        auto now = start + milliseconds(atMs);
+        for (const auto& entry : entries(count)) {
+            if (part->includes(entry.id)) {
+                balancer.applyPeerLoad("peer", { entry.id, 3, 300 }, now);
+            }
+        }
+        auto chosen = balancer.choose({ .service = "s" }, now);
+        return chosen.status == choice_status::chosen && !part->includes(chosen.upstream->id);
+    };
+    CHECK_FALSE(usesOther(10));
+    CHECK_FALSE(usesOther(1'600));
+    CHECK(usesOther(3'600));
+    CHECK(usesOther(60'000));
+}
+
 TEST_CASE("A VM whose part has no upstreams uses all of them")
 {
     auto balancer = balancerOf(1);
