--- a/marlsill/placement/load_balancer.cc
+++ b/marlsill/placement/load_balancer.cc
@@ -367,9 +367,9 @@
     return { .inFlight = inFlight,
         .slots = each.entry.slots,
         .isLocal = each.entry.failureDomain == m_options.failureDomain,
-        .isHome
-        = each.isHome || hasPassed(std::max(each.health.lastUsedAt, each.reportedAt) + homeTimeout, now),
+        .isHome = each.isHome,
         .isWarm = hasPassed(each.entry.warmUpUntil, now),
+        .isForgotten = hasPassed(std::max(each.health.lastUsedAt, each.reportedAt) + homeTimeout, now),
         .isSlow = each.samples >= minSamples && service.latencyMs > 0
             && each.latencyMs > slowFactor * service.latencyMs,
         .isRampingUp = each.health.rampUpLeft > 0 };
@@ -527,8 +527,11 @@
         bool isTried
             = std::find(request.tried.begin(), request.tried.end(), each->entry.id) != request.tried.end();
         bool isLimited = request.limits && request.limits->limitOf(each->entry.id);
+        // This VM probes none of them, and hears of a recovery for a time only.
+        bool isExcluded = each->health.isExcluded
+            && !hasPassed(each->health.excludedUntil + m_options.exclusion.relapseTime, now);
         auto maxInFlight = m_holds.maxInFlight(each->entry, now).value_or(each->entry.slots);
-        bool isUsable = !isTried && !isLimited && !each->health.isExcluded && each->inFlight < maxInFlight
+        bool isUsable = !isTried && !isLimited && !isExcluded && each->inFlight < maxInFlight
             && !m_holds.isHeld(each->entry, now);
         if (isUsable && (!best || each->inFlight < best->inFlight)) {
             best = each;
