Evidence that may come from a VM's own links stays with those that share the upstream

Since failures are told to all VMs of a service, one VM in trouble took sound upstreams from all of them: 'unreachable' and 'stalled' say as much about the sender. They go to the VMs of the same part again.

--- a/marlsill/cluster/peer_mesh.cc
+++ b/marlsill/cluster/peer_mesh.cc
@@ -485,10 +485,19 @@
     return hosts;
 }
 
+// Returns whether evidence may come from the sender's own links or load. It goes to those VMs only that share
+// the upstream, so that one VM in trouble does not take sound upstreams from a whole service.
+static bool dependsOnLinks(placement::evidence_kind kind)
+{
+    return kind == placement::evidence_kind::unreachable || kind == placement::evidence_kind::stalled;
+}
+
 void peer_mesh::publish(const placement::upstream_evidence& evidence)
 {
     bool wantsEvidence = !m_handler.isServicePeer(evidence.upstream);
-    for (const auto& host : withSubscribers(m_handler.evidencePeers(evidence.upstream))) {
+    auto hosts = dependsOnLinks(evidence.kind) ? m_handler.servicePeers(evidence.upstream)
+                                               : m_handler.evidencePeers(evidence.upstream);
+    for (const auto& host : withSubscribers(std::move(hosts))) {
         auto& message = m_outbox[host];
         message.evidence.push_back(evidence);
         message.wantsEvidence = message.wantsEvidence || wantsEvidence;
