--- a/marlsill/gateway/access_control.cc
+++ b/marlsill/gateway/access_control.cc
@@ -113,7 +113,8 @@
     return decision == access_decision::unknownKey ? access_decision::withdrawnKey : decision;
 }
 
-void access_control::recordDenial(const active_request& current, access_decision decision) const
+void access_control::recordDenial(
+    const active_request& current, access_decision decision, const configuration& inForce) const
 {
     m_counters.keysMissing += decision == access_decision::missingKey ? 1 : 0;
     m_counters.keysMalformed += decision == access_decision::malformedKey ? 1 : 0;
@@ -125,8 +126,7 @@
             { "why", std::string(toText(decision)) },
             { "account", current.account ? current.account->name : "" },
             { "digest", current.keyDigest ? accounts::toShortHex(*current.keyDigest) : "" },
-            { "route", current.matchedRoute->name },
-            { "config", std::to_string(current.config->version()) } });
+            { "route", current.matchedRoute->name }, { "config", std::to_string(inForce.version()) } });
 }
 
 }
--- a/marlsill/gateway/access_control.h
+++ b/marlsill/gateway/access_control.h
@@ -58,8 +58,9 @@
     // Decides again by the configuration in force now. Call right before each send.
     access_decision recheck(active_request& current, const configuration& inForce) const;
 
-    // Counts and logs a request that is not granted.
-    void recordDenial(const active_request& current, access_decision decision) const;
+    // Counts and logs a request that is not granted by `inForce`.
+    void recordDenial(
+        const active_request& current, access_decision decision, const configuration& inForce) const;
 
 private:
     access_decision takeKey(active_request& current) const;
--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -559,7 +559,7 @@
 
 final_response forwarder::denyAccess(active_request& current, access_decision decision)
 {
-    m_access.recordDenial(current, decision);
+    m_access.recordDenial(current, decision, *m_configuration);
     current.abortAttempts();
     auto why = toText(decision);
     if (current.mayHaveRun() || current.earlierArrivals > 0) {
--- a/testing/planned_stop_relay_test.cc
+++ b/testing/planned_stop_relay_test.cc
@@ -26,6 +26,8 @@
 
     constexpr milliseconds stopTime { 2'000 }; // Until the requests that are left are given up.
 
+    constexpr milliseconds peerIdleLimit { 2'000 };
+
     asio::ip::address_v4 hostAddress(int number)
     {
         return asio::ip::make_address_v4("127.0.0." + std::to_string(number));
@@ -61,10 +63,15 @@
         {
         }
 
-        ~loop_thread()
+        ~loop_thread() { stop(); }
+
+        // Ends the thread; what waits in the loop is destroyed with it.
+        void stop()
         {
             io.stop();
-            m_thread.join();
+            if (m_thread.joinable()) {
+                m_thread.join();
+            }
         }
 
         template <typename Work> void run(Work work)
@@ -102,8 +109,9 @@
             if (m_ending.joinable()) {
                 m_ending.join();
             }
-            m_vmLoop.reset();
-            m_vm.reset();
+            endVm();
+            awaitIdlePeer();
+            m_peerLoop.stop();
         }
 
         scripted_upstream& upstream() { return m_upstream; }
@@ -119,12 +127,34 @@
             });
             m_ending = std::thread([this] {
                 m_done.get_future().wait();
-                m_vmLoop.reset();
-                m_vm.reset(); // Closes the connections.
+                endVm();
             });
         }
 
     private:
+        // Waits until the peer has given up what the VM had sent it, which ends with the VM's connections.
+        void awaitIdlePeer()
+        {
+            auto limit = deadlineAfter(peerIdleLimit);
+            std::size_t inFlight = 1;
+            while (inFlight > 0 && !hasPassed(limit, steady_clock::now())) {
+                m_peerLoop.run([&] { inFlight = m_peer->requestForwarder().inFlightRequests(); });
+                std::this_thread::sleep_for(milliseconds(5));
+            }
+            CHECK(inFlight == 0);
+        }
+
+        // Closes the connections, also those that the relay keeps, before the loop that they belong to goes.
+        void endVm()
+        {
+            if (m_vmLoop) {
+                m_vmLoop->stop();
+            }
+            m_relay.reset();
+            m_vm.reset();
+            m_vmLoop.reset();
+        }
+
         void startPeers(milliseconds declineAfter)
         {
             m_peer = std::make_unique<gateway::gateway>(m_peerLoop.io,
@@ -193,12 +223,12 @@
         scripted_upstream m_upstream;
         const unsigned short m_relayPort;
         const unsigned short m_callerPort;
+        loop_thread m_peerLoop; // Stopped before what it uses goes, and destroyed after the sockets in it.
         std::unique_ptr<gateway::gateway> m_peer;
         std::vector<std::unique_ptr<gateway::session_server>> m_servers;
-        loop_thread m_peerLoop; // Ends before what it uses.
+        std::unique_ptr<loop_thread> m_vmLoop; // Likewise, see endVm().
         std::unique_ptr<gateway::request_relay> m_relay;
         std::unique_ptr<gateway::gateway> m_vm;
-        std::unique_ptr<loop_thread> m_vmLoop;
         std::promise<void> m_done;
         std::thread m_ending;
     };
--- a/testing/relayed_account_test.cc
+++ b/testing/relayed_account_test.cc
@@ -5,6 +5,7 @@
 #include "testing/scripted_upstream.h"
 
 #include <Poco/Net/ServerSocket.h>
+#include <array>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -21,6 +22,7 @@
     using std::chrono::milliseconds;
 
     constexpr milliseconds declineTime { 400 }; // Of the first peer.
+    constexpr milliseconds cutOffLimit { 10'000 }; // A check takes one connect timeout.
     constexpr const char* key = "key-of-north";
 
     std::string hostOf(int number) { return "127.0.0." + std::to_string(number); }
@@ -73,10 +75,11 @@
                 });
                 addServer(3, [this](auto request) { return m_peer.serveRelayed(std::move(request)); });
                 std::vector<placement::upstream_entry> unreachable;
-                for (const char* id : { "x0", "x1", "x2" }) {
-                    unreachable.push_back({ .id = id,
+                for (auto& each : m_refusing) {
+                    each.bind(Poco::Net::SocketAddress(hostOf(1), 0));
+                    unreachable.push_back({ .id = "x" + std::to_string(unreachable.size()),
                         .service = "s",
-                        .address = "127.0.0.1:" + std::to_string(freePort()),
+                        .address = each.address().toString(),
                         .slots = 3 });
                 }
                 registerUpstreams(m_vm, unreachable);
@@ -136,14 +139,16 @@
             run([&] {
                 m_vm.requestForwarder().reachability().setListener([&](bool) { cutOff.set_value(); });
             });
+            auto isCutOff = cutOff.get_future();
             auto caller = connect();
             caller.sendRequest(
                 "GET", "/once/a", "first", 3'000, {}, std::string("Authorization: Bearer ") + key + "\r\n");
-            cutOff.get_future().wait();
+            CHECK(isCutOff.wait_for(cutOffLimit) == std::future_status::ready);
             caller.receive();
             run([&] { m_vm.requestForwarder().reachability().setListener({}); });
         }
 
+        std::array<Poco::Net::ServerSocket, 3> m_refusing; // Nobody listens on their ports, nor gets them.
         scripted_upstream m_upstream;
         const unsigned short m_relayPort;
         const unsigned short m_callerPort;
