--- a/testing/planned_stop_relay_test.cc
+++ b/testing/planned_stop_relay_test.cc
@@ -26,6 +26,8 @@
 
     constexpr milliseconds stopTime { 2'000 }; // Until the requests that are left are given up.
 
+    constexpr milliseconds peerIdleLimit { 2'000 };
+
     asio::ip::address_v4 hostAddress(int number)
     {
         return asio::ip::make_address_v4("127.0.0." + std::to_string(number));
@@ -63,7 +65,7 @@
 
         ~loop_thread() { stop(); }
 
-        // Ends the loop, whose event loop object stays for what still refers to it.
+        // Ends the thread; what waits in the loop is destroyed with it.
         void stop()
         {
             io.stop();
@@ -108,6 +110,7 @@
                 m_ending.join();
             }
             endVm();
+            awaitIdlePeer();
             m_peerLoop.stop();
         }
 
@@ -129,12 +132,27 @@
         }
 
     private:
-        // Ends the VM's loop and closes its connections, whose sockets must not outlive the loop.
+        // Waits until the peer has given up what the VM had sent it, which ends with the VM's connections.
+        void awaitIdlePeer()
+        {
+            auto limit = deadlineAfter(peerIdleLimit);
+            std::size_t inFlight = 1;
+            while (inFlight > 0 && !hasPassed(limit, steady_clock::now())) {
+                m_peerLoop.run([&] { inFlight = m_peer->requestForwarder().inFlightRequests(); });
+                std::this_thread::sleep_for(milliseconds(5));
+            }
+            CHECK(inFlight == 0);
+        }
+
+        // Closes the connections, also those that the relay keeps, before the loop that they belong to goes.
         void endVm()
         {
-            m_vmLoop->stop();
-            m_vm.reset();
+            if (m_vmLoop) {
+                m_vmLoop->stop();
+            }
             m_relay.reset();
+            m_vm.reset();
+            m_vmLoop.reset();
         }
 
         void startPeers(milliseconds declineAfter)
@@ -205,10 +223,10 @@
         scripted_upstream m_upstream;
         const unsigned short m_relayPort;
         const unsigned short m_callerPort;
-        loop_thread m_peerLoop; // Outlives the peers.
+        loop_thread m_peerLoop; // Stopped before what it uses goes, and destroyed after the sockets in it.
         std::unique_ptr<gateway::gateway> m_peer;
         std::vector<std::unique_ptr<gateway::session_server>> m_servers;
-        std::unique_ptr<loop_thread> m_vmLoop; // Outlives the VM and its relay.
+        std::unique_ptr<loop_thread> m_vmLoop; // Likewise, see endVm().
         std::unique_ptr<gateway::request_relay> m_relay;
         std::unique_ptr<gateway::gateway> m_vm;
         std::promise<void> m_done;
