--- a/marlsill/accounts/limit_fleet_test.cc
+++ b/marlsill/accounts/limit_fleet_test.cc
@@ -133,6 +133,7 @@
         void run(milliseconds length)
         {
             scheduleFaults();
+            countShares();
             while (!m_events.empty() && m_events.top().at <= time_point(length)) {
                 auto next = m_events.top();
                 m_events.pop();
@@ -144,6 +145,9 @@
         load_result& resultOf(const std::string& account) { return m_results[account]; }
         std::size_t messages() const { return m_messages; }
 
+        // Returns the most shares of any account that were in use at one time, over all VMs.
+        std::size_t mostShares() const { return m_mostShares; }
+
     private:
         struct event {
             time_point at;
@@ -250,7 +254,8 @@
                 .since = m_membersChangedAt };
         }
 
-        void send(simulated_vm& from, const std::string& host, std::function<void(simulated_vm&)> deliver)
+        void send(
+            simulated_vm& from, const std::string& host, const std::function<void(simulated_vm&)>& deliver)
         {
             ++m_messages;
             auto& to = *m_vms[m_indexes.at(host)];
@@ -425,7 +430,7 @@
             return *m_vms[static_cast<std::size_t>(random(0, static_cast<int>(m_vms.size()) - 1))];
         }
 
-        void repeat(double perSecond, std::function<void()> action)
+        void repeat(double perSecond, const std::function<void()>& action)
         {
             if (perSecond <= 0) {
                 return;
@@ -484,6 +489,21 @@
             schedule(m_now + milliseconds(3'500), [this, &vm] { setMember(vm, true); });
         }
 
+        // A VM that is paused keeps its shares until their leases end.
+        void countShares()
+        {
+            constexpr std::size_t largeFleet = 1'000;
+            for (const auto& load : m_loads) {
+                std::size_t shares = 0;
+                for (const auto& vm : m_vms) {
+                    shares += vm->isUp ? vm->lender->sharesOf(load.account, m_now).first : 0;
+                }
+                m_mostShares = std::max(m_mostShares, shares);
+            }
+            auto interval = m_vms.size() < largeFleet ? milliseconds(25) : milliseconds(200);
+            schedule(m_now + interval, [this] { countShares(); });
+        }
+
         void scheduleFaults()
         {
             repeat(m_faults.pausesPerSecond,
@@ -528,6 +548,7 @@
         std::priority_queue<event> m_events;
         std::uint64_t m_sequence = 0;
         std::size_t m_messages = 0;
+        std::size_t m_mostShares = 0;
         time_point m_membersChangedAt {};
     };
 
@@ -630,6 +651,9 @@
                 fleet.addLoad(load);
             }
             fleet.run(milliseconds(26'000));
+            // Where VMs leave, others see them leave at different times, and count different VMs as holders.
+            auto shares = std::min(each.vms, lenderOptionsFor({}).maxShares);
+            CHECK((each.faults.leavesPerSecond > 0 || fleet.mostShares() <= shares));
             for (const auto& load : loads) {
                 const auto& result = fleet.resultOf(load.account);
                 auto found = checkWindows(result.runs, load.limit);
