--- a/marlsill/cluster/lender_ranking.cc
+++ b/marlsill/cluster/lender_ranking.cc
@@ -54,16 +54,37 @@
     }
 }
 
+// Returns whether a VM is to be ranked now.
+bool lender_ranking::isSettled(const lender_candidate& each, boot_clock::time_point now)
+{
+    auto [found, isNew] = m_seen.try_emplace(each.host, seen_process { each.incarnation, now });
+    auto& seen = found->second;
+    if (seen.incarnation != each.incarnation) {
+        seen = { each.incarnation, now };
+    }
+    bool isFromStart = seen.since < *m_firstUpdateAt + m_options.settleTime;
+    return each.isSelf || isFromStart || now >= seen.since + m_options.settleTime;
+}
+
 void lender_ranking::update(std::span<const lender_candidate> candidates, boot_clock::time_point now)
 {
     std::map<std::string, double, std::less<>> capacities;
     m_unreachable.clear();
+    m_isSettling = false;
+    m_firstUpdateAt = m_firstUpdateAt.value_or(now);
+    std::set<std::string, std::less<>> present;
     for (const auto& each : candidates) {
+        present.insert(each.host);
+        if (!isSettled(each, now)) {
+            m_isSettling = true;
+            continue;
+        }
         capacities.emplace(each.host, each.capacity);
         if (!each.isReachable) {
             m_unreachable.insert(each.host);
         }
     }
+    std::erase_if(m_seen, [&](const auto& item) { return !present.contains(item.first); });
     std::swap(capacities, m_capacities);
     std::vector<std::string> gone;
     for (const auto& [host, capacity] : capacities) {
--- a/marlsill/cluster/lender_ranking.h
+++ b/marlsill/cluster/lender_ranking.h
@@ -14,6 +14,7 @@
 #include "marlsill/accounts/limit_lender.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -27,6 +28,8 @@
     std::string host;
     double capacity = 1;
     bool isReachable = true;
+    std::uint64_t incarnation = 0; // Another one is another process.
+    bool isSelf = false;
 };
 
 struct lender_ranking_options {
@@ -35,6 +38,9 @@
     std::size_t keptHosts = 16;
     std::size_t maxLenders = 3; // That a VM asks in turn.
     std::chrono::milliseconds forgetTime { 60'000 }; // Without a look-up.
+    // Until a VM that comes up is ranked: it lends nothing for as long, see limit_lender_options::startDelay.
+    // Those that are known soon after the first update are ranked at once.
+    std::chrono::milliseconds settleTime { 2'000 };
 };
 
 class lender_ranking {
@@ -48,6 +54,9 @@
     // use times the VMs that came or went.
     void update(std::span<const lender_candidate> candidates, boot_clock::time_point now);
 
+    // Returns whether VMs are to be ranked later, so that update() must be called again.
+    bool isSettling() const { return m_isSettling; }
+
     // Returns the order of an account. The first look-up of an account scores all VMs. Valid until the next
     // call of update() or forgetIdle().
     accounts::lender_order orderOf(const std::string& account, boot_clock::time_point now);
@@ -81,7 +90,18 @@
     double scoreOf(const std::string& account, const std::string& host, double capacity) const;
 
     const lender_ranking_options m_options;
-    std::map<std::string, double, std::less<>> m_capacities; // By host.
+    // When a process of a VM was seen first.
+    struct seen_process {
+        std::uint64_t incarnation = 0;
+        boot_clock::time_point since;
+    };
+
+    bool isSettled(const lender_candidate& each, boot_clock::time_point now);
+
+    std::map<std::string, double, std::less<>> m_capacities; // By host; of VMs that are ranked.
+    std::map<std::string, seen_process, std::less<>> m_seen; // By host.
+    std::optional<boot_clock::time_point> m_firstUpdateAt;
+    bool m_isSettling = false;
     std::set<std::string, std::less<>> m_unreachable;
     std::map<std::string, ranked_account, std::less<>> m_accounts;
     boot_clock::time_point m_changedAt {}; // When a VM came or went last.
--- a/marlsill/cluster/lender_ranking_test.cc
+++ b/marlsill/cluster/lender_ranking_test.cc
@@ -39,7 +39,7 @@
         CAPTURE(vms);
         std::mt19937_64 random(5);
         auto all = fleetOf(vms);
-        lender_ranking ranking({});
+        lender_ranking ranking({ .settleTime = std::chrono::milliseconds(0) });
         for (int step = 0; step < 200; ++step) {
             std::vector<lender_candidate> present;
             for (const auto& each : all) {
@@ -84,6 +84,44 @@
     CHECK(ranking.orderOf("a", time_point()).since == time_point(std::chrono::seconds(2)));
 }
 
+TEST_CASE("A VM that comes up is ranked once it lends, and those that are known from the start at once")
+{
+    auto at = [](int ms) { return time_point(std::chrono::milliseconds(ms)); };
+    auto candidates = fleetOf(7);
+    lender_ranking ranking({});
+    ranking.update(std::span(candidates).first(5), at(0));
+    CHECK(ranking.orderOf("a", at(0)).holders.size() == 5);
+    ranking.update(std::span(candidates).first(6), at(1'500)); // This VM still learns of others.
+    CHECK(ranking.orderOf("a", at(1'500)).holders.size() == 6);
+    CHECK_FALSE(ranking.isSettling());
+    struct row {
+        const char* name;
+        int ms;
+        std::size_t vms;
+        std::uint64_t incarnation; // Of the last VM.
+        std::size_t ranked;
+    };
+    const row rows[] = {
+        { "a VM comes up", 10'000, 7, 1, 6 },
+        { "it lends soon", 11'900, 7, 1, 6 },
+        { "it lends", 12'000, 7, 1, 7 },
+        { "it started again, unnoticed", 20'000, 7, 2, 6 },
+        { "it lends again", 22'000, 7, 2, 7 },
+        { "it leaves", 30'000, 6, 2, 6 },
+        { "the same process again", 30'500, 7, 2, 6 },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        candidates.back().incarnation = each.incarnation;
+        ranking.update(std::span(candidates).first(each.vms), at(each.ms));
+        CHECK(ranking.orderOf("a", at(each.ms)).holders.size() == each.ranked);
+        CHECK(ranking.isSettling() == (each.ranked < each.vms));
+    }
+    candidates.back().isSelf = true;
+    ranking.update(candidates, at(31'000));
+    CHECK(ranking.orderOf("a", at(31'000)).holders.size() == 7);
+}
+
 TEST_CASE("Strong VMs lend for most accounts, and accounts that are not used are forgotten")
 {
     lender_ranking ranking({});
