--- a/testing/account_limit_test.cc
+++ b/testing/account_limit_test.cc
@@ -26,6 +26,7 @@
 
 namespace {
 
+    using platform_adapter::account_row;
     using platform_adapter::platformFields;
     using std::chrono::milliseconds;
 
@@ -35,23 +36,12 @@
     constexpr int callTimeoutMs = 1'000;
     constexpr milliseconds window { 5'000 };
 
-    struct account_row {
-        std::string name;
-        double ratePerS = 0;
-        double burst = 0;
-    };
-
     // Returns a configuration in which the key of each account is "key-" and its name.
     nlohmann::json configurationWith(int version, const std::vector<account_row>& accounts)
     {
         auto object = platform_adapter::configurationObject(
             version, "h.example", service, { { "repeat", "/repeat/" } });
-        auto rows = nlohmann::json::array();
-        for (const auto& each : accounts) {
-            rows.push_back({ each.name, { "key-" + each.name }, 0, each.ratePerS, each.burst });
-        }
-        object["tenants"]
-            = { { "columns", { "name", "apiKeys", "priority", "ratePerS", "burst" } }, { "rows", rows } };
+        platform_adapter::addAccounts(object, accounts);
         return object;
     }
 
@@ -230,7 +220,7 @@
     int allowedInWindow(const account_row& account)
     {
         auto seconds = std::chrono::duration<double>(window).count();
-        return static_cast<int>((account.ratePerS * seconds + account.burst) * 1.1 + 20);
+        return static_cast<int>((account.requestsPerSecond * seconds + account.burst) * 1.1 + 20);
     }
 
     void report(const std::string& name, const account_calls& calls, int most, int allowed)
@@ -278,7 +268,7 @@
         CHECK(calls.limitedWithoutTime == 0);
         CHECK(calls.others == 0);
         CHECK(calls.refused <= calls.sent / 50);
-        auto expected = each.account.ratePerS * std::chrono::duration<double>(length).count();
+        auto expected = each.account.requestsPerSecond * std::chrono::duration<double>(length).count();
         CHECK(fleet.runsOf("large", startedAt) >= static_cast<int>(0.9 * expected));
         auto others = fleet.callsOf("within");
         report(std::string(each.name) + ", the account within its limit", others,
