--- a/marlsill/accounts/limit_fleet_test.cc
+++ b/marlsill/accounts/limit_fleet_test.cc
@@ -26,6 +26,7 @@
 
     constexpr milliseconds tickInterval { 20 };
     constexpr milliseconds maxWait { 400 };
+    constexpr milliseconds rankedAfter { 2'000 };
     constexpr milliseconds warmUp { 4'000 }; // Start delay and first leases.
 
     // What goes wrong in a simulated fleet, at random moments.
@@ -123,6 +124,13 @@
             }
         }
 
+        // Stops the first holder of the shares of an account as planned; it comes back after 3 s.
+        void stopFirstHolder(const std::string& account, milliseconds at)
+        {
+            auto* vm = m_vms[m_orders.at(account).front()].get();
+            schedule(time_point(at), [this, vm] { leave(*vm); });
+        }
+
         // Kills the first holder of the shares of an account, for good.
         void killFirstHolder(const std::string& account, milliseconds at)
         {
@@ -133,6 +141,7 @@
         void run(milliseconds length)
         {
             scheduleFaults();
+            countShares();
             while (!m_events.empty() && m_events.top().at <= time_point(length)) {
                 auto next = m_events.top();
                 m_events.pop();
@@ -144,6 +153,9 @@
         load_result& resultOf(const std::string& account) { return m_results[account]; }
         std::size_t messages() const { return m_messages; }
 
+        // Returns the most shares of any account that were in use at one time, over all VMs.
+        std::size_t mostShares() const { return m_mostShares; }
+
     private:
         struct event {
             time_point at;
@@ -250,7 +262,8 @@
                 .since = m_membersChangedAt };
         }
 
-        void send(simulated_vm& from, const std::string& host, std::function<void(simulated_vm&)> deliver)
+        void send(
+            simulated_vm& from, const std::string& host, const std::function<void(simulated_vm&)>& deliver)
         {
             ++m_messages;
             auto& to = *m_vms[m_indexes.at(host)];
@@ -425,7 +438,7 @@
             return *m_vms[static_cast<std::size_t>(random(0, static_cast<int>(m_vms.size()) - 1))];
         }
 
-        void repeat(double perSecond, std::function<void()> action)
+        void repeat(double perSecond, const std::function<void()>& action)
         {
             if (perSecond <= 0) {
                 return;
@@ -481,7 +494,23 @@
             }
             setMember(vm, false);
             schedule(m_now + milliseconds(2'500), [this, &vm] { kill(vm, milliseconds(500)); });
-            schedule(m_now + milliseconds(3'500), [this, &vm] { setMember(vm, true); });
+            // Others rank it again once it lends; see lender_ranking_options::settleTime.
+            schedule(m_now + milliseconds(3'500) + rankedAfter, [this, &vm] { setMember(vm, true); });
+        }
+
+        // A VM that is paused keeps its shares until their leases end.
+        void countShares()
+        {
+            constexpr std::size_t largeFleet = 1'000;
+            for (const auto& load : m_loads) {
+                std::size_t shares = 0;
+                for (const auto& vm : m_vms) {
+                    shares += vm->isUp ? vm->lender->sharesOf(load.account, m_now).first : 0;
+                }
+                m_mostShares = std::max(m_mostShares, shares);
+            }
+            auto interval = m_vms.size() < largeFleet ? milliseconds(25) : milliseconds(200);
+            schedule(m_now + interval, [this] { countShares(); });
         }
 
         void scheduleFaults()
@@ -528,6 +557,7 @@
         std::priority_queue<event> m_events;
         std::uint64_t m_sequence = 0;
         std::size_t m_messages = 0;
+        std::size_t m_mostShares = 0;
         time_point m_membersChangedAt {};
     };
 
@@ -630,6 +660,9 @@
                 fleet.addLoad(load);
             }
             fleet.run(milliseconds(26'000));
+            // Where VMs leave, others see them leave at different times, and count different VMs as holders.
+            auto shares = std::min(each.vms, lenderOptionsFor({}).maxShares);
+            CHECK((each.faults.leavesPerSecond > 0 || fleet.mostShares() <= shares));
             for (const auto& load : loads) {
                 const auto& result = fleet.resultOf(load.account);
                 auto found = checkWindows(result.runs, load.limit);
@@ -751,4 +784,20 @@
     }
 }
 
+TEST_CASE("A planned stop of a lender, and its return, refuse hardly any request within the limit")
+{
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        CAPTURE(seed);
+        simulated_fleet fleet(100, {}, seed);
+        fleet.addLoad({ "a", { 50, 50, 1 }, 30 });
+        fleet.stopFirstHolder("a", milliseconds(10'000));
+        fleet.run(milliseconds(25'000));
+        const auto& refusals = fleet.resultOf("a").refusals;
+        auto refused = std::count_if(
+            refusals.begin(), refusals.end(), [](auto at) { return at >= time_point(warmUp); });
+        MESSAGE("seed " << seed << ": " << refused << " refused of " << fleet.resultOf("a").sent);
+        CHECK(refused <= 15); // Half a second of requests.
+    }
+}
+
 }
