--- a/marlsill/cluster/peer_message_test.cc
+++ b/marlsill/cluster/peer_message_test.cc
@@ -143,14 +143,16 @@
             "76016177f5",
             [](const auto& message) {
                 return message.wantsMembers && message.members.size() == 1
-                    && message.members[0].capacity == 0.25 && !message.members[0].isCutOff;
+                    && message.members[0].capacity == 0.25 && !message.members[0].isCutOff
+                    && !message.members[0].hasStaleKeys && !message.freshnessQuery
+                    && !message.freshnessAnswer;
             } },
         { "members, one of them cut off, bd4cff1",
             "a4616d82876831302e302e302e3161616b31302e302e302e313a3830050601fa3e800000886831302e302e302e326162"
             "6b31302e302e302e323a3830070802fa3f800000f561736831302e302e302e316176016177f5",
             [](const auto& message) {
                 return message.members.size() == 2 && message.members[1].isCutOff
-                    && message.members[1].state == member_state::leaving;
+                    && !message.members[1].hasStaleKeys && message.members[1].state == member_state::leaving;
             } },
         { "evidence, loads, crashes, limits and permits, e523fb3",
             "a861638185186302627531010061658182627531056168f5616f8183627532fa40900000006173"
@@ -181,6 +183,25 @@
                 return message.configuration && message.configuration->version == 3
                     && message.configuration->bytes == "{}";
             } },
+        { "a query on freshness, the build that adds it",
+            "a36266711bfedcba987654321061736831302e302e302e31617601",
+            [](const auto& message) {
+                return message.freshnessQuery == 0xfedcba9876543210 && !message.freshnessAnswer;
+            } },
+        { "an answer on freshness, the build that adds it",
+            "a3626661831bfedcba9876543210091902ee61736831302e302e302e31617601",
+            [](const auto& message) {
+                return message.freshnessAnswer && message.freshnessAnswer->query == 0xfedcba9876543210
+                    && message.freshnessAnswer->configurationVersion == 9
+                    && message.freshnessAnswer->ageMs == 750;
+            } },
+        { "a member that cannot check keys, the build that adds it",
+            "a3616d81896831302e302e302e3161616b31302e302e302e313a3830050601fa3e800000f4f561736831302e302e302e"
+            "31617601",
+            [](const auto& message) {
+                return message.members.size() == 1 && message.members[0].hasStaleKeys
+                    && !message.members[0].isCutOff;
+            } },
     };
     for (const auto& each : rows) {
         CAPTURE(std::string(each.name));
