--- a/marlsill/cluster/store_relay_test.cc
+++ b/marlsill/cluster/store_relay_test.cc
@@ -219,6 +219,33 @@
     }
 }
 
+TEST_CASE("Every VM knows the other watchers, and those of its failure domain")
+{
+    struct row {
+        int vms;
+        int domains;
+        int watchersOfDomain;
+    };
+    const row rows[] = { { 1, 1, 1 }, { 8, 1, 2 }, { 8, 2, 1 }, { 30, 3, 1 } };
+    for (const auto& each : rows) {
+        CAPTURE(each.vms);
+        virtual_fleet fleet(each.vms, each.domains);
+        fleet.run(milliseconds(5'000));
+        for (const auto& [host, node] : fleet.nodes) {
+            int own = node.relay->isWatching() ? 1 : 0;
+            CHECK(node.relay->electedHostsOfDomain().size()
+                == static_cast<std::size_t>(each.watchersOfDomain - own));
+            CHECK(node.relay->electedHosts().size()
+                == static_cast<std::size_t>(each.watchersOfDomain * each.domains - own));
+            for (const auto& watcher : node.relay->electedHostsOfDomain()) {
+                CHECK(fleet.nodes.at(watcher).relay->isWatching());
+                CHECK(fleet.nodes.at(watcher).members->self().failureDomain
+                    == node.members->self().failureDomain);
+            }
+        }
+    }
+}
+
 TEST_CASE("VMs that start together and learn of each other slowly do not all watch the store")
 {
     // Guards against each VM of a large fleet listing all upstreams because it knows too few others.
