--- a/marlsill/http/internal/header_check.cc
+++ b/marlsill/http/internal/header_check.cc
@@ -77,6 +77,22 @@
     return false;
 }
 
+bool hasValidStatusLine(std::string_view block)
+{
+    constexpr std::string_view protocol = "HTTP/1.";
+    constexpr std::size_t statusAt = protocol.size() + 2; // After the minor version and a space.
+    constexpr std::size_t statusEnd = statusAt + 3;
+    auto isDigit = [](char character) { return character >= '0' && character <= '9'; };
+    auto line = block.substr(0, block.find("\r\n"));
+    if (line.size() < statusEnd || !line.starts_with(protocol) || line[statusAt - 1] != ' '
+        || !isDigit(line[protocol.size()]) || (line.size() > statusEnd && line[statusEnd] != ' ')) {
+        return false;
+    }
+    auto status = line.substr(statusAt, statusEnd - statusAt);
+    return std::all_of(status.begin(), status.end(), isDigit) && status.front() >= '1'
+        && status.front() <= '5';
+}
+
 bool isFieldValue(std::string_view value) { return !hasControlCharacter(value); }
 
 bool addFields(std::string_view block, Poco::Net::HTTPMessage& head, int maxFields)
--- a/marlsill/http/internal/header_check.h
+++ b/marlsill/http/internal/header_check.h
@@ -14,9 +14,11 @@
 #include <Poco/Exception.h>
 #include <Poco/MemoryStream.h>
 #include <Poco/Net/HTTPMessage.h>
+#include <Poco/Net/HTTPResponse.h>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <type_traits>
 
 namespace marlsill::http::internal {
 
@@ -39,6 +41,10 @@
 // section 5.6.2).
 bool isValidHeaderBlock(std::string_view block);
 
+// Returns whether the first line of a header block is an HTTP/1.x status line with a status of three digits
+// from 100 to 599 (RFC 9112, section 4).
+bool hasValidStatusLine(std::string_view block);
+
 // Returns whether a field with this value can be written without ending its line (RFC 9110, section 5.5).
 bool isFieldValue(std::string_view value);
 
@@ -52,6 +58,9 @@
     if (!isValidHeaderBlock(block)) {
         return false;
     }
+    if (std::is_same_v<Head, Poco::Net::HTTPResponse> && !hasValidStatusLine(block)) {
+        return false;
+    }
     auto startLine = std::string(block.substr(0, block.find("\r\n"))) + "\r\n\r\n";
     try {
         Poco::MemoryInputStream stream(startLine.data(), static_cast<std::streamsize>(startLine.size()));
--- a/marlsill/http/message_reader_test.cc
+++ b/marlsill/http/message_reader_test.cc
@@ -1,5 +1,7 @@
 #include "marlsill/http/message_reader.h"
 
+#include "marlsill/http/message_parser.h"
+
 #include <Poco/Net/ServerSocket.h>
 #include <doctest/doctest.h>
 
@@ -75,6 +77,37 @@
     }
 }
 
+TEST_CASE("A response whose status is not one of a final response is malformed")
+{
+    // Guards against status 000, 600 and the like, or a number that only a lenient reader sees, being
+    // delivered to a caller. Both readers of responses must agree.
+    struct row {
+        std::string statusLine;
+        bool isValid;
+    };
+    const row rows[] = { { "HTTP/1.1 200 OK", true }, { "HTTP/1.1 200", true }, { "HTTP/1.0 200 OK", true },
+        { "HTTP/1.1 299 X", true }, { "HTTP/1.1 404 Not Found", true }, { "HTTP/1.1 599 X", true },
+        { "HTTP/1.1 000 X", false }, { "HTTP/1.1 001 X", false }, { "HTTP/1.1 099 X", false },
+        { "HTTP/1.1 101 X", false }, { "HTTP/1.1 600 X", false }, { "HTTP/1.1 700 X", false },
+        { "HTTP/1.1 999 X", false }, { "HTTP/1.1 2 X", false }, { "HTTP/1.1 20 X", false },
+        { "HTTP/1.1 2000 X", false }, { "HTTP/1.1 +20 X", false }, { "HTTP/1.1 -20 X", false },
+        { "HTTP/1.1 2x0 X", false }, { "HTTP/1.1 0xC8 X", false }, { "HTTP/1.1  200 X", false },
+        { "HTTP/1.1 200X", false }, { "HTTP/1.1\t200 X", false }, { "XTTP/1.1 200 X", false },
+        { "HTTP/2 200 X", false }, { "HTTP/1.x 200 X", false }, { "HTTP/1.1 ", false }, { "200 OK", false } };
+    for (const auto& each : rows) {
+        CAPTURE(each.statusLine);
+        auto bytes = each.statusLine + "\r\nContent-Length: 2\r\n\r\nok";
+        connected_pair pair;
+        pair.sendAndClose(bytes);
+        response_message response;
+        CHECK(readResponse(pair.local, response, "GET", {}, soon())
+            == (each.isValid ? read_status::complete : read_status::malformed));
+        response_parser parser(false);
+        CHECK(parser.parse(bytes, response, {})
+            == (each.isValid ? parse_status::complete : parse_status::malformed));
+    }
+}
+
 TEST_CASE("requests with ambiguous framing are malformed")
 {
     struct test_case {
--- a/testing/gateway_test.cc
+++ b/testing/gateway_test.cc
@@ -335,6 +335,22 @@
     }
 }
 
+TEST_CASE("A response with a status that is none is not delivered")
+{
+    // Guards against an upstream's status 000 reaching a caller, and against 1xx responses that never end.
+    const std::string lines[] = { "HTTP/1.1 000 None", "HTTP/1.1 099 X", "HTTP/1.1 600 X", "HTTP/1.1 999 X",
+        "HTTP/1.1 +20 X", "HTTP/1.1 20 X", "HTTP/1.1 2000 X", "XTTP/1.1 200 X", "HTTP/1.1 101 X" };
+    gateway_fixture tested(1);
+    for (const auto& line : lines) {
+        CAPTURE(line);
+        tested.upstream(0).setStatusLine(line);
+        tested.upstream(0).plan({ upstream_step::oddStatus });
+        auto answered = tested.sendAndReceive("POST", "/once/a", "r" + line, 2'000, "b");
+        CHECK(answered.status == 502);
+        CHECK(tested.runsOf("r" + line) == 1);
+    }
+}
+
 TEST_CASE("An earlier refusal that an upstream repeats is not taken for the answer to a later request")
 {
     // Guards against callers that are told "not run" for a request that runs, and against its run at a second
--- a/testing/scripted_upstream.cc
+++ b/testing/scripted_upstream.cc
@@ -97,6 +97,12 @@
     m_turnAwayListener = std::move(listener);
 }
 
+void scripted_upstream::setStatusLine(const std::string& line)
+{
+    std::lock_guard lock(m_mutex);
+    m_statusLine = line;
+}
+
 int scripted_upstream::runsOf(const std::string& request) const
 {
     std::lock_guard lock(m_mutex);
@@ -359,6 +365,25 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(20));
         sendText(socket, whole);
         return true;
+    case upstream_step::copyBeforeNext: {
+        // The answer to a HEAD request announces a body that it does not have.
+        auto copied = head.starts_with("HEAD ") ? whole.substr(0, whole.size() - m_body.size()) : whole;
+        sendText(socket, copied);
+        if (buffer.empty() && !receive()) {
+            return false;
+        }
+        sendText(socket, copied);
+        return true;
+    }
+    case upstream_step::oddStatus: {
+        std::string statusLine;
+        {
+            std::lock_guard lock(m_mutex);
+            statusLine = m_statusLine;
+        }
+        sendText(socket, statusLine + whole.substr(whole.find("\r\n")));
+        return true;
+    }
     case upstream_step::unsealed:
         sendText(socket,
             "HTTP/1.1 200 OK\r\n" + m_fields.requestId + ": " + request + "\r\n" + stateFields()
--- a/testing/scripted_upstream.h
+++ b/testing/scripted_upstream.h
@@ -57,6 +57,8 @@
     early, // Answers before it has read the body, and keeps the connection.
     turnAway, // Says that it has not run it, with 503 and a Retry-After field.
     turnAwayUnstated, // Likewise, without saying that it has not run it.
+    oddStatus, // Runs it and answers with the status line of setStatusLine().
+    copyBeforeNext, // Answers, and sends the answer once more when the next request has arrived.
 };
 
 class scripted_upstream {
@@ -92,6 +94,9 @@
     // name the upstream, in X-Answered-By.
     void setLeavingField(const std::string& value);
 
+    // Sets the status line of `oddStatus`, without its line end.
+    void setStatusLine(const std::string& line);
+
     // Returns when requests arrived, in order.
     std::vector<std::chrono::steady_clock::time_point> arrivalTimes() const;
 
@@ -167,6 +172,7 @@
     std::map<std::string, int> m_runs;
     std::string m_lastHead;
     std::string m_leavingField; // Empty: answers have none.
+    std::string m_statusLine = "HTTP/1.1 000 None";
     std::string m_crashText; // Empty: no request crashes the upstream.
     std::vector<Poco::Net::StreamSocket> m_open;
     std::vector<std::thread> m_threads;
