--- a/marlsill/gateway/connection_pool.cc
+++ b/marlsill/gateway/connection_pool.cc
@@ -12,14 +12,18 @@
         return nullptr;
     }
     auto& connections = found->second;
-    while (!connections.empty()) {
-        auto connection = connections.back();
+    for (auto index = connections.size(); index-- > 0;) {
+        auto connection = connections[index];
         bool isFresh = connection->idleSince() + requirements.maxIdle > now
             && !hasPassed(connection->keepAliveUntil(), now);
         if (!isFresh) {
             return nullptr; // The others have been idle even longer.
         }
-        connections.pop_back();
+        if (connection->isForHead() != requirements.isHead
+            || connection->hasCarried(requirements.requestHash)) {
+            continue;
+        }
+        connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(index));
         connection->stopWatching();
         if (connection->hasNoPendingInput()) {
             return connection;
--- a/marlsill/gateway/connection_pool.h
+++ b/marlsill/gateway/connection_pool.h
@@ -25,6 +25,8 @@
 // What a request requires of a pooled connection.
 struct connection_requirements {
     std::chrono::milliseconds maxIdle { 60'000 }; // Since its last response.
+    std::uint64_t requestHash = 0; // Of the request's id, which it must not have carried; 0: any.
+    bool isHead = false; // Whether it must have carried HEAD requests only, or none.
 };
 
 class connection_pool {
@@ -34,8 +36,8 @@
     {
     }
 
-    // Removes and returns the most recently used connection that is open, has no unread input and has not
-    // been idle for too long. Returns nullptr if there is none.
+    // Removes and returns the most recently used connection that is open, has no unread input and meets the
+    // requirements. Returns nullptr if there is none.
     std::shared_ptr<upstream_connection> take(const std::string& upstream,
         const connection_requirements& requirements, steady_clock::time_point now);
 
--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -3,6 +3,7 @@
 #include "marlsill/base/hash.h"
 #include "marlsill/events/events.h"
 #include "marlsill/gateway/endpoint.h"
+#include "marlsill/gateway/response_match.h"
 #include "marlsill/http/message_writer.h"
 #include "marlsill/supervisor/loop_guard.h"
 
@@ -382,31 +383,6 @@
     return http::serialize(forwarded);
 }
 
-bool forwarder::isResponseTo(
-    const active_request& current, const attempt& thisAttempt, const http::response_message& response) const
-{
-    if (response.head.has(m_wire.requestId)) {
-        return response.head.get(m_wire.requestId) == current.id;
-    }
-    if (current.id.empty()) {
-        return true;
-    }
-    // On a kept connection, a refusal that names no request may be the repetition of an earlier one.
-    bool isRefusal = response.head.has(m_wire.notRun)
-        || response.head.getStatus() == Poco::Net::HTTPResponse::HTTP_MISDIRECTED_REQUEST;
-    return isRefusal && !thisAttempt.outcome.wasReused;
-}
-
-// Returns whether the response to a request can be told apart, on a connection that has carried others, from
-// an earlier response that the upstream repeats. Its id does, unless the request has none or has been at this
-// upstream before.
-bool forwarder::mayReuseConnection(const active_request& current, const attempt& thisAttempt)
-{
-    return !current.id.empty()
-        && std::count(current.triedUpstreams.begin(), current.triedUpstreams.end(), thisAttempt.upstream)
-        <= 1;
-}
-
 // Takes effect at once on what is idle or waits; attempts whose connect is under way look for themselves.
 void forwarder::handleLeaving(const placement::upstream_entry& upstream)
 {
@@ -430,11 +406,13 @@
 asio::awaitable<void> forwarder::runAttempt(
     std::shared_ptr<active_request> current, std::shared_ptr<attempt> thisAttempt)
 {
+    const bool isHead = current->request.head.getMethod() == "HEAD";
     auto defaultMaxIdle
         = current->state.isAtMostOnce ? m_options.maxIdleAtMostOnce : m_options.maxIdleRepeatable;
     auto maxIdle = m_idleLimits.maxIdleOf(current->service, defaultMaxIdle, thisAttempt->startedAt);
-    auto connection = mayReuseConnection(*current, *thisAttempt)
-        ? m_pool.take(thisAttempt->upstream, { maxIdle }, thisAttempt->startedAt)
+    auto connection = mayReuseConnection(current->id, current->triedUpstreams, thisAttempt->upstream)
+        ? m_pool.take(
+            thisAttempt->upstream, { maxIdle, fastHash(current->id), isHead }, thisAttempt->startedAt)
         : nullptr;
     thisAttempt->outcome.wasReused = connection != nullptr;
     if (connection) {
@@ -469,16 +447,18 @@
             ? attempt_outcome::cancelled
             : attempt_outcome::notSent;
     } else {
-        exchange_options options { .isHead = current->request.head.getMethod() == "HEAD",
-            .matchesRequest
-            = [this, current, thisAttempt](
-                  const auto& response) { return isResponseTo(*current, *thisAttempt, response); },
+        exchange_options options { .isHead = isHead,
+            .matchesRequest =
+                [this, current, thisAttempt](const auto& response) {
+                    return isResponseTo(response, m_wire, current->id, thisAttempt->outcome.wasReused);
+                },
             .onHead =
                 [this, thisAttempt](const auto& head) {
                     m_leavingMonitor.recordResponse(
                         thisAttempt->upstream, thisAttempt->upstreamStartedUnixMs, head, steady_clock::now());
                 },
             .limits = { .maxBodyBytes = m_options.maxResponseBytes },
+            .requestHash = fastHash(current->id),
             .buffers = &m_responseBuffers };
         thisAttempt->isSent = true;
         auto result = co_await connection->exchange(serializeFor(*current, *thisAttempt, steady_clock::now()),
@@ -601,7 +581,8 @@
 bool forwarder::recordTurnAway(
     const active_request& current, const attempt& thisAttempt, steady_clock::time_point now)
 {
-    bool isAnswer = thisAttempt.isSent && isResponseTo(current, thisAttempt, thisAttempt.response);
+    bool isAnswer = thisAttempt.isSent
+        && isResponseTo(thisAttempt.response, m_wire, current.id, thisAttempt.outcome.wasReused);
     return isAnswer
         && m_turnAways.recordResponse(
             {
--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -261,9 +261,6 @@
         const active_request& current, const attempt& thisAttempt, steady_clock::time_point now) const;
     void handleLeaving(const placement::upstream_entry& upstream);
     bool isRegisteredAs(const attempt& thisAttempt) const;
-    bool isResponseTo(const active_request& current, const attempt& thisAttempt,
-        const http::response_message& response) const;
-    static bool mayReuseConnection(const active_request& current, const attempt& thisAttempt);
     placement::windowed_retry_budget& retryBudgetOf(const std::string& service);
     void observeServices();
     void wakeNextQueued(const std::string& service);
--- a/marlsill/gateway/gateway.cc
+++ b/marlsill/gateway/gateway.cc
@@ -162,7 +162,11 @@
     if (!canServe) {
         co_return makeDecliningReply("this VM does not take relayed requests now");
     }
-    co_return co_await serve(std::move(request));
+    auto response = co_await serve(std::move(request));
+    if (response) {
+        removeRelayFields(*response); // A decline is this VM's to state, not an upstream's.
+    }
+    co_return response;
 }
 
 asio::awaitable<void> gateway::sweepLoop()
--- a/marlsill/gateway/request_relay.cc
+++ b/marlsill/gateway/request_relay.cc
@@ -1,6 +1,8 @@
 #include "marlsill/gateway/request_relay.h"
 
+#include "marlsill/base/random.h"
 #include "marlsill/events/events.h"
+#include "marlsill/gateway/response_match.h"
 #include "marlsill/http/message_writer.h"
 #include "marlsill/supervisor/loop_guard.h"
 
@@ -25,10 +27,17 @@
     return message;
 }
 
+void removeRelayFields(http::response_message& response)
+{
+    response.head.erase(declinedField);
+    response.head.erase(relaySendingField);
+}
+
 std::optional<std::uint64_t> takeRelayField(served_request& request)
 {
     std::istringstream field(request.message.head.get(relayField, ""));
     request.message.head.erase(relayField);
+    request.message.head.erase(relaySendingField);
     std::uint64_t version = 0;
     bool isCounted = false;
     if (!(field >> request.caller >> version >> request.earlierArrivals >> isCounted)
@@ -40,7 +49,8 @@
     return version;
 }
 
-std::string request_relay::serialize(const active_request& current, steady_clock::time_point now) const
+std::string request_relay::serialize(
+    const active_request& current, const std::string& sending, steady_clock::time_point now) const
 {
     auto relayed = current.request;
     http::removeHopByHopFields(relayed.head);
@@ -51,6 +61,7 @@
     field << current.caller << ' ' << current.config->version() << ' ' << current.state.possibleRuns << ' '
           << current.isCounted;
     relayed.head.set(relayField, field.str());
+    relayed.head.set(relaySendingField, sending);
     return http::serialize(relayed);
 }
 
@@ -58,7 +69,8 @@
     std::string peer, std::shared_ptr<active_request> current)
 {
     auto now = steady_clock::now();
-    auto connection = m_pool.take(peer, { m_options.maxIdle }, now);
+    bool isHead = current->request.head.getMethod() == "HEAD";
+    auto connection = m_pool.take(peer, { .maxIdle = m_options.maxIdle, .isHead = isHead }, now);
     if (connection) {
         co_return connection;
     }
@@ -117,22 +129,25 @@
             break;
         }
         current->relayConnection = connection;
+        const bool wasReused = connection->hasCarriedRequest();
+        const auto sending = std::to_string(threadRandom()());
         exchange_options options { .isHead = current->request.head.getMethod() == "HEAD",
             .matchesRequest =
-                [this, current](const auto& response) {
-                    return response.head.get(m_wire.requestId, current->id) == current->id;
+                [this, current, wasReused, sending](const auto& response) {
+                    return isRelayedResponseTo(response, m_wire, current->id, sending, wasReused);
                 },
             .limits = { .maxBodyBytes = m_options.maxResponseBytes },
             .buffers = &m_buffers };
-        auto result = co_await connection->exchange(
-            serialize(*current, steady_clock::now()), std::move(options), current->effectiveDeadline);
+        auto result = co_await connection->exchange(serialize(*current, sending, steady_clock::now()),
+            std::move(options), current->effectiveDeadline);
         bool isAnswered = result.status == exchange_status::completed;
         bool isRefusedByPeer = isAnswered && isDeclined(result.response);
         logEvent(event::requestRelayed,
             { { "request", current->id }, { "peer", peer },
                 { "status", std::to_string(isAnswered ? result.response.head.getStatus() : 0) },
                 { "declined", isRefusedByPeer ? "1" : "0" } });
-        if (isAnswered && connection->isReusable()) {
+        bool namesSending = result.response.head.has(relaySendingField);
+        if (isAnswered && connection->isReusable() && namesSending) {
             m_pool.put(peer, connection);
         } else {
             connection->abort();
@@ -142,6 +157,7 @@
         }
         outcome.status = isAnswered ? relay_status::answered : relay_status::unknown;
         outcome.response = std::move(result.response);
+        removeRelayFields(outcome.response);
         break;
     }
     co_return outcome;
--- a/marlsill/gateway/request_relay.h
+++ b/marlsill/gateway/request_relay.h
@@ -8,8 +8,10 @@
 //         deliver(std::move(outcome.response));
 //
 // A request takes one hop at most, as a VM relays only what its own callers sent. The VM that receives it
-// either takes it over and returns its final response, or declines it unprocessed. Not thread safe; used from
-// a single event loop.
+// either takes it over and returns its final response, or declines it unprocessed. Every sending has a name
+// of its own, which the response repeats, so that a second copy of an earlier response is not taken for it. A
+// connection to a peer whose build does not repeat the name carries one request only. Not thread safe; used
+// from a single event loop.
 
 #include "marlsill/gateway/connection_pool.h"
 #include "marlsill/gateway/forwarder.h"
@@ -52,6 +54,9 @@
 // Makes the response that declines a relayed request.
 http::response_message makeDecliningReply(std::string_view why);
 
+// Takes the relay's own header fields off a response that a peer has sent.
+void removeRelayFields(http::response_message& response);
+
 // Takes the relay's own header field off a request that a peer has sent, and fills in what the field says.
 // Returns std::nullopt if it is missing or malformed, or the oldest configuration version that may route it.
 std::optional<std::uint64_t> takeRelayField(served_request& request);
@@ -84,7 +89,8 @@
 private:
     static constexpr std::size_t maxResponseBuffers = 32 * 1024 * 1024;
 
-    std::string serialize(const active_request& current, steady_clock::time_point now) const;
+    std::string serialize(
+        const active_request& current, const std::string& sending, steady_clock::time_point now) const;
     asio::awaitable<relay_outcome> tryPeers(
         std::shared_ptr<active_request> current, std::vector<std::string> peers);
     asio::awaitable<std::shared_ptr<upstream_connection>> connectTo(
--- a/marlsill/gateway/session_server.cc
+++ b/marlsill/gateway/session_server.cc
@@ -152,9 +152,9 @@
     if (m_readBuffer.empty() && !m_parser.isReadingBody()) {
         return; // What is held are earlier requests and their responses.
     }
+    sendLocalReply(makeRefusal(), "no memory left");
     std::exchange(m_partialMessage, {});
     m_requestStartedAt = {};
-    sendLocalReply(makeRefusal(), "no memory left");
     discardUnparsed();
     updateHeldBytes();
 }
@@ -221,6 +221,7 @@
 {
     auto current = std::make_shared<pending_request>();
     current->request = std::make_shared<served_request>();
+    current->repeatedValue = repeatedValueOf(message);
     current->request->message = std::move(message);
     current->request->caller = m_caller;
     current->request->arrivedAt = steady_clock::now();
@@ -242,6 +243,12 @@
     spawn([this, current] { return serve(current); });
 }
 
+std::string caller_session::repeatedValueOf(const http::request_message& message) const
+{
+    const auto& field = m_server.m_options.repeatedField;
+    return field.empty() ? std::string() : message.head.get(field, "");
+}
+
 void caller_session::sendLocalReply(int status, std::string_view why)
 {
     sendLocalReply(http::makeResponse(status, "text/plain", std::string(why) + "\n"), why);
@@ -252,6 +259,7 @@
     logEvent(event::callerRequestMalformed, { { "caller", m_caller }, { "why", std::string(why) } });
     auto current = std::make_shared<pending_request>();
     current->response = std::move(response);
+    current->repeatedValue = repeatedValueOf(m_partialMessage);
     current->closesConnection = true;
     m_pipeline.push_back(current);
     m_hasFinalRequest = true;
@@ -297,6 +305,9 @@
         head.erase("Connection");
         head.erase("Keep-Alive");
         head.setVersion("HTTP/1.1");
+        if (!current->repeatedValue.empty()) {
+            head.set(m_server.m_options.repeatedField, current->repeatedValue);
+        }
         if (m_isClosing) {
             m_isReading = false;
             head.set("Connection", "close");
--- a/marlsill/gateway/session_server.h
+++ b/marlsill/gateway/session_server.h
@@ -52,6 +52,9 @@
     // Of what is held for all callers: requests that arrive or are being served, and responses that are not
     // sent yet. May be null; must outlive the server.
     buffer_budget* buffers = nullptr;
+    // Header field whose value each response repeats from its request, also where the server itself responds;
+    // empty: none.
+    std::string repeatedField;
 };
 
 class session_server;
@@ -80,6 +83,7 @@
     struct pending_request {
         std::shared_ptr<served_request> request; // Null for a request that could not be parsed.
         std::optional<http::response_message> response;
+        std::string repeatedValue; // See session_server_options::repeatedField.
         bool closesConnection = false; // The connection closes after this response.
         bool isRefused = false; // There is no memory left for it.
         std::size_t bytes = 0; // Held for it.
@@ -94,6 +98,7 @@
     asio::awaitable<void> writePending();
     asio::awaitable<void> lingerAndClose();
     void acceptRequest(http::request_message message);
+    std::string repeatedValueOf(const http::request_message& message) const;
     void sendLocalReply(int status, std::string_view why);
     void sendLocalReply(http::response_message response, std::string_view why);
     std::size_t unsentBytes() const { return m_writeBuffer.size() + m_sendingBytes; }
--- a/marlsill/gateway/upstream_connection.cc
+++ b/marlsill/gateway/upstream_connection.cc
@@ -3,6 +3,7 @@
 #include "marlsill/base/socket_options.h"
 
 #include <Poco/String.h>
+#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -21,6 +22,7 @@
     constexpr std::size_t readChunkSize = 16 * 1024; // Bytes.
     constexpr std::chrono::milliseconds deadPeerTimeout { 1'500 }; // Several round trips and one lost packet.
     constexpr std::chrono::milliseconds defaultKeepAlive { 4'000 }; // Below the common server default of 5 s.
+    constexpr std::size_t maxRecentRequests = 64; // Copies of responses come within a few requests.
     constexpr std::chrono::milliseconds keepAliveMargin { 1'000 }; // Keep-Alive has a resolution of 1 s.
 
     // Returns the timeout of a Keep-Alive field such as "timeout=5, max=100" in seconds, or 0 if there is
@@ -130,6 +132,12 @@
     auto self = shared_from_this();
     exchange_result result;
     m_isReusable = false;
+    m_isForHead = m_exchangeCount == 0 ? options.isHead : m_isForHead;
+    if (m_recentRequests.size() < maxRecentRequests) {
+        m_recentRequests.push_back(options.requestHash);
+    } else {
+        m_recentRequests[static_cast<std::size_t>(m_exchangeCount) % maxRecentRequests] = options.requestHash;
+    }
     ++m_exchangeCount;
     m_writeBuffer = std::move(bytes);
     boost::system::error_code error;
@@ -226,6 +234,12 @@
     m_socket.close(ignored);
 }
 
+bool upstream_connection::hasCarried(std::uint64_t requestHash) const
+{
+    return requestHash != 0
+        && std::find(m_recentRequests.begin(), m_recentRequests.end(), requestHash) != m_recentRequests.end();
+}
+
 bool upstream_connection::hasNoPendingInput()
 {
     char byte = 0;
--- a/marlsill/gateway/upstream_connection.h
+++ b/marlsill/gateway/upstream_connection.h
@@ -20,6 +20,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace marlsill::gateway {
 
@@ -42,6 +43,7 @@
     // Called when the head of a response has been read, also of those that are skipped. May be empty.
     std::function<void(const Poco::Net::HTTPResponse&)> onHead;
     http::read_limits limits;
+    std::uint64_t requestHash = 0; // Of the request's id; 0: it has none.
     int maxSkippedResponses = 4; // An upstream that sends more is not answering this request.
     buffer_budget* buffers = nullptr; // Of all responses that are being read; may be null.
 };
@@ -84,6 +86,15 @@
     void stopWatching();
 
     bool hasCarriedRequest() const { return m_exchangeCount > 0; }
+
+    // Returns whether one of the last requests on this connection had an id with this hash. A second copy of
+    // its response would be taken for the response to a request with the same id.
+    bool hasCarried(std::uint64_t requestHash) const;
+
+    // Returns whether the first request on this connection was a HEAD request. A second copy of a response to
+    // one is framed unlike a response to any other method, so that a connection carries only one kind.
+    bool isForHead() const { return m_isForHead; }
+
     steady_clock::time_point idleSince() const { return m_idleSince; }
 
     // Returns when to stop reusing the idle connection, which is shortly before the upstream closes it.
@@ -108,6 +119,8 @@
     bool m_isReusable = false;
     bool m_isWriting = false;
     int m_exchangeCount = 0;
+    bool m_isForHead = false;
+    std::vector<std::uint64_t> m_recentRequests; // Hashes of their ids; a ring of limited size.
     std::uint64_t m_watchGeneration = 0;
     steady_clock::time_point m_idleSince {};
     deadline m_keepAliveUntil {};
--- a/testing/gateway_test.cc
+++ b/testing/gateway_test.cc
@@ -335,6 +335,40 @@
     }
 }
 
+TEST_CASE("A second copy of a response is not taken for the response to the next request")
+{
+    // Guards against a copy that the upstream sends once the next request has arrived on the connection.
+    struct row {
+        const char* name;
+        const char* firstMethod;
+        const char* firstId;
+        const char* secondMethod;
+        const char* secondId;
+    };
+    const row rows[] = {
+        { "another id", "GET", "r1", "GET", "r2" },
+        { "the same id", "GET", "r1", "GET", "r1" }, // Of two callers, whose paths differ.
+        { "a copy without its body", "HEAD", "r1", "GET", "r2" },
+        { "a copy with a body that is not expected", "GET", "r1", "HEAD", "r2" },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        gateway_fixture tested(1);
+        tested.upstream(0).plan({ upstream_step::copyBeforeNext });
+        auto first = tested.connect();
+        first.sendRequest(each.firstMethod, "/repeat/a", each.firstId);
+        std::this_thread::sleep_for(milliseconds(100)); // The response to HEAD has no end to wait for.
+        tested.upstream(0).setBody("the second body");
+        tested.upstream(0).setWorkTime(milliseconds(50));
+        auto second = tested.connect();
+        second.sendRequest(each.secondMethod, "/once/b", each.secondId);
+        auto answered = second.receive();
+        CHECK(answered.status == 200);
+        CHECK(answered.has(std::string("X-Request-Id: ") + each.secondId));
+        CHECK(answered.has("Content-Length: 15"));
+    }
+}
+
 TEST_CASE("A response with a status that is none is not delivered")
 {
     // Guards against an upstream's status 000 reaching a caller, and against 1xx responses that never end.
--- a/testing/request_relay_test.cc
+++ b/testing/request_relay_test.cc
@@ -1,10 +1,12 @@
 // Tests of requests that one VM sends through another.
 
 #include "marlsill/gateway/gateway.h"
+#include "marlsill/gateway/response_match.h"
 #include "testing/raw_caller.h"
 #include "testing/scripted_upstream.h"
 
 #include <Poco/Net/ServerSocket.h>
+#include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
@@ -12,6 +14,9 @@
 #include <charconv>
 #include <doctest/doctest.h>
 #include <future>
+#include <mutex>
+#include <optional>
+#include <sys/socket.h>
 #include <thread>
 
 namespace marlsill::testing {
@@ -25,6 +30,10 @@
     constexpr int declining = 2;
     constexpr int breaking = 3; // Ends connections without an answer.
     constexpr int missing = 4; // Nobody listens.
+    constexpr int repeating = 5; // Declines, and repeats that when the next request has arrived.
+    constexpr int repeatingEarlier = 6; // The same, of a build that does not repeat the name of a sending.
+    constexpr int invalid = 7; // Answers with status 000.
+    constexpr int silent = 8; // Takes a request and never answers.
 
     std::string hostOf(int number) { return "127.0.0." + std::to_string(number); }
 
@@ -39,6 +48,105 @@
         return std::make_shared<const gateway::configuration>(5, std::move(routes));
     }
 
+    // A peer whose responses are bytes: it declines the first request of a connection. On the next one it
+    // sends the same again and then 200.
+    class raw_peer {
+    public:
+        raw_peer(int number, unsigned short port)
+            : m_namesSending(number == repeating)
+            , m_isInvalid(number == invalid)
+            , m_isSilent(number == silent)
+            , m_socket(Poco::Net::SocketAddress(hostOf(number), port))
+            , m_thread([this] { acceptLoop(); })
+        {
+        }
+
+        ~raw_peer()
+        {
+            ::shutdown(m_socket.impl()->sockfd(), SHUT_RDWR);
+            {
+                std::lock_guard lock(m_mutex);
+                if (m_connection) {
+                    ::shutdown(m_connection->impl()->sockfd(), SHUT_RDWR);
+                }
+            }
+            m_thread.join();
+        }
+
+        int requests() const { return m_requests; }
+
+    private:
+        void acceptLoop()
+        {
+            try {
+                while (true) {
+                    auto connection = m_socket.acceptConnection();
+                    {
+                        std::lock_guard lock(m_mutex);
+                        m_connection = connection;
+                    }
+                    serve(connection);
+                }
+            } catch (const Poco::Exception&) { // NOLINT(bugprone-empty-catch): shut down.
+            }
+        }
+
+        void serve(Poco::Net::StreamSocket socket)
+        {
+            std::string buffer;
+            std::string earlier;
+            char chunk[4096];
+            while (true) {
+                int count = socket.receiveBytes(chunk, sizeof chunk);
+                if (count <= 0) {
+                    return;
+                }
+                buffer.append(chunk, static_cast<std::size_t>(count));
+                if (!buffer.ends_with("\r\n\r\nbody")) {
+                    continue;
+                }
+                ++m_requests;
+                auto sending = m_namesSending ? fieldLine(buffer, "Marlsill-Relay-Sending") : std::string();
+                buffer.clear();
+                auto send = [&](const std::string& text) {
+                    socket.sendBytes(text.data(), static_cast<int>(text.size()));
+                };
+                if (m_isSilent) {
+                    continue;
+                }
+                if (m_isInvalid) {
+                    send("HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n");
+                    continue;
+                }
+                if (earlier.empty()) {
+                    earlier = "HTTP/1.1 421 Declined\r\nMarlsill-Relay-Declined: 1\r\n" + sending
+                        + "Content-Length: 0\r\n\r\n";
+                    send(earlier);
+                    continue;
+                }
+                send(earlier);
+                std::this_thread::sleep_for(milliseconds(50));
+                send("HTTP/1.1 200 OK\r\n" + sending + "Content-Length: 2\r\n\r\nok");
+            }
+        }
+
+        static std::string fieldLine(const std::string& head, const std::string& name)
+        {
+            auto start = head.find(name + ": ");
+            return start == std::string::npos ? std::string()
+                                              : head.substr(start, head.find("\r\n", start) + 2 - start);
+        }
+
+        const bool m_namesSending;
+        const bool m_isInvalid;
+        const bool m_isSilent;
+        std::atomic<int> m_requests = 0;
+        std::mutex m_mutex; // Guards the next member.
+        std::optional<Poco::Net::StreamSocket> m_connection;
+        Poco::Net::ServerSocket m_socket;
+        std::thread m_thread;
+    };
+
     // A VM that takes relayed requests, and its peers, all on one thread and one port of several hosts.
     class relay_fixture {
     public:
@@ -72,8 +180,17 @@
         }
 
         scripted_upstream& upstream() { return m_upstream; }
+        unsigned short port() const { return m_port; }
         std::string address() const { return hostOf(serving) + ":" + std::to_string(m_port); }
 
+        // Returns how many connections are open to the peer that serves.
+        std::size_t openConnections()
+        {
+            std::promise<std::size_t> count;
+            asio::post(m_io, [&] { count.set_value(m_servers.front()->connections()); });
+            return count.get_future().get();
+        }
+
         // Relays a request through the first of some hosts that takes it.
         gateway::relay_outcome relay(const std::vector<int>& hosts, const std::string& id)
         {
@@ -108,7 +225,8 @@
             m_servers.push_back(std::make_unique<gateway::session_server>(m_io,
                 gateway::session_server_options {
                     .endpoint = { asio::ip::make_address_v4(hostOf(number)), m_port },
-                    .limits = [] { return gateway::caller_limits(); } },
+                    .limits = [] { return gateway::caller_limits(); },
+                    .repeatedField = gateway::relaySendingField },
                 std::move(serve)));
             REQUIRE_FALSE(m_servers.back()->start());
         }
@@ -163,6 +281,80 @@
     }
 }
 
+TEST_CASE("A response that a peer repeats is not taken for the answer to a later relayed request")
+{
+    // Guards against a repeated refusal, after which a request that runs at one peer is sent to another.
+    relay_fixture fleet;
+    for (int peer : { repeating, repeatingEarlier }) {
+        CAPTURE(peer);
+        raw_peer repeater(peer, fleet.port());
+        auto id = "first" + std::to_string(peer);
+        CHECK(fleet.relay({ peer, serving }, id).status == gateway::relay_status::answered);
+        CHECK(fleet.upstream().runsOf(id) == 1);
+        id = "second" + std::to_string(peer);
+        auto outcome = fleet.relay({ peer, serving }, id);
+        CHECK(outcome.status == gateway::relay_status::answered);
+        CHECK(repeater.requests() == 2);
+        // The peer answers with 200 on a kept connection, and declines on a new one.
+        CHECK(outcome.response.body.size() == (peer == repeating ? 2 : 14));
+        CHECK(fleet.upstream().runsOf(id) == (peer == repeating ? 0 : 1));
+        CHECK_FALSE(outcome.response.head.has(gateway::relaySendingField));
+    }
+}
+
+TEST_CASE("A kept connection to a peer that names sendings carries further requests")
+{
+    // Guards against a new connection for each relayed request, which a VM that is cut off cannot afford.
+    relay_fixture fleet;
+    for (int round = 0; round < 5; ++round) {
+        auto outcome = fleet.relay({ serving }, "r" + std::to_string(round));
+        CHECK(outcome.status == gateway::relay_status::answered);
+        CHECK_FALSE(outcome.response.head.has(gateway::relaySendingField));
+    }
+    CHECK(fleet.upstream().lastHead().find("Marlsill-Relay") == std::string::npos);
+    CHECK(fleet.openConnections() == 1);
+}
+
+TEST_CASE("A response with a status that is none is not taken from a peer, nor one of an upstream from there")
+{
+    // Guards against status 000 reaching the caller of a VM that is cut off.
+    relay_fixture fleet;
+    for (const std::string line : { "HTTP/1.1 000 None", "HTTP/1.1 999 X", "HTTP/1.1 600 X" }) {
+        CAPTURE(line);
+        fleet.upstream().setStatusLine(line);
+        fleet.upstream().plan(std::vector(4, upstream_step::oddStatus));
+        auto outcome = fleet.relay({ serving }, line);
+        CHECK(outcome.status == gateway::relay_status::answered);
+        CHECK(outcome.response.head.getStatus() == 502);
+    }
+    fleet.upstream().plan({});
+    raw_peer peer(invalid, fleet.port());
+    CHECK(fleet.relay({ invalid, serving }, "odd").status == gateway::relay_status::unknown);
+    CHECK(fleet.upstream().runsOf("odd") == 0);
+}
+
+TEST_CASE("A relayed request at a peer that falls silent is neither sent to another nor reported as not run")
+{
+    // Guards against work that still runs at a slow VM being started again elsewhere.
+    relay_fixture fleet;
+    raw_peer peer(silent, fleet.port());
+    auto outcome = fleet.relay({ silent, serving }, "r1");
+    CHECK(peer.requests() == 1);
+    CHECK(outcome.status == gateway::relay_status::unknown);
+    CHECK(fleet.upstream().runsOf("r1") == 0);
+}
+
+TEST_CASE("A statement in an upstream's response is not taken for the peer's decline")
+{
+    // Guards against a request that has run being sent to another peer.
+    relay_fixture fleet;
+    fleet.upstream().setStatusLine("HTTP/1.1 200 OK\r\nMarlsill-Relay-Declined: 1");
+    fleet.upstream().plan({ upstream_step::oddStatus });
+    auto outcome = fleet.relay({ serving, serving }, "r1");
+    CHECK(outcome.status == gateway::relay_status::answered);
+    CHECK(fleet.upstream().runsOf("r1") == 1);
+}
+
 TEST_CASE("A VM takes relayed requests only from whom its configuration is no older than")
 {
     struct row {
