--- a/marlsill/gateway/gateway.cc
+++ b/marlsill/gateway/gateway.cc
@@ -67,7 +67,11 @@
     return failure;
 }
 
-bool gateway::isBusy() const { return m_forwarder.inFlightRequests() > 0 || m_callerServer.isBusy(); }
+bool gateway::isBusy() const
+{
+    return m_forwarder.inFlightRequests() > 0 || m_callerServer.isBusy()
+        || (m_relayServer && m_relayServer->isBusy());
+}
 
 bool gateway::isReady() const
 {
@@ -189,6 +193,9 @@
     m_exitDeadline = exitDeadline;
     m_forwarder.beginStop({ steady_clock::now(), exitDeadline });
     m_callerServer.beginDrain();
+    if (m_relayServer) {
+        m_relayServer->beginDrain(idle_connections::keep);
+    }
     spawnSupervised(m_io, "drain", [this, onDone = std::move(onDone)] { return drainLoop(onDone); });
 }
 
@@ -210,6 +217,10 @@
     if (m_relay) {
         m_relay->expireRequests();
     }
+    m_callerServer.refuseUnfinished();
+    if (m_relayServer) {
+        m_relayServer->refuseUnfinished();
+    }
     auto writeUntil = deadlineAfter(finalWriteTime);
     while (isBusy() && !hasPassed(writeUntil, steady_clock::now())) {
         co_await sleepFor(m_io, finalPollInterval);
--- a/marlsill/gateway/gateway.h
+++ b/marlsill/gateway/gateway.h
@@ -45,9 +45,10 @@
 
     bool isStopping() const { return m_exitDeadline.has_value(); }
 
-    // Begins a planned stop. Requests in flight are finished and callers' connections drained; those that are
-    // unanswered at `exitDeadline` are given up. Calls `onDone` once `minDrainTime` has passed and the VM is
-    // idle, at the latest when 250 ms have passed since they were given up. Later calls do nothing.
+    // Begins a planned stop. Requests that arrive or are in flight are finished and connections drained;
+    // those that are unanswered at `exitDeadline` are given up. Calls `onDone` once `minDrainTime` has passed
+    // and the VM is idle, at the latest when 250 ms have passed since they were given up. Later calls do
+    // nothing.
     void beginStop(deadline exitDeadline, std::function<void()> onDone);
 
     // Sets how requests are relayed while this VM is cut off, and which peers may serve a host, in the order
@@ -66,6 +67,10 @@
     asio::awaitable<std::optional<http::response_message>> serveRelayed(
         std::shared_ptr<served_request> request);
 
+    // Adds the server at which peers relay requests, which a planned stop then drains as it drains callers'
+    // connections. It must exist while the gateway runs.
+    void setRelayServer(session_server& server) { m_relayServer = &server; }
+
     forwarder& requestForwarder() { return m_forwarder; }
     session_server& callerServer() { return m_callerServer; }
 
@@ -86,6 +91,7 @@
     buffer_budget m_callerBuffers;
     session_server m_callerServer;
     request_relay* m_relay = nullptr;
+    session_server* m_relayServer = nullptr;
     std::function<std::vector<std::string>(const std::string&)> m_relayPeersFor;
     bool m_isSweeping = false;
     std::optional<deadline> m_exitDeadline;
--- a/marlsill/gateway/session_server.cc
+++ b/marlsill/gateway/session_server.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <sys/socket.h>
 
 namespace marlsill::gateway {
 
@@ -25,6 +26,7 @@
     constexpr std::size_t minReplacedBytes = 4 * 1024; // Smaller responses are not replaced by an error.
     constexpr std::size_t maxIdleCapacity = 2 * 1024; // Bytes that an idle connection keeps allocated.
     constexpr const char* refusalDelaySeconds = "1"; // Retry-After without memory.
+    constexpr const char* stopDelaySeconds = "0.05"; // The caller only has to choose another VM.
     constexpr std::chrono::milliseconds lingerTimeout { 1'000 }; // For the caller to read the last response.
     constexpr std::chrono::milliseconds acceptPause { 50 };
     constexpr std::chrono::milliseconds deadPeerTimeout { 4'000 }; // Above a round trip with some losses.
@@ -300,7 +302,7 @@
         auto current = std::move(m_pipeline.front());
         m_pipeline.pop_front();
         bool isLast = m_pipeline.empty() && m_readBuffer.empty() && !m_parser.isReadingBody();
-        m_isClosing = current->closesConnection || (m_isDraining && isLast);
+        m_isClosing = current->closesConnection || (m_isDraining && isLast && !hasUnreadInput());
         auto& head = current->response->head;
         head.erase("Connection");
         head.erase("Keep-Alive");
@@ -395,10 +397,18 @@
     }
 }
 
-void caller_session::beginDrain()
+// Returns whether bytes have arrived that have not been read, such as a request that the VM has not come to.
+bool caller_session::hasUnreadInput()
+{
+    char byte = 0;
+    return ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+void caller_session::beginDrain(idle_connections idle)
 {
     m_isDraining = true;
-    if (isBusy() || m_isClosing || m_isClosed || !m_readBuffer.empty() || m_parser.isReadingBody()) {
+    if (isBusy() || m_isClosing || m_isClosed || !m_readBuffer.empty() || m_parser.isReadingBody()
+        || idle == idle_connections::keep || hasUnreadInput()) {
         return;
     }
     m_isClosing = true;
@@ -406,6 +416,18 @@
     spawn([this] { return writePending(); });
 }
 
+void caller_session::refuseUnfinished()
+{
+    if (!isReceiving() || m_isClosed || m_hasFinalRequest) {
+        return;
+    }
+    auto message = http::makeResponse(
+        Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "text/plain", "this VM is stopping\n");
+    message.head.set("Retry-After", stopDelaySeconds);
+    sendLocalReply(std::move(message), "not complete at the end of a stop");
+    m_requestStartedAt = {};
+}
+
 // Closes the connection and cancels its requests in flight.
 void caller_session::close()
 {
@@ -488,12 +510,20 @@
     }
 }
 
-void session_server::beginDrain()
+void session_server::beginDrain(idle_connections idle)
 {
     m_isDraining = true;
     auto sessions = m_sessions;
     for (const auto& each : sessions) {
-        each->beginDrain();
+        each->beginDrain(idle);
+    }
+}
+
+void session_server::refuseUnfinished()
+{
+    auto sessions = m_sessions;
+    for (const auto& each : sessions) {
+        each->refuseUnfinished();
     }
 }
 
@@ -515,7 +545,7 @@
 bool session_server::isBusy() const
 {
     for (const auto& each : m_sessions) {
-        if (each->isBusy()) {
+        if (each->isBusy() || each->isReceiving()) {
             return true;
         }
     }
--- a/marlsill/gateway/session_server.h
+++ b/marlsill/gateway/session_server.h
@@ -59,6 +59,12 @@
 
 class session_server;
 
+// What a drain does with connections that carry no request.
+enum class idle_connections {
+    close,
+    keep, // For peers, which stop using them by themselves; a close could cross a request.
+};
+
 // One caller's connection.
 class caller_session : public std::enable_shared_from_this<caller_session> {
 public:
@@ -70,12 +76,19 @@
     // Closes the connection if the caller is idle or sends a header too slowly.
     void enforceTimeouts(steady_clock::time_point now);
 
-    // Closes the connection, at once if it is idle, else after its last response.
-    void beginDrain();
+    // Closes the connection after its last response; if it is idle, at once or, if `idle` says so, only with
+    // the response to a later request. A request that waits in the socket is served.
+    void beginDrain(idle_connections idle = idle_connections::close);
+
+    // Responds to a request of which a part has arrived as if it had come too late in a planned stop.
+    void refuseUnfinished();
 
     // Returns whether a request is in flight or a response is being written.
     bool isBusy() const { return !m_pipeline.empty() || m_isWriting; }
 
+    // Returns whether a request has arrived in part.
+    bool isReceiving() const { return m_requestStartedAt != steady_clock::time_point {} && !m_isClosing; }
+
 private:
     friend class session_server;
 
@@ -105,6 +118,7 @@
     bool updateHeldBytes();
     void refusePartialRequest();
     void discardUnparsed();
+    bool hasUnreadInput();
     void resumeReading();
     void flushReadyResponses();
     void startWriting();
@@ -144,7 +158,10 @@
 
     // Closes idle connections now and others after their last response. New connections are accepted
     // until stopAccepting(), and also close after their last response.
-    void beginDrain();
+    void beginDrain(idle_connections idle = idle_connections::close);
+
+    // Responds with 503 to all requests of which only a part has arrived.
+    void refuseUnfinished();
 
     // Stops accepting.
     void stopAccepting();
@@ -152,7 +169,7 @@
     // Enforces the timeouts on slow and idle callers. Call a few times a second.
     void sweep();
 
-    // Returns whether any request is in flight or any response is being written.
+    // Returns whether any request is arriving or in flight, or any response is being written.
     bool isBusy() const;
 
     std::size_t connections() const { return m_sessions.size(); }
--- a/testing/gateway_test.cc
+++ b/testing/gateway_test.cc
@@ -782,6 +782,48 @@
     CHECK((response.status == 200) == (tested.runsOf("during") == 1));
 }
 
+TEST_CASE("A request that waits in the socket as a planned stop begins is served")
+{
+    // Guards against the close of a connection whose next request has arrived but has not been read.
+    struct row {
+        const char* name;
+        bool isPipelined; // It comes behind one whose response is written during the stop.
+    };
+    const row rows[] = { { "on an idle connection", false }, { "behind another one", true } };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        gateway_fixture tested(1);
+        auto caller = tested.connect();
+        caller.sendRequest("POST", "/once/a", "before", 2'000, "b");
+        REQUIRE(caller.receive().status == 200);
+        auto beginStop
+            = [](gateway::gateway& entry) { entry.beginStop(deadlineAfter(milliseconds(4'000)), [] {}); };
+        if (each.isPipelined) {
+            tested.upstream(0).setWorkTime(milliseconds(100));
+            caller.sendRequest("POST", "/once/a", "first", 2'000, "b");
+            std::this_thread::sleep_for(milliseconds(30));
+        }
+        tested.runOnEventLoop([&](gateway::gateway& entry) {
+            if (each.isPipelined) {
+                beginStop(entry);
+                std::this_thread::sleep_for(milliseconds(200)); // The first response arrives.
+            }
+            caller.sendRequest("POST", "/once/a", "waiting", 2'000, "b");
+            std::this_thread::sleep_for(milliseconds(20));
+            if (!each.isPipelined) {
+                beginStop(entry);
+            }
+        });
+        if (each.isPipelined) {
+            CHECK(caller.receive().status == 200);
+        }
+        auto last = caller.receive();
+        CHECK(last.status == 200);
+        CHECK(last.has("Connection: close"));
+        CHECK(tested.runsOf("waiting") == 1);
+    }
+}
+
 TEST_CASE("A planned stop finishes requests in flight and still serves new ones")
 {
     gateway_fixture tested(2);
--- a/testing/planned_stop_test.cc
+++ b/testing/planned_stop_test.cc
@@ -22,7 +22,7 @@
     // A VM before one upstream with one slot, which ends like a process once its stop is done.
     class stopping_vm {
     public:
-        stopping_vm()
+        explicit stopping_vm(milliseconds minDrainTime = gateway::gateway_options().minDrainTime)
             : m_upstream("u0", gateway::wire_fields())
         {
             std::vector<gateway::route> routes;
@@ -38,7 +38,9 @@
             }
             auto config = std::make_shared<const gateway::configuration>(
                 5, std::move(routes), gateway::caller_limits());
-            m_vm = std::make_unique<gateway_thread>();
+            gateway::gateway_options options;
+            options.minDrainTime = minDrainTime;
+            m_vm = std::make_unique<gateway_thread>(options);
             m_vm->run([&](gateway::gateway& entry) {
                 std::vector<placement::upstream_entry> entries {
                     { .id = m_upstream.id(), .service = "s", .address = m_upstream.address(), .slots = 1 }
@@ -207,4 +209,42 @@
     }
 }
 
+TEST_CASE("A request whose body is still arriving as a planned stop begins gets an answer")
+{
+    // Guards against the end of the process in the middle of an upload that it had begun to read.
+    struct row {
+        const char* name;
+        const char* firstPart;
+        milliseconds restAfter; // The begin of the stop; 0: never.
+        int status;
+        int runs;
+    };
+    const row rows[] = {
+        { "the rest comes in time", "bo", milliseconds(700), 200, 1 },
+        { "the rest of the head comes in time", "", milliseconds(700), 200, 1 },
+        { "the rest comes too late to be run", "bo", milliseconds(1'800), 503, 0 },
+        { "the rest never comes", "bo", milliseconds(0), 503, 0 },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        stopping_vm vm(milliseconds(300));
+        auto caller = vm.connect();
+        gateway::wire_fields fields;
+        const std::string whole = "POST /once/a HTTP/1.1\r\nHost: h.example\r\n" + fields.requestId
+            + ": r\r\n" + fields.timeoutMs + ": 10000\r\nContent-Length: 4\r\n\r\nbody";
+        auto sent = *each.firstPart ? whole.size() - 2 : whole.size() - 8;
+        caller.send(whole.substr(0, sent));
+        std::this_thread::sleep_for(milliseconds(50));
+        vm.beginStop();
+        if (each.restAfter > milliseconds(0)) {
+            std::this_thread::sleep_for(each.restAfter);
+            caller.send(whole.substr(sent));
+        }
+        auto answered = caller.receive();
+        CHECK(answered.status == each.status);
+        CHECK((answered.status != 503 || answered.has("Retry-After: ")));
+        CHECK(vm.upstream().runsOf("r") == each.runs);
+    }
+}
+
 }
--- a/testing/request_relay_test.cc
+++ b/testing/request_relay_test.cc
@@ -183,6 +183,18 @@
         unsigned short port() const { return m_port; }
         std::string address() const { return hostOf(serving) + ":" + std::to_string(m_port); }
 
+        // Begins a planned stop of the VM that serves.
+        void beginStop()
+        {
+            std::promise<void> done;
+            asio::post(m_io, [&] {
+                m_vm.setRelayServer(*m_servers.front());
+                m_vm.beginStop(deadlineAfter(milliseconds(5'000)), [] {});
+                done.set_value();
+            });
+            done.get_future().wait();
+        }
+
         // Returns how many connections are open to the peer that serves.
         std::size_t openConnections()
         {
@@ -315,6 +327,18 @@
     CHECK(fleet.openConnections() == 1);
 }
 
+TEST_CASE("A peer that stops does not close kept connections, whose next request it declines")
+{
+    // Guards against a close that crosses a relayed request, which then counts as one that may have run.
+    relay_fixture fleet;
+    CHECK(fleet.relay({ serving }, "before").status == gateway::relay_status::answered);
+    fleet.beginStop();
+    std::this_thread::sleep_for(milliseconds(100));
+    CHECK(fleet.openConnections() == 1);
+    CHECK(fleet.relay({ serving, declining }, "during").status == gateway::relay_status::notSent);
+    CHECK(fleet.upstream().runsOf("during") == 0);
+}
+
 TEST_CASE("A response with a status that is none is not taken from a peer, nor one of an upstream from there")
 {
     // Guards against status 000 reaching the caller of a VM that is cut off.
