planned_stop_relay_test: destroys the event loops after their sockets

Cause: the fixture destroyed its loops before the servers and gateways that have sockets in them. AddressSanitizer: heap-use-after-free in reactive_socket_service_base::destroy() from ~session_server() in ~cut_off_fleet.

Change: the loops' threads are stopped first, the loops destroyed last. Checks, bounds and rows are as before.

--- a/testing/planned_stop_relay_test.cc
+++ b/testing/planned_stop_relay_test.cc
@@ -53,7 +53,8 @@
         return std::make_shared<const gateway::configuration>(5, std::move(routes));
     }
 
-    // Runs an event loop until it is destroyed, as a process does.
+    // Runs an event loop until it is stopped, as a process does. It must exist longer than what has sockets
+    // in it.
     class loop_thread {
     public:
         loop_thread()
@@ -61,10 +62,14 @@
         {
         }
 
-        ~loop_thread()
+        ~loop_thread() { stop(); }
+
+        void stop()
         {
             io.stop();
-            m_thread.join();
+            if (m_thread.joinable()) {
+                m_thread.join();
+            }
         }
 
         template <typename Work> void run(Work work)
@@ -102,8 +107,9 @@
             if (m_ending.joinable()) {
                 m_ending.join();
             }
-            m_vmLoop.reset();
+            m_vmLoop->stop();
             m_vm.reset();
+            m_peerLoop.stop();
         }
 
         scripted_upstream& upstream() { return m_upstream; }
@@ -119,7 +125,7 @@
             });
             m_ending = std::thread([this] {
                 m_done.get_future().wait();
-                m_vmLoop.reset();
+                m_vmLoop->stop();
                 m_vm.reset(); // Closes the connections.
             });
         }
@@ -193,12 +199,12 @@
         scripted_upstream m_upstream;
         const unsigned short m_relayPort;
         const unsigned short m_callerPort;
+        loop_thread m_peerLoop;
         std::unique_ptr<gateway::gateway> m_peer;
         std::vector<std::unique_ptr<gateway::session_server>> m_servers;
-        loop_thread m_peerLoop; // Ends before what it uses.
+        std::unique_ptr<loop_thread> m_vmLoop;
         std::unique_ptr<gateway::request_relay> m_relay;
         std::unique_ptr<gateway::gateway> m_vm;
-        std::unique_ptr<loop_thread> m_vmLoop;
         std::promise<void> m_done;
         std::thread m_ending;
     };
