--- a/marlsill/base/socket_options.cc
+++ b/marlsill/base/socket_options.cc
@@ -32,4 +32,12 @@
     set(descriptor, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
 }
 
+std::chrono::milliseconds timeSinceLastData(int descriptor)
+{
+    tcp_info info {};
+    socklen_t length = sizeof info;
+    bool isKnown = ::getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &length) == 0;
+    return std::chrono::milliseconds(isKnown ? info.tcpi_last_data_recv : 0);
+}
+
 }
--- a/marlsill/base/socket_options.h
+++ b/marlsill/base/socket_options.h
@@ -20,4 +20,8 @@
 // flight and while the connection is idle.
 void detectDeadPeer(int descriptor, std::chrono::milliseconds limit);
 
+// Returns how long ago the last data arrived on a TCP connection, also if it has not been read since; zero if
+// that is not known. A process that was stopped learns from it how old the requests are that waited for it.
+std::chrono::milliseconds timeSinceLastData(int descriptor);
+
 }
--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -161,6 +161,11 @@
 placement::windowed_retry_budget& forwarder::retryBudgetOf(const std::string& service)
 {
     auto now = steady_clock::now();
+    if (m_absenceDetector.noteRunning(boot_clock::now())) {
+        for (auto& [each, retries] : m_retries) {
+            retries.share.restart(now);
+        }
+    }
     auto view = m_serviceShareOf(service);
     m_loadBalancer.setServiceShare(service, view.sharingVms, view.partition);
     auto found = m_retries.find(service);
@@ -180,11 +185,6 @@
 // this VM is known to serve the service.
 void forwarder::observeServices()
 {
-    if (m_absenceDetector.noteRunning(boot_clock::now())) {
-        for (auto& [service, retries] : m_retries) {
-            retries.share.restart(steady_clock::now());
-        }
-    }
     const auto* services = m_configuration ? &m_configuration->routes().services() : nullptr;
     for (std::size_t turn = 0; services && turn < std::min(services->size(), servicesPerSweep); ++turn) {
         retryBudgetOf((*services)[m_nextObservedService++ % services->size()]);
@@ -229,6 +229,7 @@
 void forwarder::sweep()
 {
     m_crashMonitor.noteRunning();
+    m_rateLimiter.noteRunning();
     observeServices();
     auto now = steady_clock::now();
     m_reachability.tick(now);
--- a/marlsill/gateway/rate_limiter.cc
+++ b/marlsill/gateway/rate_limiter.cc
@@ -38,9 +38,18 @@
     m_issuer.retain(isRegistered);
 }
 
+void rate_limiter::noteRunning()
+{
+    if (m_absenceDetector.noteRunning(boot_clock::now())) {
+        m_limits.noteAbsence(steady_clock::now());
+        m_issuer.retain([](const auto&) { return false; }); // Another VM may have issued permits meanwhile.
+    }
+}
+
 void rate_limiter::requestPermit(
     const std::string& upstream, std::chrono::milliseconds maxDelay, steady_clock::time_point now)
 {
+    noteRunning();
     m_limits.noteRequested(upstream, now);
     const auto* known = m_loadBalancer.find(upstream);
     if (known && m_callbacks.requestPermit) {
@@ -64,7 +73,12 @@
 
 void rate_limiter::applyPermit(const std::string& upstream, const placement::permit_answer& answer)
 {
+    noteRunning();
     auto now = steady_clock::now();
+    bool isOwn = !m_callbacks.requestPermit;
+    if (!isOwn && m_limits.ignoresAnswers(now)) {
+        return;
+    }
     logEvent(event::permitAnswered,
         { { "upstream", upstream }, { "granted", answer.isGranted ? "1" : "0" },
             { "delay_ms", std::to_string(answer.delay.count()) } });
--- a/marlsill/gateway/rate_limiter.h
+++ b/marlsill/gateway/rate_limiter.h
@@ -11,6 +11,7 @@
 //
 // Not thread safe; used from a single event loop.
 
+#include "marlsill/base/absence_detector.h"
 #include "marlsill/gateway/traffic_counters.h"
 #include "marlsill/placement/load_balancer.h"
 #include "marlsill/placement/rate_limits.h"
@@ -68,13 +69,20 @@
     // Forgets upstreams that are not registered any more.
     void forgetUnregistered();
 
+    // Finds out whether this VM has been absent. Call several times within `shortestAbsence`.
+    void noteRunning();
+
 private:
+    // The lifetime of a permit: an answer that waits for less time allows little more than it says.
+    static constexpr std::chrono::milliseconds shortestAbsence { 700 };
+
     const placement::load_balancer& m_loadBalancer;
     traffic_counters& m_counters;
     const std::function<void(const std::string& service)> m_onAnswer;
     rate_limit_callbacks m_callbacks;
     placement::rate_limits m_limits;
     placement::permit_issuer m_issuer;
+    absence_detector m_absenceDetector { shortestAbsence };
 };
 
 }
--- a/marlsill/gateway/session_server.cc
+++ b/marlsill/gateway/session_server.cc
@@ -226,10 +226,11 @@
     current->repeatedValue = repeatedValueOf(message);
     current->request->message = std::move(message);
     current->request->caller = m_caller;
-    current->request->arrivedAt = steady_clock::now();
+    // When its last bytes arrived, which may have waited while this process was stopped or busy.
+    current->request->arrivedAt = steady_clock::now() - timeSinceLastData(m_socket.native_handle());
     current->closesConnection = !current->request->message.head.getKeepAlive();
     m_hasFinalRequest = current->closesConnection;
-    m_lastActivity = current->request->arrivedAt;
+    m_lastActivity = steady_clock::now();
     current->bytes = bytesOf(current->request->message);
     m_pipeline.push_back(current);
     m_isReading = m_pipeline.size() < maxPipelinedRequests;
--- a/marlsill/gateway/session_server.h
+++ b/marlsill/gateway/session_server.h
@@ -33,7 +33,7 @@
 struct served_request {
     http::request_message message;
     std::string caller; // IP address.
-    steady_clock::time_point arrivedAt;
+    steady_clock::time_point arrivedAt; // At this VM's socket.
     bool isRelayed = false; // Sent by a peer for one of its callers, which `caller` names.
     int earlierArrivals = 0; // At upstreams, from that peer.
     bool isCounted = false; // That peer has counted the request in the retry budget.
--- a/marlsill/gateway/upstream_connection.cc
+++ b/marlsill/gateway/upstream_connection.cc
@@ -82,7 +82,8 @@
     armTimer(limit);
     co_await m_socket.async_connect(m_upstream, asio::redirect_error(asio::use_awaitable, error));
     m_timer.cancel();
-    if (error || m_isTimedOut || m_isAborted) {
+    // A process that was stopped may see that the connect has succeeded before it sees that the time is over.
+    if (error || m_isTimedOut || m_isAborted || hasPassed(limit, steady_clock::now())) {
         abort();
         co_return false;
     }
@@ -131,6 +132,11 @@
 {
     auto self = shared_from_this();
     exchange_result result;
+    if (hasPassed(limit, steady_clock::now())) {
+        result.status = exchange_status::timedOut;
+        abort();
+        co_return result;
+    }
     m_isReusable = false;
     m_isForHead = m_exchangeCount == 0 ? options.isHead : m_isForHead;
     if (m_recentRequests.size() < maxRecentRequests) {
--- a/marlsill/gateway/upstream_connection.h
+++ b/marlsill/gateway/upstream_connection.h
@@ -66,8 +66,8 @@
     // Connects. Returns false on refusal, at the deadline, or after abort().
     asio::awaitable<bool> open(deadline limit);
 
-    // Sends `bytes`, a serialized request, and reads the response. Closes the connection unless it can be
-    // reused.
+    // Sends `bytes`, a serialized request, and reads the response. Sends nothing once `limit` has passed.
+    // Closes the connection unless it can be reused.
     asio::awaitable<exchange_result> exchange(std::string bytes, exchange_options options, deadline limit);
 
     // Closes the connection and ends its pending operations.
--- a/marlsill/placement/rate_limits.cc
+++ b/marlsill/placement/rate_limits.cc
@@ -106,6 +106,17 @@
     each.requestUntil = {};
 }
 
+void rate_limits::noteAbsence(steady_clock::time_point now)
+{
+    // Longer than it takes to read what waited in the socket.
+    m_answersFrom = now + 2 * m_options.requestTimeout;
+    for (auto& [upstream, each] : m_upstreams) {
+        each.permitFrom = {};
+        each.permitUntil = {};
+        each.requestUntil = m_answersFrom; // No request until answers count again.
+    }
+}
+
 void rate_limits::consume(std::string_view upstream, steady_clock::time_point now)
 {
     if (auto found = m_upstreams.find(upstream); found != m_upstreams.end()) {
--- a/marlsill/placement/rate_limits.h
+++ b/marlsill/placement/rate_limits.h
@@ -85,6 +85,13 @@
     void grant(std::string_view upstream, steady_clock::time_point beginsAt);
     void refuse(std::string_view upstream, deadline until);
 
+    // Must be called when this VM has not run for a while, before anything else: drops the permits that it
+    // holds, and the answers to earlier requests, which may have waited as long and must not begin now.
+    void noteAbsence(steady_clock::time_point now);
+
+    // Returns whether an answer that arrives now may be to a request from before an absence.
+    bool ignoresAnswers(steady_clock::time_point now) const { return !hasPassed(m_answersFrom, now); }
+
     // Uses up the permit for a request that is sent.
     void consume(std::string_view upstream, steady_clock::time_point now);
 
@@ -108,6 +115,7 @@
     upstream_limit& findOrCreate(std::string_view upstream);
 
     const rate_limit_options m_options;
+    deadline m_answersFrom {}; // Shortly after an absence.
     std::map<std::string, upstream_limit, std::less<>> m_upstreams; // Those that have ever named a limit.
 };
 
--- a/marlsill/placement/rate_limits_test.cc
+++ b/marlsill/placement/rate_limits_test.cc
@@ -97,6 +97,35 @@
     CHECK(limits.hasPermit(upstream, start + milliseconds(900)));
 }
 
+TEST_CASE("A VM that was absent uses no permit from before")
+{
+    // Guards against a permit that waited in the socket of a stopped VM, and counts from when it is read.
+    struct row {
+        const char* name;
+        bool isHeld; // Before the absence; otherwise the answer waits in the socket.
+    };
+    const row rows[] = { { "held", true }, { "in the socket", false } };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        rate_limits limits;
+        limits.recordResponse(upstream, 2, start, start);
+        limits.noteRequested(upstream, start);
+        if (each.isHeld) {
+            limits.grant(upstream, start + milliseconds(7'900)); // Reserved.
+        }
+        auto back = start + milliseconds(8'000);
+        limits.noteAbsence(back);
+        CHECK(limits.ignoresAnswers(back));
+        CHECK_FALSE(limits.hasPermit(upstream, back));
+        CHECK_FALSE(limits.shouldRequest(upstream, back + milliseconds(119)));
+        CHECK_FALSE(limits.ignoresAnswers(back + milliseconds(120)));
+        CHECK(limits.shouldRequest(upstream, back + milliseconds(120)));
+        limits.noteRequested(upstream, back + milliseconds(120));
+        limits.grant(upstream, back + milliseconds(130));
+        CHECK(limits.hasPermit(upstream, back + milliseconds(130)));
+    }
+}
+
 TEST_CASE("All VMs together keep the limit and use most of it, also while the issuer changes")
 {
     struct row {
--- a/testing/single_daemon.h
+++ b/testing/single_daemon.h
@@ -27,6 +27,7 @@
     ~single_daemon();
 
     entry_process& daemon() { return *m_daemon; }
+    platform_adapter::fake_object_store& store() { return m_store; }
 
     // Returns the address of a port of the daemon.
     std::string at(int port) const { return m_daemon->options().host + ":" + std::to_string(port); }
