--- a/marlsill/cluster/store_relay.cc
+++ b/marlsill/cluster/store_relay.cc
@@ -253,6 +253,14 @@
     }
 }
 
+// Returns whether this VM has started so recently, and its peer heard of the store so long ago, that other
+// peers may be about to tell it of later data. It has no position of its own to compare with yet.
+bool store_relay::isTooOldForStart(const store_summary& summary, steady_clock::time_point now) const
+{
+    return std::chrono::milliseconds(summary.contactAgeMs) > m_options.maxContactAge
+        && !hasPassed(m_startedAt + m_options.freshDataPeriod, now);
+}
+
 // Applies a delta to the known list, or collects the chunks of a whole list until their digest matches.
 void store_relay::mergeUpstreams(const peer_message& message, steady_clock::time_point now)
 {
@@ -264,7 +272,8 @@
     bool isNotNewer = position < m_storePosition || (hasFreshStoreRead && position == m_storePosition)
         || summary.upstreamDigest == m_upstreams.digest();
     bool hasOtherBase = isDelta && message.baseDigest != m_upstreams.digest();
-    if (isNotNewer || hasOtherBase || (message.upstreams.empty() && !isDelta)) {
+    if (isNotNewer || hasOtherBase || (message.upstreams.empty() && !isDelta)
+        || isTooOldForStart(summary, now)) {
         return;
     }
     if (isDelta) {
@@ -303,6 +312,9 @@
     if (!message.isBeacon) {
         return;
     }
+    if (isTooOldForStart(summary, now)) {
+        request = {};
+    }
     auto age = std::chrono::milliseconds(summary.contactAgeMs);
     m_lastRelayedContact = std::max(m_lastRelayedContact, now - age);
     bool isBehind = request.wantsConfiguration || request.wantsUpstreams;
--- a/marlsill/cluster/store_relay.h
+++ b/marlsill/cluster/store_relay.h
@@ -56,6 +56,10 @@
     std::chrono::milliseconds maxContactAge { 1'400 };
     // How long beacons must have been fresh before a VM that is not elected stops watching.
     std::chrono::milliseconds stabilizationPeriod { 2'000 };
+    // From the start until data is taken from VMs that have not heard of the store for long: one that was
+    // away may have upstreams and routes that are gone. Four beacons of others; while the store is away all
+    // wait.
+    std::chrono::milliseconds freshDataPeriod { 1'000 };
     std::size_t entriesPerDatagram = 10; // About 1 KB.
 };
 
@@ -118,6 +122,7 @@
     void sendUpstreams(const std::string& host, steady_clock::time_point now);
     void broadcastConfiguration(std::string_view previous);
     bool isBackupDue(steady_clock::time_point now) const;
+    bool isTooOldForStart(const store_summary& summary, steady_clock::time_point now) const;
     void sendBeacon(steady_clock::time_point now);
     void setWatching(bool isWatching);
 
--- a/marlsill/cluster/store_relay_test.cc
+++ b/marlsill/cluster/store_relay_test.cc
@@ -545,6 +545,48 @@
     }
 }
 
+TEST_CASE("A VM that has just started takes nothing from a VM that was away")
+{
+    // Guards against upstreams that had left, or routes that had been removed, in use again after a restart.
+    struct row {
+        const char* name;
+        std::uint64_t contactAgeMs; // That the peer states.
+        milliseconds sinceStart;
+        bool isTaken;
+    };
+    const row rows[] = {
+        { "the peer was away", 8'000, milliseconds(300), false },
+        { "the peer knows the store", 200, milliseconds(300), true },
+        { "the store is away for all", 8'000, milliseconds(1'000), true },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        auto start = steady_clock::now();
+        auto now = start + each.sinceStart;
+        member_list members({ .host = "10.0.0.1", .failureDomain = "a" }, {});
+        int requests = 0;
+        store_relay relay(members, {},
+            { .send = [&](auto, const auto& message) { requests += message.wantsUpstreams ? 1 : 0; },
+                .watchStore = [](auto, const auto&) {},
+                .onConfiguration = [](const auto&, auto) {},
+                .onUpstreams = [] {} },
+            start);
+        upstream_list list;
+        list.put({ .id = "x", .service = "s", .version = 1 });
+        peer_message beacon;
+        beacon.sender = "10.0.0.9";
+        beacon.isBeacon = true;
+        beacon.summary = store_summary { 1, { 1, 9 }, list.digest(), each.contactAgeMs };
+        relay.handleMessage(beacon, now);
+        CHECK(requests == (each.isTaken ? 1 : 0));
+        auto answer = beacon;
+        answer.isBeacon = false;
+        answer.upstreams = { list.entries().at("x") };
+        relay.handleMessage(answer, now);
+        CHECK(relay.upstreamsInUseCount() == (each.isTaken ? 1 : 0));
+    }
+}
+
 TEST_CASE("Older lists and configurations are ignored")
 {
     virtual_fleet fleet(2);
