--- a/testing/stopped_process_test.cc
+++ b/testing/stopped_process_test.cc
@@ -8,9 +8,13 @@
 #include "testing/scripted_upstream.h"
 #include "testing/single_daemon.h"
 
+#include <Poco/Exception.h>
 #include <csignal>
 #include <doctest/doctest.h>
+#include <memory>
+#include <string>
 #include <thread>
+#include <vector>
 
 namespace marlsill::testing {
 
@@ -32,7 +36,8 @@
                 platform_adapter::upstreamObject("s", m_upstream.address(), "ready"));
             m_tested.store().put(platform_adapter::configurationKind, platform_adapter::configurationName,
                 platform_adapter::configurationObject(2, "h.example", "s",
-                    { { "once", "/once/", true, longTimeoutMs }, { "repeat", "/repeat/" } }));
+                    { { "once", "/once/", true, longTimeoutMs },
+                        { "brief", "/brief/", true, shortTimeoutMs } }));
             REQUIRE(m_tested.daemon().start());
             REQUIRE(m_tested.awaitReady());
         }
@@ -40,6 +45,16 @@
         scripted_upstream& upstream() { return m_upstream; }
         void signal(int number) { m_tested.daemon().signal(number); }
 
+        // Returns another process with the settings of this one, which is not started yet.
+        std::unique_ptr<spawned_process> makeSuccessor()
+        {
+            return std::make_unique<spawned_process>(spawn_options { .program = MARLSILL_ENTRY_PROGRAM,
+                .environment = { "MARLSILL_NODE_FILE=" + m_tested.daemon().settingsPath() },
+                .log = m_tested.daemon().logPath() + ".successor" });
+        }
+
+        bool isPredecessorRunning() { return m_tested.daemon().process()->isRunning(); }
+
         raw_caller connect() const
         {
             return raw_caller(m_tested.at(m_callerPort), platform_adapter::platformFields());
@@ -96,4 +111,46 @@
     }
 }
 
+TEST_CASE("A predecessor and its successor on one VM run each order once")
+{
+    // Guards against two processes that both act around a handover: the successor is started while its
+    // predecessor still finishes what it has taken, and orders keep coming.
+    stopped_daemon tested;
+    tested.upstream().setWorkTime(milliseconds(100));
+    auto successor = tested.makeSuccessor();
+    constexpr int ordersBefore = 30;
+    constexpr int ordersAfter = 30; // Served by the successor.
+    auto until = deadlineAfter(2 * startLimit);
+    int servedBefore = 0; // By the predecessor once its stop has begun.
+    int servedAfter = 0;
+    std::vector<std::string> breaches;
+    for (int index = 0; servedAfter < ordersAfter && !hasPassed(until, steady_clock::now()); ++index) {
+        auto id = "o" + std::to_string(index);
+        if (index == ordersBefore) {
+            tested.signal(SIGTERM);
+            REQUIRE(successor->start());
+        }
+        int status = 0;
+        try {
+            auto caller = tested.connect();
+            caller.sendRequest("POST", "/brief/a", id, shortTimeoutMs, "b");
+            status = caller.receive().status;
+        } catch (const Poco::Exception&) { // Nobody listens between the two.
+            std::this_thread::sleep_for(milliseconds(30));
+        }
+        bool isServed = status == 200 && index >= ordersBefore;
+        (tested.isPredecessorRunning() ? servedBefore : servedAfter) += isServed ? 1 : 0;
+        int runs = tested.upstream().runsOf(id);
+        bool isKept = runs <= 1 && (status != 200 || runs == 1) && (status != 503 || runs == 0);
+        if (!isKept) {
+            breaches.push_back(id + ": status " + std::to_string(status) + ", runs " + std::to_string(runs));
+        }
+    }
+    CHECK(breaches == std::vector<std::string>());
+    CHECK(servedBefore > 0);
+    CHECK(servedAfter == ordersAfter);
+    CHECK(successor->isRunning());
+    CHECK_FALSE(tested.isPredecessorRunning());
+}
+
 }
