Soak: the stand-ins hold nothing of connections that have ended

Change: connection_threads joins the threads that are done and closes the sockets whose other side has closed, with the next connection.

--- a/testing/gateway_test.cc
+++ b/testing/gateway_test.cc
@@ -10,7 +10,9 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <doctest/doctest.h>
+#include <filesystem>
 #include <future>
+#include <iterator>
 #include <sys/socket.h>
 
 namespace marlsill::testing {
@@ -319,6 +321,27 @@
     }
 }
 
+TEST_CASE("The stand-in of an upstream holds nothing of connections that have ended")
+{
+    // Guards against a soak that runs out of descriptors and address space, so that it starts no daemon.
+    scripted_upstream upstream("u0", gateway::wire_fields());
+    auto openDescriptors = [] {
+        return std::distance(
+            std::filesystem::directory_iterator("/proc/self/fd"), std::filesystem::directory_iterator());
+    };
+    auto before = openDescriptors();
+    for (int round = 0; round < 200; ++round) {
+        caller connection(upstream.address());
+        connection.sendRequest("GET", "/", "r" + std::to_string(round));
+        CHECK(connection.receive().status == 200);
+    }
+    std::this_thread::sleep_for(milliseconds(100));
+    caller last(upstream.address()); // What has ended goes with the next connection.
+    last.sendRequest("GET", "/", "last");
+    CHECK(last.receive().status == 200);
+    CHECK(openDescriptors() - before < 20);
+}
+
 TEST_CASE("A late duplicate response is not delivered to any caller")
 {
     gateway_fixture tested(1);
--- a/testing/scripted_upstream.cc
+++ b/testing/scripted_upstream.cc
@@ -39,25 +39,15 @@
     , m_socket(Poco::Net::SocketAddress("127.0.0.1", port))
     , m_address(m_socket.address().toString())
 {
-    m_threads.emplace_back([this] { acceptLoop(); });
+    m_acceptor = std::thread([this] { acceptLoop(); });
 }
 
 scripted_upstream::~scripted_upstream()
 {
     crash();
-    while (true) {
-        std::vector<std::thread> threads;
-        {
-            std::lock_guard lock(m_mutex);
-            threads.swap(m_threads);
-        }
-        if (threads.empty()) {
-            return;
-        }
-        for (auto& each : threads) {
-            each.join();
-        }
-    }
+    m_acceptor.join();
+    m_connectionThreads.shutdownAll(); // Those that were accepted meanwhile.
+    m_connectionThreads.joinAll();
 }
 
 void scripted_upstream::plan(std::vector<upstream_step> steps)
@@ -120,10 +110,7 @@
 {
     m_isStopped = true;
     ::shutdown(m_socket.impl()->sockfd(), SHUT_RDWR);
-    std::lock_guard lock(m_mutex);
-    for (auto& each : m_open) {
-        ::shutdown(each.impl()->sockfd(), SHUT_RDWR);
-    }
+    m_connectionThreads.shutdownAll();
 }
 
 void scripted_upstream::acceptLoop()
@@ -132,9 +119,7 @@
         try {
             auto socket = m_socket.acceptConnection();
             ++m_connections;
-            std::lock_guard lock(m_mutex);
-            m_open.push_back(socket);
-            m_threads.emplace_back([this, socket] { serve(socket); });
+            m_connectionThreads.start(socket, [this](auto& accepted) { serve(accepted); });
         } catch (const Poco::Exception&) {
             break; // The socket was shut down.
         }
@@ -218,7 +203,7 @@
             + "Content-Length: 0\r\n\r\n");
 }
 
-void scripted_upstream::serve(Poco::Net::StreamSocket socket)
+void scripted_upstream::serve(Poco::Net::StreamSocket& socket)
 {
     std::string buffer;
     ++m_openConnections;
--- a/testing/scripted_upstream.h
+++ b/testing/scripted_upstream.h
@@ -8,6 +8,7 @@
 //     CHECK(upstream.runsOf("request-1") == 1);
 
 #include "marlsill/gateway/wire_fields.h"
+#include "testing/connection_threads.h"
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
@@ -140,7 +141,7 @@
 
 private:
     void acceptLoop();
-    void serve(Poco::Net::StreamSocket socket);
+    void serve(Poco::Net::StreamSocket& socket);
     bool serveOne(Poco::Net::StreamSocket& socket, std::string& buffer);
     upstream_step nextStep();
     void turnAway(Poco::Net::StreamSocket& socket, const std::string& request, bool saysNotRun);
@@ -174,8 +175,8 @@
     std::string m_leavingField; // Empty: answers have none.
     std::string m_statusLine = "HTTP/1.1 000 None";
     std::string m_crashText; // Empty: no request crashes the upstream.
-    std::vector<Poco::Net::StreamSocket> m_open;
-    std::vector<std::thread> m_threads;
+    connection_threads m_connectionThreads;
+    std::thread m_acceptor;
 };
 
 }
