--- a/marlsill/gateway/attempt_response.cc
+++ b/marlsill/gateway/attempt_response.cc
@@ -48,28 +48,6 @@
     return http::serialize(forwarded);
 }
 
-bool isResponseTo(const wire_fields& fields, const active_request& current,
-    const active_request::attempt& thisAttempt, const http::response_message& response)
-{
-    if (response.head.has(fields.requestId)) {
-        return response.head.get(fields.requestId) == current.id;
-    }
-    if (current.id.empty()) {
-        return true;
-    }
-    // On a kept connection, a refusal that names no request may be the repetition of an earlier one.
-    bool isRefusal = response.head.has(fields.notRun)
-        || response.head.getStatus() == Poco::Net::HTTPResponse::HTTP_MISDIRECTED_REQUEST;
-    return isRefusal && !thisAttempt.outcome.wasReused;
-}
-
-bool mayReuseConnection(const active_request& current, const active_request::attempt& thisAttempt)
-{
-    return !current.id.empty()
-        && std::count(current.triedUpstreams.begin(), current.triedUpstreams.end(), thisAttempt.upstream)
-        <= 1;
-}
-
 attempt_outcome outcomeOf(const wire_fields& fields, const exchange_result& result)
 {
     auto outcome = toAttemptOutcome(result.status);
--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -1,8 +1,10 @@
 #include "marlsill/gateway/forwarder.h"
 
+#include "marlsill/base/hash.h"
 #include "marlsill/events/events.h"
 #include "marlsill/gateway/attempt_response.h"
 #include "marlsill/gateway/endpoint.h"
+#include "marlsill/gateway/response_match.h"
 #include "marlsill/http/message_writer.h"
 #include "marlsill/supervisor/loop_guard.h"
 
@@ -94,6 +96,11 @@
 placement::windowed_retry_budget& forwarder::retryBudgetOf(const std::string& service)
 {
     auto now = steady_clock::now();
+    if (m_absenceDetector.noteRunning(boot_clock::now())) {
+        for (auto& [each, retries] : m_retries) {
+            retries.share.restart(now);
+        }
+    }
     auto view = m_serviceShareOf(service);
     m_loadBalancer.setServiceShare(service, view.sharingVms, view.partition);
     auto found = m_retries.find(service);
@@ -113,11 +120,6 @@
 // this VM is known to serve the service.
 void forwarder::observeServices()
 {
-    if (m_absenceDetector.noteRunning(boot_clock::now())) {
-        for (auto& [service, retries] : m_retries) {
-            retries.share.restart(steady_clock::now());
-        }
-    }
     const auto* services = m_configuration ? &m_configuration->routes().services() : nullptr;
     for (std::size_t turn = 0; services && turn < std::min(services->size(), servicesPerSweep); ++turn) {
         retryBudgetOf((*services)[m_nextObservedService++ % services->size()]);
@@ -162,6 +164,7 @@
 void forwarder::sweep()
 {
     m_crashMonitor.noteRunning();
+    m_rateLimiter.noteRunning();
     observeServices();
     auto now = steady_clock::now();
     m_reachability.tick(now);
@@ -334,11 +337,13 @@
 asio::awaitable<void> forwarder::runAttempt(
     std::shared_ptr<active_request> current, std::shared_ptr<attempt> thisAttempt)
 {
+    const bool isHead = current->request.head.getMethod() == "HEAD";
     auto defaultMaxIdle
         = current->state.isAtMostOnce ? m_options.maxIdleAtMostOnce : m_options.maxIdleRepeatable;
     auto maxIdle = m_idleLimits.maxIdleOf(current->service, defaultMaxIdle, thisAttempt->startedAt);
-    auto connection = mayReuseConnection(*current, *thisAttempt)
-        ? m_pool.take(thisAttempt->upstream, { maxIdle }, thisAttempt->startedAt)
+    auto connection = mayReuseConnection(current->id, current->triedUpstreams, thisAttempt->upstream)
+        ? m_pool.take(
+            thisAttempt->upstream, { maxIdle, fastHash(current->id), isHead }, thisAttempt->startedAt)
         : nullptr;
     thisAttempt->outcome.wasReused = connection != nullptr;
     if (connection) {
@@ -375,16 +380,18 @@
             ? attempt_outcome::cancelled
             : attempt_outcome::notSent;
     } else {
-        exchange_options options { .isHead = current->request.head.getMethod() == "HEAD",
-            .matchesRequest
-            = [this, current, thisAttempt](
-                  const auto& response) { return isResponseTo(m_wire, *current, *thisAttempt, response); },
+        exchange_options options { .isHead = isHead,
+            .matchesRequest =
+                [this, current, thisAttempt](const auto& response) {
+                    return isResponseTo(response, m_wire, current->id, thisAttempt->outcome.wasReused);
+                },
             .onHead =
                 [this, thisAttempt](const auto& head) {
                     m_leavingMonitor.recordResponse(
                         thisAttempt->upstream, thisAttempt->upstreamStartedUnixMs, head, steady_clock::now());
                 },
             .limits = { .maxBodyBytes = m_options.maxResponseBytes },
+            .requestHash = fastHash(current->id),
             .buffers = &m_responseBuffers };
         thisAttempt->isSent = true;
         auto left = std::max<std::int64_t>(1,
@@ -499,7 +506,8 @@
 bool forwarder::recordTurnAway(
     const active_request& current, const attempt& thisAttempt, steady_clock::time_point now)
 {
-    bool isAnswer = thisAttempt.isSent && isResponseTo(m_wire, current, thisAttempt, thisAttempt.response);
+    bool isAnswer = thisAttempt.isSent
+        && isResponseTo(thisAttempt.response, m_wire, current.id, thisAttempt.outcome.wasReused);
     return isAnswer
         && m_turnAways.recordResponse(
             {
--- a/marlsill/gateway/gateway.cc
+++ b/marlsill/gateway/gateway.cc
@@ -69,7 +69,11 @@
     return failure;
 }
 
-bool gateway::isBusy() const { return m_forwarder.inFlightRequests() > 0 || m_callerServer.isBusy(); }
+bool gateway::isBusy() const
+{
+    return m_forwarder.inFlightRequests() > 0 || m_callerServer.isBusy()
+        || (m_relayServer && m_relayServer->isBusy());
+}
 
 bool gateway::isReady() const
 {
@@ -251,7 +255,11 @@
     if (!canServe) {
         co_return makeDecliningReply("this VM does not take relayed requests now");
     }
-    co_return co_await serve(std::move(request));
+    auto response = co_await serve(std::move(request));
+    if (response) {
+        removeRelayFields(*response); // A decline is this VM's to state, not an upstream's.
+    }
+    co_return response;
 }
 
 asio::awaitable<void> gateway::sweepLoop()
@@ -277,6 +285,9 @@
         m_accountLimiter->beginStop();
     }
     m_callerServer.beginDrain();
+    if (m_relayServer) {
+        m_relayServer->beginDrain(idle_connections::keep);
+    }
     spawnSupervised(m_io, "drain", [this, onDone = std::move(onDone)] { return drainLoop(onDone); });
 }
 
@@ -298,6 +309,10 @@
     if (m_relay) {
         m_relay->expireRequests();
     }
+    m_callerServer.refuseUnfinished();
+    if (m_relayServer) {
+        m_relayServer->refuseUnfinished();
+    }
     auto writeUntil = deadlineAfter(finalWriteTime);
     while (isBusy() && !hasPassed(writeUntil, steady_clock::now())) {
         co_await sleepFor(m_io, finalPollInterval);
--- a/marlsill/gateway/session_server.cc
+++ b/marlsill/gateway/session_server.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <sys/socket.h>
 
 namespace marlsill::gateway {
 
@@ -25,6 +26,7 @@
     constexpr std::size_t minReplacedBytes = 4 * 1024; // Smaller responses are not replaced by an error.
     constexpr std::size_t maxIdleCapacity = 2 * 1024; // Bytes that an idle connection keeps allocated.
     constexpr const char* refusalDelaySeconds = "1"; // Retry-After without memory.
+    constexpr const char* stopDelaySeconds = "0.05"; // The caller only has to choose another VM.
     constexpr std::chrono::milliseconds lingerTimeout { 1'000 }; // For the caller to read the last response.
     constexpr std::chrono::milliseconds acceptPause { 50 };
     constexpr std::chrono::milliseconds deadPeerTimeout { 4'000 }; // Above a round trip with some losses.
@@ -152,9 +154,9 @@
     if (m_readBuffer.empty() && !m_parser.isReadingBody()) {
         return; // What is held are earlier requests and their responses.
     }
+    sendLocalReply(makeRefusal(), "no memory left");
     std::exchange(m_partialMessage, {});
     m_requestStartedAt = {};
-    sendLocalReply(makeRefusal(), "no memory left");
     discardUnparsed();
     updateHeldBytes();
 }
@@ -221,12 +223,14 @@
 {
     auto current = std::make_shared<pending_request>();
     current->request = std::make_shared<served_request>();
+    current->repeatedValue = repeatedValueOf(message);
     current->request->message = std::move(message);
     current->request->caller = m_caller;
-    current->request->arrivedAt = steady_clock::now();
+    // When its last bytes arrived, which may have waited while this process was stopped or busy.
+    current->request->arrivedAt = steady_clock::now() - timeSinceLastData(m_socket.native_handle());
     current->closesConnection = !current->request->message.head.getKeepAlive();
     m_hasFinalRequest = current->closesConnection;
-    m_lastActivity = current->request->arrivedAt;
+    m_lastActivity = steady_clock::now();
     current->bytes = bytesOf(current->request->message);
     m_pipeline.push_back(current);
     m_isReading = m_pipeline.size() < maxPipelinedRequests;
@@ -242,6 +246,12 @@
     spawn([this, current] { return serve(current); });
 }
 
+std::string caller_session::repeatedValueOf(const http::request_message& message) const
+{
+    const auto& field = m_server.m_options.repeatedField;
+    return field.empty() ? std::string() : message.head.get(field, "");
+}
+
 void caller_session::sendLocalReply(int status, std::string_view why)
 {
     sendLocalReply(http::makeResponse(status, "text/plain", std::string(why) + "\n"), why);
@@ -252,6 +262,7 @@
     logEvent(event::callerRequestMalformed, { { "caller", m_caller }, { "why", std::string(why) } });
     auto current = std::make_shared<pending_request>();
     current->response = std::move(response);
+    current->repeatedValue = repeatedValueOf(m_partialMessage);
     current->closesConnection = true;
     m_pipeline.push_back(current);
     m_hasFinalRequest = true;
@@ -292,11 +303,14 @@
         auto current = std::move(m_pipeline.front());
         m_pipeline.pop_front();
         bool isLast = m_pipeline.empty() && m_readBuffer.empty() && !m_parser.isReadingBody();
-        m_isClosing = current->closesConnection || (m_isDraining && isLast);
+        m_isClosing = current->closesConnection || (m_isDraining && isLast && !hasUnreadInput());
         auto& head = current->response->head;
         head.erase("Connection");
         head.erase("Keep-Alive");
         head.setVersion("HTTP/1.1");
+        if (!current->repeatedValue.empty()) {
+            head.set(m_server.m_options.repeatedField, current->repeatedValue);
+        }
         if (m_isClosing) {
             m_isReading = false;
             head.set("Connection", "close");
@@ -384,10 +398,18 @@
     }
 }
 
-void caller_session::beginDrain()
+// Returns whether bytes have arrived that have not been read, such as a request that the VM has not come to.
+bool caller_session::hasUnreadInput()
+{
+    char byte = 0;
+    return ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+void caller_session::beginDrain(idle_connections idle)
 {
     m_isDraining = true;
-    if (isBusy() || m_isClosing || m_isClosed || !m_readBuffer.empty() || m_parser.isReadingBody()) {
+    if (isBusy() || m_isClosing || m_isClosed || !m_readBuffer.empty() || m_parser.isReadingBody()
+        || idle == idle_connections::keep || hasUnreadInput()) {
         return;
     }
     m_isClosing = true;
@@ -395,6 +417,18 @@
     spawn([this] { return writePending(); });
 }
 
+void caller_session::refuseUnfinished()
+{
+    if (!isReceiving() || m_isClosed || m_hasFinalRequest) {
+        return;
+    }
+    auto message = http::makeResponse(
+        Poco::Net::HTTPResponse::HTTP_SERVICE_UNAVAILABLE, "text/plain", "this VM is stopping\n");
+    message.head.set("Retry-After", stopDelaySeconds);
+    sendLocalReply(std::move(message), "not complete at the end of a stop");
+    m_requestStartedAt = {};
+}
+
 // Closes the connection and cancels its requests in flight.
 void caller_session::close()
 {
@@ -477,12 +511,20 @@
     }
 }
 
-void session_server::beginDrain()
+void session_server::beginDrain(idle_connections idle)
 {
     m_isDraining = true;
     auto sessions = m_sessions;
     for (const auto& each : sessions) {
-        each->beginDrain();
+        each->beginDrain(idle);
+    }
+}
+
+void session_server::refuseUnfinished()
+{
+    auto sessions = m_sessions;
+    for (const auto& each : sessions) {
+        each->refuseUnfinished();
     }
 }
 
@@ -504,7 +546,7 @@
 bool session_server::isBusy() const
 {
     for (const auto& each : m_sessions) {
-        if (each->isBusy()) {
+        if (each->isBusy() || each->isReceiving()) {
             return true;
         }
     }
--- a/marlsill/gateway/session_server.h
+++ b/marlsill/gateway/session_server.h
@@ -33,7 +33,7 @@
 struct served_request {
     http::request_message message;
     std::string caller; // IP address.
-    steady_clock::time_point arrivedAt;
+    steady_clock::time_point arrivedAt; // At this VM's socket.
     bool isRelayed = false; // Sent by a peer for one of its callers, which `caller` names.
     int earlierArrivals = 0; // At upstreams, from that peer.
     bool isCounted = false; // That peer has counted the request in the retry budget.
@@ -53,10 +53,19 @@
     // Of what is held for all callers: requests that arrive or are being served, and responses that are not
     // sent yet. May be null; must outlive the server.
     buffer_budget* buffers = nullptr;
+    // Header field whose value each response repeats from its request, also where the server itself responds;
+    // empty: none.
+    std::string repeatedField;
 };
 
 class session_server;
 
+// What a drain does with connections that carry no request.
+enum class idle_connections {
+    close,
+    keep, // For peers, which stop using them by themselves; a close could cross a request.
+};
+
 // One caller's connection.
 class caller_session : public std::enable_shared_from_this<caller_session> {
 public:
@@ -68,12 +77,19 @@
     // Closes the connection if the caller is idle or sends a header too slowly.
     void enforceTimeouts(steady_clock::time_point now);
 
-    // Closes the connection, at once if it is idle, else after its last response.
-    void beginDrain();
+    // Closes the connection after its last response; if it is idle, at once or, if `idle` says so, only with
+    // the response to a later request. A request that waits in the socket is served.
+    void beginDrain(idle_connections idle = idle_connections::close);
+
+    // Responds to a request of which a part has arrived as if it had come too late in a planned stop.
+    void refuseUnfinished();
 
     // Returns whether a request is in flight or a response is being written.
     bool isBusy() const { return !m_pipeline.empty() || m_isWriting; }
 
+    // Returns whether a request has arrived in part.
+    bool isReceiving() const { return m_requestStartedAt != steady_clock::time_point {} && !m_isClosing; }
+
 private:
     friend class session_server;
 
@@ -81,6 +97,7 @@
     struct pending_request {
         std::shared_ptr<served_request> request; // Null for a request that could not be parsed.
         std::optional<http::response_message> response;
+        std::string repeatedValue; // See session_server_options::repeatedField.
         bool closesConnection = false; // The connection closes after this response.
         bool isRefused = false; // There is no memory left for it.
         std::size_t bytes = 0; // Held for it.
@@ -95,12 +112,14 @@
     asio::awaitable<void> writePending();
     asio::awaitable<void> lingerAndClose();
     void acceptRequest(http::request_message message);
+    std::string repeatedValueOf(const http::request_message& message) const;
     void sendLocalReply(int status, std::string_view why);
     void sendLocalReply(http::response_message response, std::string_view why);
     std::size_t unsentBytes() const { return m_writeBuffer.size() + m_sendingBytes; }
     bool updateHeldBytes();
     void refusePartialRequest();
     void discardUnparsed();
+    bool hasUnreadInput();
     void resumeReading();
     void flushReadyResponses();
     void startWriting();
@@ -140,7 +159,10 @@
 
     // Closes idle connections now and others after their last response. New connections are accepted
     // until stopAccepting(), and also close after their last response.
-    void beginDrain();
+    void beginDrain(idle_connections idle = idle_connections::close);
+
+    // Responds with 503 to all requests of which only a part has arrived.
+    void refuseUnfinished();
 
     // Stops accepting.
     void stopAccepting();
@@ -148,7 +170,7 @@
     // Enforces the timeouts on slow and idle callers. Call a few times a second.
     void sweep();
 
-    // Returns whether any request is in flight or any response is being written.
+    // Returns whether any request is arriving or in flight, or any response is being written.
     bool isBusy() const;
 
     std::size_t connections() const { return m_sessions.size(); }
--- a/testing/gateway_test.cc
+++ b/testing/gateway_test.cc
@@ -10,7 +10,9 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <doctest/doctest.h>
+#include <filesystem>
 #include <future>
+#include <iterator>
 #include <sys/socket.h>
 
 namespace marlsill::testing {
@@ -319,6 +321,27 @@
     }
 }
 
+TEST_CASE("The stand-in of an upstream holds nothing of connections that have ended")
+{
+    // Guards against a soak that runs out of descriptors and address space, so that it starts no daemon.
+    scripted_upstream upstream("u0", gateway::wire_fields());
+    auto openDescriptors = [] {
+        return std::distance(
+            std::filesystem::directory_iterator("/proc/self/fd"), std::filesystem::directory_iterator());
+    };
+    auto before = openDescriptors();
+    for (int round = 0; round < 200; ++round) {
+        caller connection(upstream.address());
+        connection.sendRequest("GET", "/", "r" + std::to_string(round));
+        CHECK(connection.receive().status == 200);
+    }
+    std::this_thread::sleep_for(milliseconds(100));
+    caller last(upstream.address()); // What has ended goes with the next connection.
+    last.sendRequest("GET", "/", "last");
+    CHECK(last.receive().status == 200);
+    CHECK(openDescriptors() - before < 20);
+}
+
 TEST_CASE("A late duplicate response is not delivered to any caller")
 {
     gateway_fixture tested(1);
@@ -335,6 +358,56 @@
     }
 }
 
+TEST_CASE("A second copy of a response is not taken for the response to the next request")
+{
+    // Guards against a copy that the upstream sends once the next request has arrived on the connection.
+    struct row {
+        const char* name;
+        const char* firstMethod;
+        const char* firstId;
+        const char* secondMethod;
+        const char* secondId;
+    };
+    const row rows[] = {
+        { "another id", "GET", "r1", "GET", "r2" },
+        { "the same id", "GET", "r1", "GET", "r1" }, // Of two callers, whose paths differ.
+        { "a copy without its body", "HEAD", "r1", "GET", "r2" },
+        { "a copy with a body that is not expected", "GET", "r1", "HEAD", "r2" },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        gateway_fixture tested(1);
+        tested.upstream(0).plan({ upstream_step::copyBeforeNext });
+        auto first = tested.connect();
+        first.sendRequest(each.firstMethod, "/repeat/a", each.firstId);
+        std::this_thread::sleep_for(milliseconds(100)); // The response to HEAD has no end to wait for.
+        tested.upstream(0).setBody("the second body");
+        tested.upstream(0).setWorkTime(milliseconds(50));
+        auto second = tested.connect();
+        second.sendRequest(each.secondMethod, "/once/b", each.secondId);
+        auto answered = second.receive();
+        CHECK(answered.status == 200);
+        CHECK(answered.has(std::string("X-Request-Id: ") + each.secondId));
+        CHECK(answered.has("Content-Length: 15"));
+    }
+}
+
+TEST_CASE("A response with a status that is none is not delivered")
+{
+    // Guards against an upstream's status 000 reaching a caller, and against 1xx responses that never end.
+    const std::string lines[] = { "HTTP/1.1 000 None", "HTTP/1.1 099 X", "HTTP/1.1 600 X", "HTTP/1.1 999 X",
+        "HTTP/1.1 +20 X", "HTTP/1.1 20 X", "HTTP/1.1 2000 X", "XTTP/1.1 200 X", "HTTP/1.1 101 X" };
+    gateway_fixture tested(1);
+    for (const auto& line : lines) {
+        CAPTURE(line);
+        tested.upstream(0).setStatusLine(line);
+        tested.upstream(0).plan({ upstream_step::oddStatus });
+        auto answered = tested.sendAndReceive("POST", "/once/a", "r" + line, 2'000, "b");
+        CHECK(answered.status == 502);
+        CHECK(tested.runsOf("r" + line) == 1);
+    }
+}
+
 TEST_CASE("An earlier refusal that an upstream repeats is not taken for the answer to a later request")
 {
     // Guards against callers that are told "not run" for a request that runs, and against its run at a second
@@ -732,6 +805,48 @@
     CHECK((response.status == 200) == (tested.runsOf("during") == 1));
 }
 
+TEST_CASE("A request that waits in the socket as a planned stop begins is served")
+{
+    // Guards against the close of a connection whose next request has arrived but has not been read.
+    struct row {
+        const char* name;
+        bool isPipelined; // It comes behind one whose response is written during the stop.
+    };
+    const row rows[] = { { "on an idle connection", false }, { "behind another one", true } };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        gateway_fixture tested(1);
+        auto caller = tested.connect();
+        caller.sendRequest("POST", "/once/a", "before", 2'000, "b");
+        REQUIRE(caller.receive().status == 200);
+        auto beginStop
+            = [](gateway::gateway& entry) { entry.beginStop(deadlineAfter(milliseconds(4'000)), [] {}); };
+        if (each.isPipelined) {
+            tested.upstream(0).setWorkTime(milliseconds(100));
+            caller.sendRequest("POST", "/once/a", "first", 2'000, "b");
+            std::this_thread::sleep_for(milliseconds(30));
+        }
+        tested.runOnEventLoop([&](gateway::gateway& entry) {
+            if (each.isPipelined) {
+                beginStop(entry);
+                std::this_thread::sleep_for(milliseconds(200)); // The first response arrives.
+            }
+            caller.sendRequest("POST", "/once/a", "waiting", 2'000, "b");
+            std::this_thread::sleep_for(milliseconds(20));
+            if (!each.isPipelined) {
+                beginStop(entry);
+            }
+        });
+        if (each.isPipelined) {
+            CHECK(caller.receive().status == 200);
+        }
+        auto last = caller.receive();
+        CHECK(last.status == 200);
+        CHECK(last.has("Connection: close"));
+        CHECK(tested.runsOf("waiting") == 1);
+    }
+}
+
 TEST_CASE("A planned stop finishes requests in flight and still serves new ones")
 {
     gateway_fixture tested(2);
--- a/testing/scripted_upstream.h
+++ b/testing/scripted_upstream.h
@@ -8,6 +8,7 @@
 //     CHECK(upstream.runsOf("request-1") == 1);
 
 #include "marlsill/gateway/wire_fields.h"
+#include "testing/connection_threads.h"
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
@@ -57,6 +58,8 @@
     early, // Answers before it has read the body, and keeps the connection.
     turnAway, // Says that it has not run it, with 503 and a Retry-After field.
     turnAwayUnstated, // Likewise, without saying that it has not run it.
+    oddStatus, // Runs it and answers with the status line of setStatusLine().
+    copyBeforeNext, // Answers, and sends the answer once more when the next request has arrived.
 };
 
 class scripted_upstream {
@@ -92,6 +95,9 @@
     // name the upstream, in X-Answered-By.
     void setLeavingField(const std::string& value);
 
+    // Sets the status line of `oddStatus`, without its line end.
+    void setStatusLine(const std::string& line);
+
     // Returns when requests arrived, in order.
     std::vector<std::chrono::steady_clock::time_point> arrivalTimes() const;
 
@@ -135,7 +141,7 @@
 
 private:
     void acceptLoop();
-    void serve(Poco::Net::StreamSocket socket);
+    void serve(Poco::Net::StreamSocket& socket);
     bool serveOne(Poco::Net::StreamSocket& socket, std::string& buffer);
     upstream_step nextStep();
     void turnAway(Poco::Net::StreamSocket& socket, const std::string& request, bool saysNotRun);
@@ -167,9 +173,10 @@
     std::map<std::string, int> m_runs;
     std::string m_lastHead;
     std::string m_leavingField; // Empty: answers have none.
+    std::string m_statusLine = "HTTP/1.1 000 None";
     std::string m_crashText; // Empty: no request crashes the upstream.
-    std::vector<Poco::Net::StreamSocket> m_open;
-    std::vector<std::thread> m_threads;
+    connection_threads m_connectionThreads;
+    std::thread m_acceptor;
 };
 
 }
