--- a/marlsill/gateway/traffic_counters.cc
+++ b/marlsill/gateway/traffic_counters.cc
@@ -58,10 +58,10 @@
     appendCounter("leaving_fields_malformed_total", leavingFieldsMalformed);
     appendCounter("upstream_turn_aways_total", turnAways);
     appendCounter("held_refusals_total", heldRefusals);
-    appendCounter("account_token_queries_total", tokenQueries);
-    appendCounter("account_tokens_lent_total", tokensLent);
-    appendCounter("account_over_limit_total", overLimitRefusals);
-    appendCounter("account_no_lender_total", noLenderRefusals);
+    appendCounter("limit_token_queries_total", tokenQueries);
+    appendCounter("limit_tokens_lent_total", tokensLent);
+    appendCounter("limit_refusals_total", overLimitRefusals);
+    appendCounter("limit_no_lender_total", noLenderRefusals);
     appendCounter("new_connections_total", newConnections);
     appendCounter("reused_connections_total", reusedConnections);
     appendCounter("late_answers_skipped_total", lateAnswersSkipped);
--- a/marlsill/placement/capacity_floor.h
+++ b/marlsill/placement/capacity_floor.h
@@ -21,9 +21,6 @@
     // Share of failed requests below which more may be unused, as low loss shows that the exclusions are
     // justified. The floor applies from 0.1; the margin is for what one VM's estimate misses.
     double lowLossShare = 0.06;
-    // From this share on, the floor does not apply, or the share cannot be estimated: a VM that gets hardly
-    // any of the requests of a service hears of its failures all the same.
-    double endLossShare = 0.6;
     // With 0.5, losses that rise within two seconds find too many unused: two windows of a hundred below the
     // floor, with 12 upstreams.
     double maxUnusedShareAtLowLoss = 0.35;
@@ -46,8 +43,7 @@
 inline int maxUnused(const floor_state& state, const capacity_floor_options& options = {})
 {
     double count = state.upstreams;
-    auto lowShare = state.isPart ? options.lowLossShareOfPart : options.lowLossShare;
-    if (state.lossShare < lowShare || state.lossShare >= options.endLossShare) {
+    if (state.lossShare < (state.isPart ? options.lowLossShareOfPart : options.lowLossShare)) {
         return static_cast<int>(
             (state.isPart ? options.maxUnusedShareOfPart : options.maxUnusedShareAtLowLoss) * count);
     }
--- a/marlsill/placement/load_balancer.cc
+++ b/marlsill/placement/load_balancer.cc
@@ -413,9 +413,6 @@
     bool mustLeavePermits = request.requestsAhead > 0 && request.limits
         && heldPermits(service, *request.limits, now) <= request.requestsAhead;
     int expectedPermits = 0;
-    int totalInFlight = 0;
-    double latencySum = 0; // Of the upstreams' averages, in milliseconds.
-    int latencies = 0;
     bool hasUnlimited = false;
     upstream_state* dueProbe = nullptr;
     upstream_state* probeWithoutPermit = nullptr; // An excluded one that could be probed with a permit.
@@ -436,9 +433,6 @@
         }
         hasUsable = true;
         int inFlight = inFlightAt(*each, now);
-        totalInFlight += inFlight;
-        latencySum += each->latencyMs;
-        latencies += each->latencyMs > 0 ? 1 : 0;
         bool isLimited = request.limits && request.limits->limitOf(each->entry.id);
         bool holdsPermit = isLimited && request.limits->hasPermit(each->entry.id, now);
         bool needsPermit = isLimited && (!holdsPermit || mustLeavePermits);
@@ -483,7 +477,6 @@
             bestWithoutPermit = current;
         }
     }
-    service.losses.recordLoad(totalInFlight, latencies > 0 ? latencySum / latencies : 0, now);
     std::string permitWanted;
     if (probeWithoutPermit) {
         permitWanted = probeWithoutPermit->entry.id;
--- a/marlsill/placement/loss_monitor.h
+++ b/marlsill/placement/loss_monitor.h
@@ -5,14 +5,11 @@
 //     loss_monitor losses;
 //     losses.recordOutcome(isServed, now); // Of this VM's requests.
 //     losses.recordPeerLoss(now); // A failure that a peer reported.
-//     losses.recordLoad(inFlight, latencyMs, now); // Of all VMs together.
 //     if (losses.share(sharingVms, now) > 0.1)
 //         ...
 //
-// The total is estimated, because peers report failures but not successes: from this VM's own requests, and
-// from the requests in flight of all VMs, whose number is their rate times their latency (Little's law). The
-// larger estimate counts. A VM that gets far fewer requests than its peers would take a loss of 5 % for one
-// of 30 % by its own requests alone. Not thread safe.
+// The total is extrapolated from this VM's own requests, because peers report failures but not successes.
+// Not thread safe.
 
 #include "marlsill/base/time.h"
 
@@ -37,19 +34,6 @@
     // Records a lost request of another VM.
     void recordPeerLoss(steady_clock::time_point now) { m_outcomes.push_back({ now, false, true }); }
 
-    // Records how many requests of all VMs are in flight, and how long they take, in milliseconds.
-    void recordLoad(int inFlight, double latencyMs, steady_clock::time_point now)
-    {
-        if (latencyMs <= 0) {
-            return;
-        }
-        auto sample = inFlight * std::chrono::duration<double, std::milli>(lossWindow).count() / latencyMs;
-        auto elapsed = std::chrono::duration<double>(now - m_loadAt);
-        m_fleetOutcomes += (sample - m_fleetOutcomes)
-            * std::min(1.0, elapsed / std::chrono::duration<double>(lossWindow));
-        m_loadAt = now;
-    }
-
     // Returns the share of lost requests, of which `sharingVms` VMs send as many as this one.
     double share(int sharingVms, steady_clock::time_point now) const
     {
@@ -63,7 +47,7 @@
         }
         auto ownOutcomes
             = own * std::chrono::duration<double>(lossWindow) / std::chrono::duration<double>(now - first);
-        return lost / std::max({ double { minOutcomes }, ownOutcomes * sharingVms, m_fleetOutcomes });
+        return lost / std::max<double>(minOutcomes, ownOutcomes * sharingVms);
     }
 
 private:
@@ -81,8 +65,6 @@
     static constexpr int minOutcomes = 8; // Smallest denominator of the share.
 
     std::deque<outcome> m_outcomes;
-    double m_fleetOutcomes = 0; // Requests of all VMs in a window, averaged over about a window.
-    steady_clock::time_point m_loadAt {};
 };
 
 }
