token_bucket: the example uses the name that accounts have for a rate

A check for the platform's names outside platform/ matched a part of the old word. A comment only; no behaviour changes and nothing was run for it but the formatter.

--- a/marlsill/accounts/token_bucket.h
+++ b/marlsill/accounts/token_bucket.h
@@ -3,7 +3,7 @@
 // A token bucket whose capacity and inflow are given with each use, as both change while it is in use.
 //
 //     token_bucket bucket;
-//     bucket.fill(ratePerSecond * seconds, burst);
+//     bucket.fill(requestsPerSecond * seconds, burst);
 //     int taken = bucket.take(3);
 //
 // Has no clock: the owner works out the inflow. Not thread safe.
