--- a/review/kit-2/backends.hpp
+++ b/review/kit-2/backends.hpp
@@ -54,6 +54,9 @@
         std::lock_guard lock(m_mutex);
         return m_arrivals;
     }
+    // From now on it says in all its answers that it leaves.
+    void leave() { m_isLeaving = true; }
+
     // Returns the requests whose connection ended before their body was in.
     std::vector<arrival> brokenOff() const
     {
@@ -81,7 +84,7 @@
     bool serveRequest(int connection, std::string& buffer, message& request)
     {
         auto attempt = request.field("attempt-id");
-        auto echo = "Attempt-Id: " + attempt + "\r\n";
+        auto echo = "Attempt-Id: " + attempt + "\r\n" + (m_isLeaving ? "Server-Leaving: 1\r\n" : "");
         if (request.target() == "/health") {
             return sendAll(connection, makeResponse(200, "Instance-Id: " + m_options.id + "\r\n", "ok"));
         }
@@ -126,6 +129,7 @@
     std::vector<arrival> m_arrivals;
     std::vector<arrival> m_brokenOff;
     std::atomic<int> m_busy = 0;
+    std::atomic<bool> m_isLeaving = false;
     acceptor m_acceptor; // The last member: its threads use the others.
 };
 
