--- a/review/kit-2/stand_ins.hpp
+++ b/review/kit-2/stand_ins.hpp
@@ -396,6 +396,13 @@
         ++m_cuts[machine];
     }
 
+    // Returns when the store last answered a machine about servers.
+    std::int64_t lastAnswerMs(int machine)
+    {
+        std::lock_guard lock(m_mutex);
+        return m_answeredMs[machine];
+    }
+
     // Returns how many watches of a kind a machine has made since the last call.
     int takeWatches(int machine)
     {
@@ -456,6 +463,10 @@
             if (!sendAll(connection, response)) {
                 return;
             }
+            if (request.target().find("/servers") != std::string::npos) {
+                std::lock_guard lock(m_mutex);
+                m_answeredMs[machine] = nowMs();
+            }
         }
     }
 
@@ -577,6 +588,7 @@
     std::map<int, int> m_watches;
     std::set<int> m_cut;
     std::map<int, int> m_cuts; // How often each machine was cut or joined.
+    std::map<int, std::int64_t> m_answeredMs;
     std::vector<std::unique_ptr<acceptor>> m_acceptors;
 };
 
