upstream_connection: a response that ends with a reset is never complete

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got that part as the complete response. The same happened to responses from peers and from the store.

Cause: the system reports a reset once, to whichever call on the socket comes first. Boost.Asio completes a pending write before a pending read, so the write of the rest of the request took the error and dropped it, and the read saw an ordinary end of the stream, which completes a response without a length.

Evidence: broken_response_test (new) sends such responses to each place that reads responses with upstream_connection: the forwarder, the forwarder behind a peer's relay, the relay itself and the store client.

Change: the rest of a request is written with calls of our own, and an error is kept as soon as a call returns it, before any other call on the socket. Once a write was told of a reset, the end of the stream completes nothing. A broken pipe is no such error: the system reports it only for a reset that comes after the upstream has closed its sending side, and such a response is whole. Two rows keep it so (closed, then reset as the upload goes on).

--- a/marlsill/gateway/upstream_connection.cc
+++ b/marlsill/gateway/upstream_connection.cc
@@ -9,7 +9,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <charconv>
 #include <limits>
 #include <sys/socket.h>
@@ -93,16 +92,28 @@
     co_return !error;
 }
 
+// The system reports the reset of a connection only once, to whichever call comes first; a later read then
+// sees the end of the stream. What a write is told is therefore kept, before any other call on the socket.
 asio::awaitable<void> upstream_connection::writeRemaining()
 {
     auto self = shared_from_this();
-    boost::system::error_code error;
-    co_await asio::async_write(
-        m_socket, asio::buffer(m_writeBuffer), asio::redirect_error(asio::use_awaitable, error));
-    if (!error) {
-        m_isWriting = false;
-        std::exchange(m_writeBuffer, {}); // Idle connections keep no memory of a large request.
+    std::size_t sent = 0;
+    while (sent < m_writeBuffer.size()) {
+        boost::system::error_code error;
+        co_await m_socket.async_wait(
+            asio::ip::tcp::socket::wait_write, asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            co_return;
+        }
+        sent += m_socket.write_some(asio::buffer(m_writeBuffer) + sent, error);
+        if (error && error != asio::error::would_block) {
+            // Only a reset that follows the end of the upstream's stream is reported as a broken pipe.
+            m_isReset = error != asio::error::broken_pipe;
+            co_return;
+        }
     }
+    m_isWriting = false;
+    std::exchange(m_writeBuffer, {}); // Idle connections keep no memory of a large request.
 }
 
 // Waits for bytes and appends them to the read buffer. Returns false on an error or the end of the stream.
@@ -204,8 +215,8 @@
         }
     }
     m_timer.cancel();
-    bool isCompleteAtEof = m_isEof && parsed == http::parse_status::needMore && parser.isCompleteAtClose()
-        && options.matchesRequest(result.response);
+    bool isCompleteAtEof = m_isEof && !m_isReset && parsed == http::parse_status::needMore
+        && parser.isCompleteAtClose() && options.matchesRequest(result.response);
     if (parsed == http::parse_status::complete || isCompleteAtEof) {
         result.status = exchange_status::completed;
     } else if (m_isTimedOut) {
--- a/marlsill/gateway/upstream_connection.h
+++ b/marlsill/gateway/upstream_connection.h
@@ -115,7 +115,8 @@
     std::string m_readBuffer;
     bool m_isTimedOut = false;
     bool m_isAborted = false;
-    bool m_isEof = false; // The upstream has closed its sending side.
+    bool m_isEof = false; // A read has seen the end of the stream.
+    bool m_isReset = false; // A write has failed before the upstream had closed its sending side.
     bool m_isReusable = false;
     bool m_isWriting = false;
     int m_exchangeCount = 0;
--- /dev/null
+++ b/testing/broken_response_test.cc
@@ -0,0 +1,235 @@
+// Tests that a broken response is taken for a response nowhere: neither from an upstream, directly or through
+// a peer, nor from a peer itself, nor from the platform's store.
+
+#include "marlsill/gateway/endpoint.h"
+#include "marlsill/gateway/gateway.h"
+#include "marlsill/gateway/request_relay.h"
+#include "marlsill/gateway/response_match.h"
+#include "platform/store_client.h"
+#include "testing/raw_caller.h"
+#include "testing/raw_upstream.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/use_future.hpp>
+#include <doctest/doctest.h>
+#include <thread>
+
+namespace marlsill::testing {
+
+namespace {
+
+    namespace asio = boost::asio;
+    using std::chrono::milliseconds;
+
+    constexpr std::size_t longUpload = 6 * 1024 * 1024; // Bytes; more than the buffers of two sockets hold.
+    constexpr std::size_t maxUpload = 8 * 1024 * 1024;
+    const std::string body = "{} the whole body";
+
+    // The places that read responses of other processes.
+    enum class response_reader {
+        direct, // A VM that forwards a caller's request to an upstream.
+        relayed, // The same, for a peer.
+        fromPeer, // A VM that relays a request to a peer.
+        store,
+    };
+
+    constexpr response_reader allReaders[] = { response_reader::direct, response_reader::relayed,
+        response_reader::fromPeer, response_reader::store };
+
+    // What became of one response.
+    enum class reading {
+        taken, // Whole and unchanged.
+        takenAltered, // As a success, with another body.
+        rejected,
+    };
+
+    // All readers of responses, each before a server that sends the same response.
+    class reader_fixture {
+    public:
+        explicit reader_fixture(const raw_response& response)
+            : m_server(response)
+            , m_relayPort(freePort())
+            , m_peer(response, Poco::Net::SocketAddress(peerHost, m_relayPort))
+            , m_callerPort(freePort())
+            , m_vm(m_io, { .callerEndpoint = { asio::ip::make_address_v4(servingHost), m_callerPort } }, {})
+            , m_relayServer(m_io,
+                  { .endpoint = { asio::ip::make_address_v4(servingHost), m_relayPort },
+                      .limits = [] { return limits(); },
+                      .buffers = &m_vm.callerBuffers(),
+                      .repeatedField = gateway::relaySendingField },
+                  [this](auto request) { return m_vm.serveRelayed(std::move(request)); })
+            , m_relay(m_io, { .port = m_relayPort }, {})
+            , m_store(m_io, *gateway::parseEndpoint(m_server.address()))
+        {
+            std::vector<gateway::route> routes;
+            routes.push_back({ .name = "once",
+                .host = "h.example",
+                .pathPrefix = "/once/",
+                .isAtMostOnce = true,
+                .timeout = milliseconds(3'000),
+                .weightedServices = { { "s" } } });
+            m_config = std::make_shared<const gateway::configuration>(1, std::move(routes), limits());
+            placement::upstream_entry entry {
+                .id = "u0", .service = "s", .address = m_server.address(), .slots = 3
+            };
+            m_vm.requestForwarder().setConfiguration(m_config);
+            m_vm.requestForwarder().changeUpstreams(std::span(&entry, 1), {});
+            m_vm.setUpstreamsKnown();
+            REQUIRE_FALSE(m_vm.start());
+            REQUIRE_FALSE(m_relayServer.start());
+            m_thread = std::thread([this] { m_io.run(); });
+        }
+
+        ~reader_fixture()
+        {
+            m_io.stop();
+            m_thread.join();
+        }
+
+        // Sends a request with a body and returns what became of the response to it.
+        reading read(response_reader reader, const std::string& requestBody)
+        {
+            switch (reader) {
+            case response_reader::direct:
+                return readDirectly(requestBody);
+            case response_reader::relayed:
+                return readRelayed(servingHost, requestBody);
+            case response_reader::fromPeer:
+                return readRelayed(peerHost, requestBody);
+            case response_reader::store:
+                return readFromStore(requestBody);
+            }
+            return reading::rejected;
+        }
+
+        // Returns how many requests the server of a reader's responses has got.
+        int requests(response_reader reader) const
+        {
+            return reader == response_reader::fromPeer ? m_peer.requests() : m_server.requests();
+        }
+
+    private:
+        static constexpr const char* servingHost = "127.0.0.1";
+        static constexpr const char* peerHost = "127.0.0.2";
+
+        static unsigned short freePort()
+        {
+            Poco::Net::ServerSocket probe(Poco::Net::SocketAddress(servingHost, 0));
+            return probe.address().port();
+        }
+
+        static gateway::caller_limits limits() { return { .maxBodyBytes = maxUpload }; }
+
+        static reading readingOf(const std::string& received)
+        {
+            return received == body ? reading::taken : reading::takenAltered;
+        }
+
+        reading readDirectly(const std::string& requestBody)
+        {
+            raw_caller caller(std::string(servingHost) + ":" + std::to_string(m_callerPort));
+            caller.sendRequest("POST", "/once/a", "r1", 3'000, requestBody);
+            auto received = caller.receive();
+            CHECK((received.status == 200 || received.status == 502));
+            return received.status == 200 && received.isWhole ? readingOf(received.body) : reading::rejected;
+        }
+
+        reading readRelayed(const std::string& host, const std::string& requestBody)
+        {
+            http::request_message message;
+            message.head.setMethod("POST");
+            message.head.setVersion("HTTP/1.1");
+            message.head.setHost("h.example");
+            message.head.setURI("/once/a");
+            message.head.set(gateway::wire_fields().requestId, "r1");
+            message.body = requestBody;
+            auto current = std::make_shared<gateway::active_request>(m_io, std::move(message));
+            current->id = "r1";
+            current->caller = "10.0.0.9";
+            current->effectiveDeadline = deadlineAfter(milliseconds(3'000));
+            current->config = m_config;
+            auto outcome
+                = asio::co_spawn(m_io, m_relay.send(current, std::vector { host }), asio::use_future).get();
+            if (outcome.status != gateway::relay_status::answered) {
+                CHECK(outcome.status == gateway::relay_status::unknown);
+                return reading::rejected;
+            }
+            int status = outcome.response.head.getStatus();
+            CHECK((status == 200 || (status == 502 && host == servingHost)));
+            return status == 200 ? readingOf(outcome.response.body) : reading::rejected;
+        }
+
+        // The store's response is taken if the call succeeds.
+        reading readFromStore(const std::string& requestBody)
+        {
+            reason why;
+            auto version = asio::co_spawn(m_io,
+                m_store.put("kind", "name", requestBody, deadlineAfter(milliseconds(3'000)), why),
+                asio::use_future)
+                               .get();
+            return version ? reading::taken : reading::rejected;
+        }
+
+        raw_upstream m_server; // The upstream, and the store.
+        const unsigned short m_relayPort;
+        raw_upstream m_peer;
+        const unsigned short m_callerPort;
+        asio::io_context m_io { 1 };
+        asio::executor_work_guard<asio::io_context::executor_type> m_workGuard = asio::make_work_guard(m_io);
+        gateway::gateway m_vm;
+        gateway::session_server m_relayServer;
+        gateway::request_relay m_relay;
+        platform_adapter::store_client m_store;
+        std::shared_ptr<const gateway::configuration> m_config;
+        std::thread m_thread;
+    };
+
+    // Returns a response head without its end; `fields` are whole lines.
+    std::string headWith(const std::string& fields, const std::string& statusLine = "HTTP/1.1 200 OK")
+    {
+        gateway::wire_fields wire;
+        return statusLine + "\r\n" + wire.requestId + ": {id}\r\n" + wire.seal + ": seal\r\n" + fields;
+    }
+
+}
+
+TEST_CASE("A response without a length is taken only if its connection ended in an orderly way")
+{
+    // Guards against a part of a response that is taken for all of it, as the reset of the connection was
+    // reported to the sending of the request body, and the reading only saw that the connection had ended.
+    struct row {
+        const char* name;
+        connection_end end;
+        std::size_t sentBytes; // Of the body.
+        bool isWhole;
+    };
+    const row rows[] = {
+        { "closed", connection_end::finish, body.size(), true },
+        { "closed, and reset as the request goes on", connection_end::finishThenReset, body.size(), true },
+        { "reset after a part", connection_end::reset, 2, false },
+        { "reset before the body", connection_end::reset, 0, false },
+        { "reset after all bytes", connection_end::reset, body.size(), false },
+    };
+    for (const auto& each : rows) {
+        for (std::size_t uploadBytes : { std::size_t(100), longUpload }) {
+            for (bool readsBody : { true, false }) {
+                raw_response response { .bytes = headWith("") + "\r\n" + body.substr(0, each.sentBytes),
+                    .end = each.end,
+                    .readsBody = readsBody };
+                reader_fixture fixture(response);
+                for (auto reader : allReaders) {
+                    CAPTURE(std::string(each.name));
+                    CAPTURE(uploadBytes);
+                    CAPTURE(readsBody);
+                    CAPTURE(static_cast<int>(reader));
+                    auto outcome = fixture.read(reader, std::string(uploadBytes, 'b'));
+                    CHECK(outcome == (each.isWhole ? reading::taken : reading::rejected));
+                    CHECK(fixture.requests(reader) > 0);
+                }
+            }
+        }
+    }
+}
+
+}
