broken_response_test: malformed heads are taken nowhere, as before

Other systems delivered status 000 as a response, and responses in whose head the name of a field held a blank or a control byte.

Evidence: 33 kinds of heads, two of them well formed, at each of the four readers: odd statuses, names that are no tokens, control bytes in names and values, folded and bare lines, framing that is stated twice or in a field whose name has a blank or a control byte before its colon. The tests stay so that it does not change.

--- a/testing/broken_response_test.cc
+++ b/testing/broken_response_test.cc
@@ -192,6 +192,11 @@
         return statusLine + "\r\n" + wire.requestId + ": {id}\r\n" + wire.seal + ": seal\r\n" + fields;
     }
 
+    std::string withLength(const std::string& fields = {})
+    {
+        return headWith(fields + "Content-Length: " + std::to_string(body.size()) + "\r\n") + "\r\n" + body;
+    }
+
 }
 
 TEST_CASE("A response without a length is taken only if its connection ended in an orderly way")
@@ -232,4 +237,66 @@
     }
 }
 
+TEST_CASE("A response whose head is malformed is taken nowhere")
+{
+    // Guards against a status that is none, and against a field that is passed on or that frames the body in
+    // one reading of the head only.
+    struct row {
+        const char* name;
+        std::string bytes;
+        bool isValid = false;
+    };
+    const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    auto withStatusLine = [&](const std::string& line) { return headWith(length, line) + "\r\n" + body; };
+    const row rows[] = {
+        { "well formed", withLength("X-Note: a b\tc\r\n"), true },
+        { "an empty value", withLength("X-Note:\r\n"), true },
+        { "status 000", withStatusLine("HTTP/1.1 000 None") },
+        { "status 099", withStatusLine("HTTP/1.1 099 X") },
+        { "status 600", withStatusLine("HTTP/1.1 600 X") },
+        { "status 999", withStatusLine("HTTP/1.1 999 X") },
+        { "status of two digits", withStatusLine("HTTP/1.1 20 X") },
+        { "status with a sign", withStatusLine("HTTP/1.1 +20 X") },
+        { "a control byte in the status line", withStatusLine("HTTP/1.1 200 O\x01K") },
+        { "another protocol", withStatusLine("ICY 200 OK") },
+        { "a blank in a name", withLength("X Note: a\r\n") },
+        { "a blank after a name", withLength("X-Note : a\r\n") },
+        { "a tab after a name", withLength("X-Note\t: a\r\n") },
+        { "a control byte in a name", withLength("X-\x01Note: a\r\n") },
+        { "a null byte in a name", withLength(std::string("X-\0Note: a\r\n", 12)) },
+        { "a carriage return in a name", withLength("X-\rNote: a\r\n") },
+        { "a delete in a name", withLength("X-\x7FNote: a\r\n") },
+        { "a byte beyond ASCII in a name", withLength("X-N\xC3\xB6te: a\r\n") },
+        { "no name", withLength(": a\r\n") },
+        { "no colon", withLength("X-Note\r\n") },
+        { "a folded line", withLength("X-Note: a\r\n b\r\n") },
+        { "a control byte in a value", withLength("X-Note: a\x02z\r\n") },
+        { "a carriage return in a value", withLength("X-Note: a\rb\r\n") },
+        { "a bare line feed", withLength("X-Note: a\nX-Other: b\r\n") },
+        { "a blank after Content-Length", headWith("Content-Length : 2\r\n" + length) + "\r\n" + body },
+        { "a blank after Transfer-Encoding",
+            headWith("Transfer-Encoding : chunked\r\n" + length) + "\r\n" + body },
+        { "a control byte in Transfer-Encoding",
+            headWith("Transfer-Encoding\x0B: chunked\r\n" + length) + "\r\n" + body },
+        { "two lengths", headWith("Content-Length: 2\r\n" + length) + "\r\n" + body },
+        { "a length in two fields", headWith(length + length) + "\r\n" + body },
+        { "a list of lengths",
+            headWith("Content-Length: " + std::to_string(body.size()) + ", 2\r\n") + "\r\n" + body },
+        { "a length with a sign",
+            headWith("Content-Length: +" + std::to_string(body.size()) + "\r\n") + "\r\n" + body },
+        { "a length and chunks",
+            headWith("Transfer-Encoding: chunked\r\n" + length) + "\r\n2\r\n{}\r\n0\r\n\r\n" },
+        { "an unknown transfer coding", headWith("Transfer-Encoding: gzip, chunked\r\n") + "\r\n" + body },
+    };
+    for (const auto& each : rows) {
+        reader_fixture fixture({ .bytes = each.bytes, .end = connection_end::finish });
+        for (auto reader : allReaders) {
+            CAPTURE(std::string(each.name));
+            CAPTURE(static_cast<int>(reader));
+            CHECK(fixture.read(reader, "b") == (each.isValid ? reading::taken : reading::rejected));
+            CHECK(fixture.requests(reader) > 0);
+        }
+    }
+}
+
 }
