http: the blocking reader decodes responses with the incremental parsers

What callers saw: an upstream of the product's own daemon that sends trailers or chunk extensions without end holds a request, a thread and a connection until the deadline, and costs a time-out instead of one malformed response.

Cause: two decoders of chunked bodies and two readers of response heads. Only that of the event-driven connections bounded the framing.

Evidence: message_reader_test, "A response with framing that readers take in different ways is malformed", feeds the same bytes to both readers.

Change: body_reader and readResponseHead() are loops around body_decoder and response_parser, which work on views and return how many bytes they have used; the messages move to message.h. A decoder can pause at a limit and go on, as the streaming of large responses needs (new test: "A body above the limit can be read on in parts"). The blocking reader still refuses a response without a length.

--- a/marlsill/http/message_parser.cc
+++ b/marlsill/http/message_parser.cc
@@ -35,19 +35,20 @@
                                                            : parse_status::needMore;
     }
 
-    // Parses the header block at the front of `buffer` into `head` and removes it.
+    // Parses the header block at the front of `bytes` into `head` and sets `consumed` to its size.
     template <typename Head>
-    parse_status parseHeaderBlock(std::string& buffer, Head& head, std::size_t maxBytes)
+    parse_status parseHeaderBlock(
+        std::string_view bytes, std::size_t& consumed, Head& head, std::size_t maxBytes)
     {
         std::size_t length = 0;
-        auto status = findHeaderBlock(buffer, maxBytes, length);
+        auto status = findHeaderBlock(bytes, maxBytes, length);
         if (status != parse_status::complete) {
             return status;
         }
-        if (!internal::parseHead(std::string_view(buffer).substr(0, length), head, maxFields)) {
+        if (!internal::parseHead(bytes.substr(0, length), head, maxFields)) {
             return parse_status::malformed;
         }
-        buffer.erase(0, length);
+        consumed = length;
         return parse_status::complete;
     }
 
@@ -58,19 +59,9 @@
         return count == 1;
     }
 
-    bool hasNoBody(int status, bool isHead) { return isHead || status == 204 || status == 304; }
+    bool isInformational(int status) { return status < 200; }
 
-    body_decoder decoderFor(const internal::body_framing& framing)
-    {
-        switch (framing.kind) {
-        case internal::framing::fixedLength:
-            return body_decoder::withLength(framing.length);
-        case internal::framing::chunked:
-            return body_decoder::withChunks();
-        default:
-            return {};
-        }
-    }
+    bool hasNoBody(int status, bool isHead) { return isHead || status == 204 || status == 304; }
 
 }
 
@@ -81,18 +72,15 @@
     return names[static_cast<int>(status)];
 }
 
-body_decoder body_decoder::withLength(std::uint64_t length)
+body_decoder body_decoder::forFraming(const internal::body_framing& framing)
 {
     body_decoder decoder;
-    decoder.m_state = state::fixed;
-    decoder.m_bytesLeft = length;
-    return decoder;
-}
-
-body_decoder body_decoder::withChunks()
-{
-    body_decoder decoder;
-    decoder.m_state = state::chunkSize;
+    if (framing.kind == internal::framing::fixedLength) {
+        decoder.m_state = state::fixed;
+        decoder.m_bytesLeft = framing.length;
+    } else if (framing.kind == internal::framing::chunked) {
+        decoder.m_state = state::chunkSize;
+    }
     return decoder;
 }
 
@@ -103,37 +91,42 @@
     return decoder;
 }
 
-parse_status body_decoder::takeBytes(std::string& buffer, std::string& out, std::size_t maxBytes)
+parse_status body_decoder::takeBytes(
+    std::string_view bytes, std::size_t& consumed, std::string& out, std::size_t maxBytes)
 {
-    if (m_bytesLeft > maxBytes - std::min(maxBytes, out.size())) {
-        return parse_status::bodyTooLarge;
-    }
-    auto count = static_cast<std::size_t>(std::min<std::uint64_t>(m_bytesLeft, buffer.size()));
-    out.append(buffer, 0, count);
-    buffer.erase(0, count);
+    auto room = maxBytes - std::min(maxBytes, out.size());
+    auto available = std::min(room, bytes.size() - consumed);
+    auto count = static_cast<std::size_t>(std::min<std::uint64_t>(m_bytesLeft, available));
+    out.append(bytes.substr(consumed, count));
+    consumed += count;
     m_bytesLeft -= count;
-    return m_bytesLeft == 0 ? parse_status::complete : parse_status::needMore;
+    m_decodedBytes += count;
+    if (m_bytesLeft == 0) {
+        return parse_status::complete;
+    }
+    return out.size() >= maxBytes ? parse_status::bodyTooLarge : parse_status::needMore;
 }
 
-parse_status body_decoder::decodeLine(std::string& buffer, std::size_t decodedBytes)
+parse_status body_decoder::decodeLine(std::string_view bytes, std::size_t& consumed)
 {
-    auto end = buffer.find('\n');
-    if (end == std::string::npos) {
-        return buffer.size() > maxLineBytes ? parse_status::malformed : parse_status::needMore;
+    auto rest = bytes.substr(consumed);
+    auto end = rest.find('\n');
+    if (end == std::string_view::npos) {
+        return rest.size() > maxLineBytes ? parse_status::malformed : parse_status::needMore;
     }
-    if (end == 0 || buffer[end - 1] != '\r' || end > maxLineBytes) {
+    if (end == 0 || rest[end - 1] != '\r' || end > maxLineBytes) {
         return parse_status::malformed;
     }
     m_framingBytes += end + 1;
-    if (m_framingBytes > maxFramingBytes + maxFramingPerDataByte * decodedBytes) {
+    if (m_framingBytes > maxFramingBytes + maxFramingPerDataByte * m_decodedBytes) {
         return parse_status::malformed;
     }
-    auto line = std::string_view(buffer).substr(0, end - 1);
+    auto line = rest.substr(0, end - 1);
     bool isEmpty = line.empty();
     if (m_state == state::chunkSize) {
         auto digits = line.substr(0, line.find(';'));
-        auto [rest, error] = std::from_chars(digits.data(), digits.data() + digits.size(), m_bytesLeft, 16);
-        if (digits.empty() || error != std::errc() || rest != digits.data() + digits.size()) {
+        auto [last, error] = std::from_chars(digits.data(), digits.data() + digits.size(), m_bytesLeft, 16);
+        if (digits.empty() || error != std::errc() || last != digits.data() + digits.size()) {
             return parse_status::malformed;
         }
         m_state = m_bytesLeft == 0 ? state::trailer : state::chunkData;
@@ -147,31 +140,37 @@
     } else if (++m_trailerFields > maxFields) {
         return parse_status::malformed;
     }
-    buffer.erase(0, end + 1);
+    consumed += end + 1;
     return parse_status::complete;
 }
 
-parse_status body_decoder::decode(std::string& buffer, std::string& out, std::size_t maxBytes)
+parse_status body_decoder::decodeUpTo(
+    std::string_view bytes, std::size_t& consumed, std::string& out, std::size_t maxBytes)
 {
+    consumed = 0;
     while (true) {
         parse_status status = parse_status::complete;
         switch (m_state) {
         case state::done:
             return parse_status::complete;
         case state::fixed:
-            return takeBytes(buffer, out, maxBytes);
+            status = takeBytes(bytes, consumed, out, maxBytes);
+            if (status == parse_status::complete) {
+                m_state = state::done;
+            }
+            break;
         case state::untilClose:
-            out.append(buffer);
-            buffer.clear();
+            out.append(bytes);
+            consumed = bytes.size();
             return out.size() > maxBytes ? parse_status::bodyTooLarge : parse_status::needMore;
         case state::chunkData:
-            status = takeBytes(buffer, out, maxBytes);
+            status = takeBytes(bytes, consumed, out, maxBytes);
             if (status == parse_status::complete) {
                 m_state = state::chunkDataEnd;
             }
             break;
         default:
-            status = decodeLine(buffer, out.size());
+            status = decodeLine(bytes, consumed);
             break;
         }
         if (status != parse_status::complete) {
@@ -180,13 +179,24 @@
     }
 }
 
+parse_status body_decoder::decode(
+    std::string_view bytes, std::size_t& consumed, std::string& out, std::size_t maxBytes)
+{
+    auto status = decodeUpTo(bytes, consumed, out, maxBytes);
+    bool isInData = m_state == state::fixed || m_state == state::chunkData;
+    bool isTooLarge = isInData && m_bytesLeft > maxBytes - std::min(maxBytes, out.size());
+    return isTooLarge ? parse_status::bodyTooLarge : status;
+}
+
 parse_status request_parser::parse(std::string& buffer, request_message& message, const read_limits& limits)
 {
+    std::size_t consumed = 0;
     if (!m_hasHead) {
-        auto status = parseHeaderBlock(buffer, message.head, limits.maxHeaderBytes);
+        auto status = parseHeaderBlock(buffer, consumed, message.head, limits.maxHeaderBytes);
         if (status != parse_status::complete) {
             return status;
         }
+        buffer.erase(0, consumed);
         auto framing = internal::parseFraming(message.head);
         if (!framing || message.head.getVersion() != "HTTP/1.1" || !hasSingleHost(message.head)) {
             return parse_status::malformed;
@@ -196,11 +206,12 @@
         }
         bool hasBody = framing->kind != internal::framing::none;
         m_expectsContinue = hasBody && Poco::icompare(message.head.get("Expect", ""), "100-continue") == 0;
-        m_body = decoderFor(*framing);
+        m_body = body_decoder::forFraming(*framing);
         m_hasHead = true;
         message.body.clear();
     }
-    auto status = m_body.decode(buffer, message.body, limits.maxBodyBytes);
+    auto status = m_body.decode(buffer, consumed, message.body, limits.maxBodyBytes);
+    buffer.erase(0, consumed);
     if (status == parse_status::complete) {
         m_hasHead = false;
     }
@@ -210,49 +221,53 @@
 bool request_parser::takeExpectContinue() { return std::exchange(m_expectsContinue, false); }
 
 parse_status response_parser::parseHead(
-    std::string& buffer, response_message& message, const read_limits& limits)
+    std::string_view bytes, std::size_t& consumed, Poco::Net::HTTPResponse& head, const read_limits& limits)
 {
+    consumed = 0;
     while (true) {
-        auto status = parseHeaderBlock(buffer, message.head, limits.maxHeaderBytes);
+        std::size_t length = 0;
+        auto status = parseHeaderBlock(bytes.substr(consumed), length, head, limits.maxHeaderBytes);
         if (status != parse_status::complete) {
             return status;
         }
-        int code = message.head.getStatus();
-        if (code < 100 || code == 101 || code > 599) {
+        consumed += length;
+        auto framing = internal::parseFraming(head);
+        int code = head.getStatus();
+        if (!framing || code == Poco::Net::HTTPResponse::HTTP_SWITCHING_PROTOCOLS) {
             return parse_status::malformed;
         }
-        if (code >= 200) {
-            break;
+        if (isInformational(code)) {
+            if (++m_informationalResponses > maxInformationalResponses) {
+                return parse_status::malformed;
+            }
+            continue;
         }
-        if (++m_informationalResponses > maxInformationalResponses) {
-            return parse_status::malformed;
+        if (hasNoBody(code, m_isHead)) {
+            m_body = {};
+        } else if (framing->kind == internal::framing::none) {
+            m_body = body_decoder::untilClose();
+        } else {
+            m_body = body_decoder::forFraming(*framing);
         }
+        m_hasHead = true;
+        return parse_status::complete;
     }
-    auto framing = internal::parseFraming(message.head);
-    if (!framing) {
-        return parse_status::malformed;
-    }
-    if (hasNoBody(message.head.getStatus(), m_isHead)) {
-        m_body = {};
-    } else if (framing->kind == internal::framing::none) {
-        m_body = body_decoder::untilClose();
-    } else {
-        m_body = decoderFor(*framing);
-    }
-    m_hasHead = true;
-    message.body.clear();
-    return parse_status::complete;
 }
 
 parse_status response_parser::parse(std::string& buffer, response_message& message, const read_limits& limits)
 {
+    std::size_t consumed = 0;
     if (!m_hasHead) {
-        auto status = parseHead(buffer, message, limits);
+        auto status = parseHead(buffer, consumed, message.head, limits);
+        buffer.erase(0, consumed);
         if (status != parse_status::complete) {
             return status;
         }
+        message.body.clear();
     }
-    return m_body.decode(buffer, message.body, limits.maxBodyBytes);
+    auto status = m_body.decode(buffer, consumed, message.body, limits.maxBodyBytes);
+    buffer.erase(0, consumed);
+    return status;
 }
 
 }
--- a/marlsill/http/message_parser.h
+++ b/marlsill/http/message_parser.h
@@ -7,16 +7,23 @@
 //     if (parser.parse(buffer, request) == parse_status::complete)
 //         serve(std::move(request));
 //
-// Message framing is validated as strictly as in message_reader.h. A parser removes the bytes that it has
-// parsed from the front of the buffer.
+// The blocking readers of message_reader.h use the same parsers. A parser removes the bytes that it has
+// parsed from the front of the buffer, or returns how many they are.
 
-#include "marlsill/http/message_reader.h"
+#include "marlsill/http/message.h"
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace marlsill::http {
 
+namespace internal {
+
+    struct body_framing;
+
+}
+
 // The result of one call of a parser.
 enum class parse_status {
     needMore,
@@ -35,19 +42,22 @@
     // Decodes an empty body.
     body_decoder() = default;
 
-    // Decodes a body of `length` bytes.
-    static body_decoder withLength(std::uint64_t length);
-
-    // Decodes a body with the chunked transfer coding.
-    static body_decoder withChunks();
+    // Decodes a body with the framing that its head declares; without any it is empty.
+    static body_decoder forFraming(const internal::body_framing& framing);
 
     // Decodes a body that extends until the connection is closed.
     static body_decoder untilClose();
 
-    // Removes encoded bytes from the front of `buffer` and appends the decoded ones to `out`. Returns
-    // `bodyTooLarge` as soon as it is known that `out` would exceed `maxBytes`, and `malformed` if chunk
-    // sizes, extensions and trailers take up far more than the data.
-    parse_status decode(std::string& buffer, std::string& out, std::size_t maxBytes);
+    // Decodes `bytes`, appends the result to `out` and sets `consumed` to the number of bytes that are done
+    // with. Returns `bodyTooLarge` as soon as it is known that `out` would exceed `maxBytes`, and `malformed`
+    // if chunk sizes, extensions and trailers are malformed or take up far more than the data.
+    parse_status decode(
+        std::string_view bytes, std::size_t& consumed, std::string& out, std::size_t maxBytes);
+
+    // Does the same, but returns `bodyTooLarge` only once `out` has reached `maxBytes` and the body goes on.
+    // Decoding can continue after it.
+    parse_status decodeUpTo(
+        std::string_view bytes, std::size_t& consumed, std::string& out, std::size_t maxBytes);
 
     // Returns whether the body ends only when the connection is closed.
     bool isCloseDelimited() const { return m_state == state::untilClose; }
@@ -63,11 +73,13 @@
         untilClose,
     };
 
-    parse_status decodeLine(std::string& buffer, std::size_t decodedBytes);
-    parse_status takeBytes(std::string& buffer, std::string& out, std::size_t maxBytes);
+    parse_status decodeLine(std::string_view bytes, std::size_t& consumed);
+    parse_status takeBytes(
+        std::string_view bytes, std::size_t& consumed, std::string& out, std::size_t maxBytes);
 
     state m_state = state::done;
-    std::uint64_t m_bytesLeft = 0;
+    std::uint64_t m_bytesLeft = 0; // Of a body with a length, or of a chunk.
+    std::size_t m_decodedBytes = 0; // In all.
     std::size_t m_framingBytes = 0; // Of chunk sizes, extensions and trailers.
     int m_trailerFields = 0;
 };
@@ -104,6 +116,14 @@
     // Continues parsing with the bytes in `buffer`. Skips a few 1xx responses, except that 101 is malformed.
     parse_status parse(std::string& buffer, response_message& message, const read_limits& limits);
 
+    // Continues parsing with `bytes`, the ones that follow those consumed so far, as far as the end of the
+    // final header block. Sets `consumed`; `head` is valid and body() is known after `complete`.
+    parse_status parseHead(std::string_view bytes, std::size_t& consumed, Poco::Net::HTTPResponse& head,
+        const read_limits& limits);
+
+    // Returns the decoder of the body.
+    const body_decoder& body() const { return m_body; }
+
     // Returns whether the header block of the final response has been parsed.
     bool hasHead() const { return m_hasHead; }
 
@@ -115,8 +135,6 @@
     bool isCloseDelimited() const { return m_hasHead && m_body.isCloseDelimited(); }
 
 private:
-    parse_status parseHead(std::string& buffer, response_message& message, const read_limits& limits);
-
     bool m_isHead;
     bool m_hasHead = false;
     int m_informationalResponses = 0;
--- a/marlsill/http/message_reader.cc
+++ b/marlsill/http/message_reader.cc
@@ -3,14 +3,12 @@
 #include "marlsill/http/internal/header_check.h"
 
 #include <Poco/String.h>
-#include <charconv>
+#include <algorithm>
 
 namespace marlsill::http {
 
 namespace {
 
-    constexpr std::size_t maxLineBytes = 256; // Per chunk-size or trailer line.
-    constexpr std::size_t maxInformationalResponses = 8; // 1xx responses before the final one.
     constexpr int maxFields = 100;
 
     read_status toReadStatus(io_status status, bool hasStarted)
@@ -85,91 +83,35 @@
         return isKnownVersion && !isChunkedHttp10 && hasValidHost(head);
     }
 
-    body_reader::kind toKind(internal::framing framing)
+    read_status toReadStatus(parse_status status)
     {
-        switch (framing) {
-        case internal::framing::fixedLength:
-            return body_reader::kind::fixedLength;
-        case internal::framing::chunked:
-            return body_reader::kind::chunked;
+        switch (status) {
+        case parse_status::complete:
+            return read_status::complete;
+        case parse_status::bodyTooLarge:
+            return read_status::bodyTooLarge;
         default:
-            return body_reader::kind::none;
+            return read_status::malformed;
         }
     }
 
-    bool hasNoBody(int status, std::string_view requestMethod)
-    {
-        return requestMethod == "HEAD" || status == 204 || status == 304;
-    }
-
 }
 
-body_reader::body_reader(channel& connection, kind framing, std::uint64_t length)
+body_reader::body_reader(channel& connection, body_decoder decoder)
     : m_connection(connection)
-    , m_kind(framing)
-    , m_bytesLeft(length)
+    , m_decoder(decoder)
 {
 }
 
 read_status body_reader::readInto(
     std::string& out, std::size_t maxBytes, deadline limit, watched_socket watched)
-{
-    switch (m_kind) {
-    case kind::fixedLength:
-        return readFixed(out, maxBytes, limit, watched);
-    case kind::chunked:
-        return readChunked(out, maxBytes, limit, watched);
-    case kind::none:
-        break;
-    }
-    return read_status::complete;
-}
-
-read_status body_reader::takeBytes(
-    std::string& out, std::size_t maxBytes, deadline limit, watched_socket watched)
-{
-    while (m_bytesLeft > 0) {
-        if (out.size() >= maxBytes) {
-            return read_status::bodyTooLarge;
-        }
-        auto bytes = m_connection.buffered();
-        if (bytes.empty()) {
-            auto status = m_connection.fill(limit, watched);
-            if (status != io_status::ok) {
-                return toReadStatus(status, true);
-            }
-            continue;
-        }
-        auto room = std::min<std::uint64_t>(m_bytesLeft, maxBytes - out.size());
-        auto count = static_cast<std::size_t>(std::min<std::uint64_t>(room, bytes.size()));
-        out.append(bytes.substr(0, count));
-        m_connection.consume(count);
-        m_bytesLeft -= count;
-    }
-    return read_status::complete;
-}
-
-read_status body_reader::readFixed(
-    std::string& out, std::size_t maxBytes, deadline limit, watched_socket watched)
-{
-    return takeBytes(out, maxBytes, limit, watched);
-}
-
-read_status body_reader::readLine(std::string& line, deadline limit, watched_socket watched)
 {
     while (true) {
-        auto bytes = m_connection.buffered();
-        auto end = bytes.find('\n');
-        if (end != std::string_view::npos) {
-            if (end == 0 || bytes[end - 1] != '\r' || end > maxLineBytes) {
-                return read_status::malformed;
-            }
-            line.assign(bytes.substr(0, end - 1));
-            m_connection.consume(end + 1);
-            return read_status::complete;
-        }
-        if (bytes.size() > maxLineBytes) {
-            return read_status::malformed;
+        std::size_t consumed = 0;
+        auto parsed = m_decoder.decodeUpTo(m_connection.buffered(), consumed, out, maxBytes);
+        m_connection.consume(consumed);
+        if (parsed != parse_status::needMore) {
+            return toReadStatus(parsed);
         }
         auto status = m_connection.fill(limit, watched);
         if (status != io_status::ok) {
@@ -178,60 +120,6 @@
     }
 }
 
-read_status body_reader::readChunkSize(deadline limit, watched_socket watched)
-{
-    std::string line;
-    auto status = readLine(line, limit, watched);
-    if (status != read_status::complete) {
-        return status;
-    }
-    std::string_view digits = std::string_view(line).substr(0, line.find(';'));
-    auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), m_bytesLeft, 16);
-    if (digits.empty() || error != std::errc() || end != digits.data() + digits.size()) {
-        return read_status::malformed;
-    }
-    return read_status::complete;
-}
-
-read_status body_reader::readChunked(
-    std::string& out, std::size_t maxBytes, deadline limit, watched_socket watched)
-{
-    std::string line;
-    while (true) {
-        read_status status = read_status::complete;
-        switch (m_chunkState) {
-        case chunk_state::size:
-            status = readChunkSize(limit, watched);
-            if (status == read_status::complete) {
-                m_chunkState = m_bytesLeft == 0 ? chunk_state::trailer : chunk_state::data;
-            }
-            break;
-        case chunk_state::data:
-            status = takeBytes(out, maxBytes, limit, watched);
-            if (status == read_status::complete) {
-                m_chunkState = chunk_state::dataEnd;
-            }
-            break;
-        case chunk_state::dataEnd:
-            status = readLine(line, limit, watched);
-            if (status == read_status::complete) {
-                status = line.empty() ? status : read_status::malformed;
-                m_chunkState = chunk_state::size;
-            }
-            break;
-        case chunk_state::trailer:
-            status = readLine(line, limit, watched);
-            if (status == read_status::complete && line.empty()) {
-                return read_status::complete;
-            }
-            break;
-        }
-        if (status != read_status::complete) {
-            return status;
-        }
-    }
-}
-
 read_status readRequest(
     channel& connection, request_message& message, const read_limits& limits, deadline limit)
 {
@@ -251,7 +139,7 @@
         connection.write("HTTP/1.1 100 Continue\r\n\r\n", limit);
     }
     message.body.clear();
-    body_reader body(connection, toKind(framing->kind), framing->length);
+    body_reader body(connection, body_decoder::forFraming(*framing));
     return body.readInto(message.body, limits.maxBodyBytes, limit, {});
 }
 
@@ -259,33 +147,25 @@
     std::string_view requestMethod, const read_limits& limits, deadline limit, watched_socket watched,
     std::optional<body_reader>& body)
 {
-    for (std::size_t skipped = 0; skipped < maxInformationalResponses; ++skipped) {
-        auto status = readHead(connection, head, limits, limit, watched);
-        if (status != read_status::complete) {
-            return status == read_status::closedBeforeStart && skipped > 0 ? read_status::truncated : status;
-        }
-        int code = head.getStatus();
-        if (code == 101 || code < 100) {
-            return read_status::malformed;
-        }
-        if (code < 200) {
-            continue;
-        }
-        auto framing = internal::parseFraming(head);
-        if (!framing) {
-            return read_status::malformed;
-        }
-        if (hasNoBody(code, requestMethod)) {
-            body.emplace(connection, body_reader::kind::none, 0);
+    response_parser parser(requestMethod == "HEAD");
+    bool hasStarted = false;
+    while (true) {
+        hasStarted = hasStarted || !connection.buffered().empty();
+        std::size_t consumed = 0;
+        auto parsed = parser.parseHead(connection.buffered(), consumed, head, limits);
+        connection.consume(consumed);
+        if (parsed == parse_status::complete && !parser.isCloseDelimited()) {
+            body.emplace(connection, parser.body());
             return read_status::complete;
         }
-        if (framing->kind == internal::framing::none) {
+        if (parsed != parse_status::needMore) {
             return read_status::malformed;
         }
-        body.emplace(connection, toKind(framing->kind), framing->length);
-        return read_status::complete;
+        auto status = connection.fill(limit, watched);
+        if (status != io_status::ok) {
+            return toReadStatus(status, hasStarted);
+        }
     }
-    return read_status::malformed;
 }
 
 read_status readResponse(channel& connection, response_message& message, std::string_view requestMethod,
--- a/marlsill/http/message_reader.h
+++ b/marlsill/http/message_reader.h
@@ -3,7 +3,8 @@
 // Reads HTTP/1.1 messages from a channel and detects truncated ones.
 //
 // POCO's client session reports a truncated response as a complete but shorter one, so bodies are framed
-// here. POCO only parses the header block, after a strict validation of its raw bytes.
+// by this library. Responses and bodies are decoded by the parsers of message_parser.h, so that event-driven
+// connections and blocking ones agree on every message.
 //
 //     response_message response;
 //     auto status = readResponse(connection, response, "GET", { .maxBodyBytes = 1 << 20 }, limit);
@@ -12,27 +13,15 @@
 
 #include "marlsill/base/time.h"
 #include "marlsill/http/channel.h"
+#include "marlsill/http/message.h"
+#include "marlsill/http/message_parser.h"
 
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
 namespace marlsill::http {
 
-// A request with its complete body, after removal of any transfer coding.
-struct request_message {
-    Poco::Net::HTTPRequest head;
-    std::string body;
-};
-
-// A response with its complete body, after removal of any transfer coding.
-struct response_message {
-    Poco::Net::HTTPResponse head;
-    std::string body;
-};
-
 // The result of reading one message.
 enum class read_status {
     complete,
@@ -45,23 +34,10 @@
     failed, // The connection was reset in the middle of the message.
 };
 
-// Size limits of one message.
-struct read_limits {
-    std::size_t maxHeaderBytes = 16 * 1024;
-    std::size_t maxBodyBytes = 1024 * 1024;
-};
-
 // Reads and decodes one message body in parts. The channel must outlive it.
 class body_reader {
 public:
-    enum class kind {
-        none,
-        fixedLength,
-        chunked,
-    };
-
-    // `length`, in bytes, is used for fixedLength only.
-    body_reader(channel& connection, kind framing, std::uint64_t length);
+    body_reader(channel& connection, body_decoder decoder);
 
     // Appends decoded bytes to `out`. Returns `complete` after the last byte, `bodyTooLarge` if `out` has
     // reached `maxBytes` and the body continues, and any other status if the read failed or the body is
@@ -69,23 +45,8 @@
     read_status readInto(std::string& out, std::size_t maxBytes, deadline limit, watched_socket watched);
 
 private:
-    enum class chunk_state {
-        size,
-        data,
-        dataEnd,
-        trailer,
-    };
-
-    read_status readFixed(std::string& out, std::size_t maxBytes, deadline limit, watched_socket watched);
-    read_status readChunked(std::string& out, std::size_t maxBytes, deadline limit, watched_socket watched);
-    read_status readLine(std::string& line, deadline limit, watched_socket watched);
-    read_status readChunkSize(deadline limit, watched_socket watched);
-    read_status takeBytes(std::string& out, std::size_t maxBytes, deadline limit, watched_socket watched);
-
     channel& m_connection;
-    kind m_kind;
-    std::uint64_t m_bytesLeft;
-    chunk_state m_chunkState = chunk_state::size;
+    body_decoder m_decoder;
 };
 
 // Reads a complete request. After `malformed` the connection must be closed, following a 400 response. If the
--- a/marlsill/http/message_reader_test.cc
+++ b/marlsill/http/message_reader_test.cc
@@ -4,6 +4,8 @@
 
 #include <Poco/Net/ServerSocket.h>
 #include <doctest/doctest.h>
+#include <optional>
+#include <vector>
 
 namespace marlsill::http {
 
@@ -108,6 +110,80 @@
     }
 }
 
+TEST_CASE("A response with framing that readers take in different ways is malformed")
+{
+    // Guards against a body that is not the server's. Both readers of responses must agree.
+    struct row {
+        const char* name;
+        std::string bytes;
+        bool isValid = false;
+    };
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string body = "2\r\nok\r\n0\r\n";
+    auto repeated = [](const std::string& text, int count) {
+        std::string all;
+        for (int number = 0; number < count; ++number) {
+            all += text;
+        }
+        return all;
+    };
+    const std::string longExtension = "1;" + std::string(240, 'e') + "\r\nx\r\n";
+    const row rows[] = {
+        { "chunks", ok + chunked + body + "\r\n", true },
+        { "an extension and a trailer", ok + chunked + "2;a=b\r\nok\r\n0\r\nX-T: a\r\n\r\n", true },
+        { "no content", "HTTP/1.1 204 X\r\n\r\n", true },
+        { "no content, of length 0", "HTTP/1.1 204 X\r\nContent-Length: 0\r\n\r\n", true },
+        { "not modified, with the length of the content", "HTTP/1.1 304 X\r\nContent-Length: 9\r\n\r\n",
+            true },
+        { "after 103", "HTTP/1.1 103 X\r\nX-A: b\r\n\r\n" + ok + chunked + body + "\r\n", true },
+        { "trailers without end", ok + chunked + "0\r\n" + repeated("X-T: a\r\n", 2'000) },
+        { "extensions without end", ok + chunked + repeated(longExtension, 2'000) },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        connected_pair pair;
+        pair.sendAndClose(each.bytes);
+        response_message response;
+        CHECK(readResponse(pair.local, response, "GET", {}, soon())
+            == (each.isValid ? read_status::complete : read_status::malformed));
+        response_parser parser(false);
+        auto buffer = each.bytes;
+        CHECK(parser.parse(buffer, response, {})
+            == (each.isValid ? parse_status::complete : parse_status::malformed));
+    }
+}
+
+TEST_CASE("A body above the limit can be read on in parts")
+{
+    struct row {
+        const char* name;
+        std::string_view bytes;
+    };
+    constexpr row rows[] = {
+        { "of a length", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n0123456789" },
+        { "in chunks",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "3\r\n012\r\n4\r\n3456\r\n3\r\n789\r\n0\r\n\r\n" },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        connected_pair pair;
+        pair.sendAndClose(each.bytes);
+        response_message response;
+        std::optional<body_reader> reader;
+        REQUIRE(readResponseHead(pair.local, response.head, "GET", {}, soon(), {}, reader)
+            == read_status::complete);
+        std::vector<std::string> parts;
+        auto status = read_status::bodyTooLarge;
+        while (status == read_status::bodyTooLarge) {
+            status = reader->readInto(parts.emplace_back(), 4, soon(), {});
+        }
+        CHECK(status == read_status::complete);
+        CHECK(parts == std::vector<std::string> { "0123", "4567", "89" });
+    }
+}
+
 TEST_CASE("requests with ambiguous framing are malformed")
 {
     struct test_case {
