http: the lines of a chunked body are checked like those of a head

What callers saw: a response whose chunk extension holds a control byte, or whose trailers hold a line that is no field, was delivered as a whole one. Among them a response that begins within the trailers of the one before.

Cause: of a chunk size line only the digits were checked, of a trailer line nothing but its length. A bare carriage return in either ends the line for other readers, so that two of them see different bodies.

Change: an extension may hold no control bytes but tabs, a trailer line must be a field line whose name is a token. The decoder also reads the bodies of requests, of which such ones get 400 now.

--- a/marlsill/http/internal/header_check.cc
+++ b/marlsill/http/internal/header_check.cc
@@ -16,16 +16,6 @@
         return isAlphanumeric || punctuation.find(character) != std::string_view::npos;
     }
 
-    bool isFieldLine(std::string_view line)
-    {
-        auto colon = line.find(':');
-        if (colon == 0 || colon == std::string_view::npos) {
-            return false;
-        }
-        auto name = line.substr(0, colon);
-        return std::all_of(name.begin(), name.end(), isTokenCharacter);
-    }
-
     bool hasControlCharacter(std::string_view line)
     {
         return std::any_of(line.begin(), line.end(), [](char character) {
@@ -56,6 +46,16 @@
 
 }
 
+bool isFieldLine(std::string_view line)
+{
+    auto colon = line.find(':');
+    if (colon == 0 || colon == std::string_view::npos || hasControlCharacter(line)) {
+        return false;
+    }
+    auto name = line.substr(0, colon);
+    return std::all_of(name.begin(), name.end(), isTokenCharacter);
+}
+
 bool isValidHeaderBlock(std::string_view block)
 {
     bool isStartLine = true;
@@ -69,7 +69,7 @@
         if (line.empty()) {
             return block.empty() && !isStartLine;
         }
-        if (hasControlCharacter(line) || (!isStartLine && !isFieldLine(line))) {
+        if (isStartLine ? hasControlCharacter(line) : !isFieldLine(line)) {
             return false;
         }
         isStartLine = false;
--- a/marlsill/http/internal/header_check.h
+++ b/marlsill/http/internal/header_check.h
@@ -45,6 +45,10 @@
 // from 100 to 599 (RFC 9112, section 4).
 bool hasValidStatusLine(std::string_view block);
 
+// Returns whether `line`, without its line end, is a field line whose name is a token (RFC 9110,
+// section 5.6.2) and that contains no control characters except tabs.
+bool isFieldLine(std::string_view line);
+
 // Returns whether a field with this value can be written without ending its line (RFC 9110, section 5.5).
 bool isFieldValue(std::string_view value);
 
--- a/marlsill/http/message_parser.cc
+++ b/marlsill/http/message_parser.cc
@@ -126,7 +126,8 @@
     if (m_state == state::chunkSize) {
         auto digits = line.substr(0, line.find(';'));
         auto [last, error] = std::from_chars(digits.data(), digits.data() + digits.size(), m_bytesLeft, 16);
-        if (digits.empty() || error != std::errc() || last != digits.data() + digits.size()) {
+        if (digits.empty() || error != std::errc() || last != digits.data() + digits.size()
+            || !internal::isFieldValue(line.substr(digits.size()))) {
             return parse_status::malformed;
         }
         m_state = m_bytesLeft == 0 ? state::trailer : state::chunkData;
@@ -137,7 +138,7 @@
         m_state = state::chunkSize;
     } else if (isEmpty) {
         m_state = state::done;
-    } else if (++m_trailerFields > maxFields) {
+    } else if (!internal::isFieldLine(line) || ++m_trailerFields > maxFields) {
         return parse_status::malformed;
     }
     consumed += end + 1;
--- a/marlsill/http/message_reader_test.cc
+++ b/marlsill/http/message_reader_test.cc
@@ -137,6 +137,12 @@
         { "not modified, with the length of the content", "HTTP/1.1 304 X\r\nContent-Length: 9\r\n\r\n",
             true },
         { "after 103", "HTTP/1.1 103 X\r\nX-A: b\r\n\r\n" + ok + chunked + body + "\r\n", true },
+        { "a control byte in an extension", ok + chunked + "2;a\x01\r\nok\r\n0\r\n\r\n" },
+        { "a carriage return in an extension", ok + chunked + "2;a\rb\r\nok\r\n0\r\n\r\n" },
+        { "a blank in a trailer's name", ok + chunked + body + "X T: a\r\n\r\n" },
+        { "a control byte in a trailer", ok + chunked + body + "X-T: \x01\r\n\r\n" },
+        { "a folded trailer", ok + chunked + body + "X-T: a\r\n b\r\n\r\n" },
+        { "a response in the trailers", ok + chunked + body + ok + "\r\n" },
         { "trailers without end", ok + chunked + "0\r\n" + repeated("X-T: a\r\n", 2'000) },
         { "extensions without end", ok + chunked + repeated(longExtension, 2'000) },
     };
--- a/testing/broken_response_test.cc
+++ b/testing/broken_response_test.cc
@@ -299,4 +299,47 @@
     }
 }
 
+TEST_CASE("A chunked response is taken only if each of its lines is well formed")
+{
+    // Guards against chunk sizes and trailers that two readers take for different bodies.
+    struct row {
+        const char* name;
+        std::string chunks;
+        bool isValid = false;
+    };
+    char size[8];
+    std::snprintf(size, sizeof size, "%zx", body.size());
+    const std::string whole = std::string(size) + "\r\n" + body + "\r\n";
+    auto withExtension
+        = [&](const std::string& text) { return size + text + "\r\n" + body + "\r\n0\r\n\r\n"; };
+    const row rows[] = {
+        { "one chunk", whole + "0\r\n\r\n", true },
+        { "an extension", withExtension(";name=\"a b\""), true },
+        { "a trailer", whole + "0\r\nX-Trailer: a\r\n\r\n", true },
+        { "no last chunk", whole },
+        { "no end of the trailers", whole + "0\r\n" },
+        { "a trailer in part", whole + "0\r\nX-Trailer: a" },
+        { "a blank before an extension", withExtension(" ;name") },
+        { "a control byte in an extension", withExtension(";na\x01me") },
+        { "a carriage return in an extension", withExtension(";a\rb") },
+        { "a size with a prefix", "0x" + whole + "0\r\n\r\n" },
+        { "a size with a sign", "+" + whole + "0\r\n\r\n" },
+        { "a size beyond 64 bits", "10000000000000002\r\n{}\r\n0\r\n\r\n" },
+        { "a chunk that ends late", "2\r\n" + body + "\r\n0\r\n\r\n" },
+        { "a blank in a trailer's name", whole + "0\r\nX Trailer: a\r\n\r\n" },
+        { "a control byte in a trailer", whole + "0\r\nX-Trailer: \x01\r\n\r\n" },
+        { "a trailer without a colon", whole + "0\r\nHTTP/1.1 200 OK\r\n\r\n" },
+        { "a folded trailer", whole + "0\r\nX-Trailer: a\r\n b\r\n\r\n" },
+    };
+    for (const auto& each : rows) {
+        reader_fixture fixture({ .bytes = headWith("Transfer-Encoding: chunked\r\n") + "\r\n" + each.chunks,
+            .end = connection_end::finish });
+        for (auto reader : allReaders) {
+            CAPTURE(std::string(each.name));
+            CAPTURE(static_cast<int>(reader));
+            CHECK(fixture.read(reader, "b") == (each.isValid ? reading::taken : reading::rejected));
+        }
+    }
+}
+
 }
