http: framing that a response must not have makes it malformed

What callers saw: a chunked response in HTTP/1.0, or one of status 204 with a length or in chunks, was delivered as a whole one, with the body that this reader's way of framing gives.

Cause: only the two framing fields were looked at, not the version and the status. RFC 9112, section 6, forbids both cases, and readers differ on them: a recipient of HTTP/1.0 may read up to the close, one of a 204 may wait for the body and take it for the next response.

Change: response_parser refuses them, also in 1xx responses. A 204 with length 0 and a 304 with the length of the content stay valid.

--- a/marlsill/http/message_parser.cc
+++ b/marlsill/http/message_parser.cc
@@ -63,6 +63,18 @@
 
     bool hasNoBody(int status, bool isHead) { return isHead || status == 204 || status == 304; }
 
+    // Returns whether a response may have this framing. Where RFC 9112, section 6, forbids one, some readers
+    // go by the framing and others do not.
+    bool isAllowed(const internal::body_framing& framing, const Poco::Net::HTTPResponse& head)
+    {
+        bool isChunked = framing.kind == internal::framing::chunked;
+        bool hasBody = isChunked || framing.length > 0;
+        int status = head.getStatus();
+        bool mustHaveNone = isInformational(status) || status == Poco::Net::HTTPResponse::HTTP_NO_CONTENT;
+        bool isHttp10 = head.getVersion() == Poco::Net::HTTPMessage::HTTP_1_0;
+        return !(mustHaveNone && hasBody) && !(isHttp10 && isChunked);
+    }
+
 }
 
 std::string_view toText(parse_status status)
@@ -234,7 +246,8 @@
         consumed += length;
         auto framing = internal::parseFraming(head);
         int code = head.getStatus();
-        if (!framing || code == Poco::Net::HTTPResponse::HTTP_SWITCHING_PROTOCOLS) {
+        if (!framing || !isAllowed(*framing, head)
+            || code == Poco::Net::HTTPResponse::HTTP_SWITCHING_PROTOCOLS) {
             return parse_status::malformed;
         }
         if (isInformational(code)) {
--- a/testing/broken_response_test.cc
+++ b/testing/broken_response_test.cc
@@ -287,6 +287,8 @@
         { "a length and chunks",
             headWith("Transfer-Encoding: chunked\r\n" + length) + "\r\n2\r\n{}\r\n0\r\n\r\n" },
         { "an unknown transfer coding", headWith("Transfer-Encoding: gzip, chunked\r\n") + "\r\n" + body },
+        { "chunks in HTTP/1.0",
+            headWith("Transfer-Encoding: chunked\r\n", "HTTP/1.0 200 OK") + "\r\n2\r\n{}\r\n0\r\n\r\n" },
     };
     for (const auto& each : rows) {
         reader_fixture fixture({ .bytes = each.bytes, .end = connection_end::finish });
