forwarder: a response that is not delivered is released at once

What callers saw: upstreams that send bodies without end, or long failures, to repeatable requests took a daemon beyond the 160 MB of the smallest VM; there the system ends it, with the requests of all other callers.

Cause: a response is counted in the budget of the forwarder while it is read. An attempt kept its body until the end of the request, uncounted: up to 8 MiB for each retry, for as long as the next upstream takes to answer.

Change: the exchange drops the body of a response that is not complete, and the forwarder that of one that it does not deliver. Nothing reads them later.

--- a/marlsill/gateway/forwarder.cc
+++ b/marlsill/gateway/forwarder.cc
@@ -896,7 +896,11 @@
                 break;
             }
             std::iter_swap(next, current->attempts.begin() + static_cast<std::ptrdiff_t>(evaluatedCount));
-            response = evaluateAttempt(*current, *current->attempts[evaluatedCount++], needsAttempt);
+            auto& evaluated = *current->attempts[evaluatedCount++];
+            response = evaluateAttempt(*current, evaluated, needsAttempt);
+            if (!response) {
+                std::exchange(evaluated.response.body, {}); // The request may go on for long without it.
+            }
         }
         if (response) {
             co_return response;
--- a/marlsill/gateway/upstream_connection.cc
+++ b/marlsill/gateway/upstream_connection.cc
@@ -226,6 +226,9 @@
     } else {
         result.status = hasResponseBytes ? exchange_status::broken : exchange_status::closed;
     }
+    if (result.status != exchange_status::completed) {
+        std::exchange(result.response.body, {}); // `held` ends here, but callers keep the result.
+    }
     m_isReusable = parsed == http::parse_status::complete && !m_isWriting && m_readBuffer.empty()
         && result.response.head.getKeepAlive() && m_socket.is_open();
     m_idleSince = steady_clock::now();
--- a/marlsill/gateway/upstream_connection.h
+++ b/marlsill/gateway/upstream_connection.h
@@ -48,7 +48,8 @@
     buffer_budget* buffers = nullptr; // Of all responses that are being read; may be null.
 };
 
-// The result of an exchange. `response` is complete only if `status` is `completed`.
+// The result of an exchange. `response` is complete only if `status` is `completed`; otherwise it has no
+// body, and a head only as far as that was read.
 struct exchange_result {
     exchange_status status = exchange_status::broken;
     http::response_message response;
--- a/testing/caller_memory_test.cc
+++ b/testing/caller_memory_test.cc
@@ -14,7 +14,6 @@
 #include <algorithm>
 #include <doctest/doctest.h>
 #include <filesystem>
-#include <fstream>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -136,14 +135,7 @@
         // Returns the most memory that the daemon has had resident; 0 if it has ended.
         std::size_t peakMemoryMb() const
         {
-            std::ifstream file("/proc/" + std::to_string(m_entries.front()->pid()) + "/status");
-            std::string line;
-            while (std::getline(file, line)) {
-                if (line.starts_with("VmHWM:")) {
-                    return std::stoul(line.substr(6)) / 1'024;
-                }
-            }
-            return 0;
+            return m_entries.front()->process()->peakMemoryBytes() / 1'048'576;
         }
 
     private:
--- a/testing/spawned_process.cc
+++ b/testing/spawned_process.cc
@@ -108,6 +108,18 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::nanoseconds(nanoseconds));
 }
 
+std::size_t spawned_process::peakMemoryBytes() const
+{
+    std::ifstream file("/proc/" + std::to_string(m_pid) + "/status");
+    std::string line;
+    while (std::getline(file, line)) {
+        if (line.starts_with("VmHWM:")) {
+            return std::stoul(line.substr(6)) * 1'024; // The line is in KB.
+        }
+    }
+    return 0;
+}
+
 std::string spawned_process::endText() const
 {
     if (!m_waitStatus) {
--- a/testing/spawned_process.h
+++ b/testing/spawned_process.h
@@ -12,6 +12,7 @@
 
 #include "marlsill/base/time.h"
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <sys/types.h>
@@ -54,6 +55,9 @@
     // Returns the processor time that the process has used.
     std::chrono::milliseconds processorTime() const;
 
+    // Returns the most memory that the process has had resident, in bytes; 0 once it has ended.
+    std::size_t peakMemoryBytes() const;
+
     pid_t id() const { return m_pid; }
 
     // Returns how the last process ended, such as "exit status 1" or "signal 6"; empty if none has.
