request_relay: responses from peers and upstreams share one memory budget

What callers saw: nothing yet; found by looking for what else bytes without end can take. A VM that loses its links while it reads long responses relays its callers' requests, and could then read as much again from peers.

Cause: the forwarder and the relay had a budget of 32 MiB each, of which twice as much may be in use, and counted the size of what they hold, not its capacity, which is up to twice that.

Evidence: broken_response_test, "Responses from upstreams and from peers take the memory of one budget": 100 responses of 8 MiB that lack a byte from an upstream and 100 from a peer. The bound is 112 MB: the 160 MB of the smallest VM less 32 MB for callers and 16 MB for an idle daemon.

Change: the relay takes the forwarder's budget, and an exchange counts the capacity of its buffers.

--- a/marlsill/gateway/forwarder.h
+++ b/marlsill/gateway/forwarder.h
@@ -125,6 +125,9 @@
     rate_limiter& rateLimiter() { return m_rateLimiter; }
     leaving_monitor& leavingMonitor() { return m_leavingMonitor; }
     upstream_reachability& reachability() { return m_reachability; }
+
+    // Returns the budget of the responses that are being read, which request_relay shares.
+    buffer_budget& responseBuffers() { return m_responseBuffers; }
     const std::shared_ptr<const configuration>& currentConfiguration() const { return m_configuration; }
     const wire_fields& wire() const { return m_wire; }
     traffic_counters& counters() { return m_counters; }
--- a/marlsill/gateway/request_relay.cc
+++ b/marlsill/gateway/request_relay.cc
@@ -158,7 +158,7 @@
                     return isRelayedResponseTo(response, m_wire, current->id, sending, wasReused);
                 },
             .limits = { .maxBodyBytes = m_options.maxResponseBytes },
-            .buffers = &m_buffers };
+            .buffers = m_options.buffers };
         auto result = co_await connection->exchange(serialize(*current, sending, steady_clock::now()),
             std::move(options), current->effectiveDeadline);
         bool isAnswered = result.status == exchange_status::completed;
--- a/marlsill/gateway/request_relay.h
+++ b/marlsill/gateway/request_relay.h
@@ -34,6 +34,7 @@
     int maxPeersTried = 3; // Peers that cannot be reached or decline.
     std::size_t maxInFlight = 500;
     std::uint64_t maxResponseBytes = 8 * 1024 * 1024;
+    buffer_budget* buffers = nullptr; // Of all responses that this VM is reading; null: not bounded.
 };
 
 // What became of a relayed request.
@@ -71,7 +72,6 @@
         : m_io(io)
         , m_options(std::move(options))
         , m_wire(std::move(wire))
-        , m_buffers(maxResponseBuffers)
     {
     }
 
@@ -90,8 +90,6 @@
     void sweep();
 
 private:
-    static constexpr std::size_t maxResponseBuffers = 32 * 1024 * 1024;
-
     std::string serialize(
         const active_request& current, const std::string& sending, steady_clock::time_point now) const;
     asio::awaitable<relay_outcome> tryPeers(
@@ -102,7 +100,6 @@
     asio::io_context& m_io;
     const request_relay_options m_options;
     const wire_fields m_wire;
-    buffer_budget m_buffers;
     connection_pool m_pool;
     std::function<bool(active_request&)> m_mayStart = [](auto&) { return true; };
     std::set<active_request*> m_inFlight;
--- a/marlsill/gateway/upstream_connection.cc
+++ b/marlsill/gateway/upstream_connection.cc
@@ -203,7 +203,7 @@
             result.failure = http::toText(parsed);
             break;
         }
-        if (!held.resize(m_readBuffer.size() + result.response.body.size())) {
+        if (!held.resize(m_readBuffer.capacity() + result.response.body.capacity())) {
             parsed = http::parse_status::bodyTooLarge;
             result.failure = "no memory left for responses";
             break;
--- a/testing/broken_response_test.cc
+++ b/testing/broken_response_test.cc
@@ -13,7 +13,12 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/use_future.hpp>
 #include <doctest/doctest.h>
+#include <fstream>
+#include <future>
+#include <list>
 #include <thread>
+#include <unistd.h>
+#include <vector>
 
 namespace marlsill::testing {
 
@@ -24,6 +29,7 @@
 
     constexpr std::size_t longUpload = 6 * 1024 * 1024; // Bytes; more than the buffers of two sockets hold.
     constexpr std::size_t maxUpload = 8 * 1024 * 1024;
+    constexpr int maxSimultaneous = 200; // Requests at one upstream.
     const std::string body = "{} the whole body";
 
     // The places that read responses of other processes.
@@ -59,7 +65,8 @@
                       .buffers = &m_vm.callerBuffers(),
                       .repeatedField = gateway::relaySendingField },
                   [this](auto request) { return m_vm.serveRelayed(std::move(request)); })
-            , m_relay(m_io, { .port = m_relayPort }, {})
+            , m_relay(
+                  m_io, { .port = m_relayPort, .buffers = &m_vm.requestForwarder().responseBuffers() }, {})
             , m_store(m_io, *gateway::parseEndpoint(m_server.address()))
         {
             std::vector<gateway::route> routes;
@@ -71,7 +78,7 @@
                 .weightedServices = { { "s" } } });
             m_config = std::make_shared<const gateway::configuration>(1, std::move(routes), limits());
             placement::upstream_entry entry {
-                .id = "u0", .service = "s", .address = m_server.address(), .slots = 3
+                .id = "u0", .service = "s", .address = m_server.address(), .slots = maxSimultaneous
             };
             m_vm.requestForwarder().setConfiguration(m_config);
             m_vm.requestForwarder().changeUpstreams(std::span(&entry, 1), {});
@@ -103,16 +110,40 @@
             return reading::rejected;
         }
 
+        // Starts to relay a request to a peer, without waiting for the response.
+        std::future<gateway::relay_outcome> startRelaying(
+            const std::string& host, const std::string& requestBody)
+        {
+            http::request_message message;
+            message.head.setMethod("POST");
+            message.head.setVersion("HTTP/1.1");
+            message.head.setHost("h.example");
+            message.head.setURI("/once/a");
+            message.head.set(gateway::wire_fields().requestId, "r1");
+            message.body = requestBody;
+            auto current = std::make_shared<gateway::active_request>(m_io, std::move(message));
+            current->id = "r1";
+            current->caller = "10.0.0.9";
+            current->effectiveDeadline = deadlineAfter(milliseconds(3'000));
+            current->config = m_config;
+            return asio::co_spawn(m_io, m_relay.send(current, std::vector { host }), asio::use_future);
+        }
+
+        std::string callerAddress() const
+        {
+            return std::string(servingHost) + ":" + std::to_string(m_callerPort);
+        }
+
         // Returns how many requests the server of a reader's responses has got.
         int requests(response_reader reader) const
         {
             return reader == response_reader::fromPeer ? m_peer.requests() : m_server.requests();
         }
 
-    private:
         static constexpr const char* servingHost = "127.0.0.1";
         static constexpr const char* peerHost = "127.0.0.2";
 
+    private:
         static unsigned short freePort()
         {
             Poco::Net::ServerSocket probe(Poco::Net::SocketAddress(servingHost, 0));
@@ -128,7 +159,7 @@
 
         reading readDirectly(const std::string& requestBody)
         {
-            raw_caller caller(std::string(servingHost) + ":" + std::to_string(m_callerPort));
+            raw_caller caller(callerAddress());
             caller.sendRequest("POST", "/once/a", "r1", 3'000, requestBody);
             auto received = caller.receive();
             CHECK((received.status == 200 || received.status == 502));
@@ -137,20 +168,7 @@
 
         reading readRelayed(const std::string& host, const std::string& requestBody)
         {
-            http::request_message message;
-            message.head.setMethod("POST");
-            message.head.setVersion("HTTP/1.1");
-            message.head.setHost("h.example");
-            message.head.setURI("/once/a");
-            message.head.set(gateway::wire_fields().requestId, "r1");
-            message.body = requestBody;
-            auto current = std::make_shared<gateway::active_request>(m_io, std::move(message));
-            current->id = "r1";
-            current->caller = "10.0.0.9";
-            current->effectiveDeadline = deadlineAfter(milliseconds(3'000));
-            current->config = m_config;
-            auto outcome
-                = asio::co_spawn(m_io, m_relay.send(current, std::vector { host }), asio::use_future).get();
+            auto outcome = startRelaying(host, requestBody).get();
             if (outcome.status != gateway::relay_status::answered) {
                 CHECK(outcome.status == gateway::relay_status::unknown);
                 return reading::rejected;
@@ -185,6 +203,16 @@
         std::thread m_thread;
     };
 
+    // Returns how much memory of this process is resident.
+    std::size_t residentBytes()
+    {
+        std::ifstream file("/proc/self/statm"); // In pages: in all, resident.
+        std::size_t all = 0;
+        std::size_t resident = 0;
+        file >> all >> resident;
+        return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+    }
+
     // Returns a response head without its end; `fields` are whole lines.
     std::string headWith(const std::string& fields, const std::string& statusLine = "HTTP/1.1 200 OK")
     {
@@ -344,4 +372,38 @@
     }
 }
 
+TEST_CASE("Responses from upstreams and from peers take the memory of one budget")
+{
+    // Guards against a VM that loses its links as it reads long responses, and then reads as much again from
+    // peers.
+    constexpr std::size_t vmBytes = 160 * 1024 * 1024; // Of the smallest VM.
+    constexpr std::size_t callerBytes = 32 * 1024 * 1024; // What is held for callers, at the most.
+    constexpr std::size_t otherBytes = 16 * 1024 * 1024; // Of a daemon without requests.
+    constexpr std::size_t bodyBytes = 8 * 1024 * 1024;
+    constexpr int requests = 100; // Of each kind.
+    constexpr milliseconds observedTime { 2'000 };
+    reader_fixture fixture({ .bytes = headWith("Content-Length: " + std::to_string(bodyBytes) + "\r\n")
+            + "\r\n" + std::string(bodyBytes - 1, 'x') });
+    auto before = residentBytes();
+    std::list<raw_caller> callers;
+    std::vector<std::future<gateway::relay_outcome>> relayed;
+    for (int number = 0; number < requests; ++number) {
+        callers.emplace_back(fixture.callerAddress()).sendRequest("GET", "/once/a", "r1", 3'000);
+        relayed.push_back(fixture.startRelaying(reader_fixture::peerHost, "b"));
+    }
+    std::size_t most = 0;
+    auto until = deadlineAfter(observedTime);
+    while (!hasPassed(until, steady_clock::now())) {
+        most = std::max(most, residentBytes());
+        std::this_thread::sleep_for(milliseconds(5));
+    }
+    MESSAGE("grew by " << (most - before) / 1'048'576 << " MB");
+    CHECK(most - before <= vmBytes - callerBytes - otherBytes);
+    CHECK(fixture.requests(response_reader::direct) == requests);
+    CHECK(fixture.requests(response_reader::fromPeer) == requests);
+    for (auto& each : relayed) {
+        CHECK(each.get().status == gateway::relay_status::unknown);
+    }
+}
+
 }
