upstream_connection: the fields of a malformed head are dropped

What callers saw: an upstream answered with a malformed 503 whose Retry-After named five seconds, and for that time requests were refused with 503, as if it had turned them away.

Cause: a head is filled in before its framing is checked, and the forwarder takes over Retry-After from responses that broke off. For these it is meant: a response that ends early has said so in a well-formed head.

Evidence: gateway_test, "What a malformed response says of its upstream is not believed": on the code before, the next request gets 503 in two of three rows (a length that is stated twice, an unknown transfer coding).

Change: the exchange returns no head unless the final one was well formed.

--- a/marlsill/gateway/upstream_connection.cc
+++ b/marlsill/gateway/upstream_connection.cc
@@ -226,7 +226,9 @@
     } else {
         result.status = hasResponseBytes ? exchange_status::broken : exchange_status::closed;
     }
-    if (result.status != exchange_status::completed) {
+    if (!parser.hasHead()) {
+        result.response = {}; // Fields of a head that is malformed or informational say nothing.
+    } else if (result.status != exchange_status::completed) {
         std::exchange(result.response.body, {}); // `held` ends here, but callers keep the result.
     }
     m_isReusable = parsed == http::parse_status::complete && !m_isWriting && m_readBuffer.empty()
--- a/testing/gateway_test.cc
+++ b/testing/gateway_test.cc
@@ -408,6 +408,24 @@
     }
 }
 
+TEST_CASE("What a malformed response says of its upstream is not believed")
+{
+    // Guards against an upstream that gets no requests for the time in a response that is not taken as one.
+    const std::string heads[] = {
+        "HTTP/1.1 503 Later\r\nRetry-After: 5\r\nContent-Length: 3", // Its length is stated twice.
+        "HTTP/1.1 503 Later\r\nRetry-After: 5\r\nTransfer-Encoding: gzip",
+        "HTTP/1.1 103 Early Hints\r\nRetry-After: 5\r\nContent-Length: 3",
+    };
+    for (const auto& head : heads) {
+        CAPTURE(head);
+        gateway_fixture tested(1);
+        tested.upstream(0).setStatusLine(head);
+        tested.upstream(0).plan({ upstream_step::oddStatus });
+        CHECK(tested.sendAndReceive("POST", "/once/a", "r1", 2'000, "b").status == 502);
+        CHECK(tested.sendAndReceive("GET", "/repeat/a", "r2").status == 200);
+    }
+}
+
 TEST_CASE("An earlier refusal that an upstream repeats is not taken for the answer to a later request")
 {
     // Guards against callers that are told "not run" for a request that runs, and against its run at a second
