response_match: a response that names two requests belongs to neither

What callers saw: a response with the request's id and another id in a second field of the same name was delivered; nothing tells whose response it is.

Cause: only the first field of the name was read.

Evidence: response_match_test, "A response that names two requests belongs to neither": on the code before, 2 checks fail (the id, then another, directly and from a peer).

Change: every field that names the request must have its id.

--- a/marlsill/gateway/response_match.cc
+++ b/marlsill/gateway/response_match.cc
@@ -1,14 +1,27 @@
 #include "marlsill/gateway/response_match.h"
 
+#include <Poco/String.h>
 #include <algorithm>
 
 namespace marlsill::gateway {
 
+namespace {
+
+    // Returns whether all fields of this name have the value.
+    bool hasOnly(const Poco::Net::HTTPResponse& head, const std::string& name, std::string_view value)
+    {
+        return std::all_of(head.begin(), head.end(), [&](const auto& field) {
+            return Poco::icompare(field.first, name) != 0 || field.second == value;
+        });
+    }
+
+}
+
 bool isResponseTo(const http::response_message& response, const wire_fields& wire,
     const std::string& requestId, bool wasReused)
 {
     if (response.head.has(wire.requestId)) {
-        return response.head.get(wire.requestId) == requestId;
+        return hasOnly(response.head, wire.requestId, requestId);
     }
     if (requestId.empty()) {
         return true;
@@ -32,7 +45,7 @@
     if (isNamed ? response.head.get(relaySendingField) != sending : wasReused) {
         return false;
     }
-    return response.head.get(wire.requestId, requestId) == requestId;
+    return hasOnly(response.head, wire.requestId, requestId);
 }
 
 }
--- a/marlsill/gateway/response_match_test.cc
+++ b/marlsill/gateway/response_match_test.cc
@@ -6,6 +6,8 @@
 
 #include <boost/asio/io_context.hpp>
 #include <doctest/doctest.h>
+#include <string>
+#include <vector>
 
 namespace marlsill::gateway {
 
@@ -52,6 +54,30 @@
     }
 }
 
+TEST_CASE("A response that names two requests belongs to neither")
+{
+    const wire_fields wire;
+    struct row {
+        const char* name;
+        std::vector<std::string> ids;
+        bool isAccepted;
+    };
+    const row rows[] = {
+        { "its id twice", { "r1", "r1" }, true },
+        { "its id, then another", { "r1", "r0" }, false },
+        { "another id, then its own", { "r0", "r1" }, false },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        auto response = responseWith(200, relaySendingField, "7");
+        for (const auto& id : each.ids) {
+            response.head.add(wire.requestId, id);
+        }
+        CHECK(isResponseTo(response, wire, "r1", false) == each.isAccepted);
+        CHECK(isRelayedResponseTo(response, wire, "r1", "7", true) == each.isAccepted);
+    }
+}
+
 TEST_CASE("A relayed response names its sending, or comes on a new connection from an earlier build")
 {
     // Guards against a repeated refusal of a peer, after which a request that runs is sent to another peer.
