gateway_test: bytes without end count as one failure of their upstream

The rows of "Bytes without end are not read on once they cannot be an answer" also check how many failures of the upstream the VM has counted: one for each response that is given up, none for a whole one with more bytes behind it or for one that the deadline ends. It was so before; nothing else changes.

--- a/testing/gateway_test.cc
+++ b/testing/gateway_test.cc
@@ -315,6 +315,12 @@
             }
             CHECK_FALSE(tested.upstream(0).isSendingEndlessly());
             CHECK(tested.upstream(0).mostEndlessBytes() <= each.mostBytes);
+            // One finding about the upstream, unless the response was whole or is only slow.
+            std::uint64_t failures = 0;
+            tested.runOnEventLoop([&](gateway::gateway& gateway) {
+                failures = gateway.requestForwarder().counters().upstreamFailures;
+            });
+            CHECK(failures == (each.status == 200 || isEndedByDeadline ? 0 : 1));
             // No byte of it reaches the next request.
             CHECK(tested.sendAndReceive("GET", "/repeat/b", "r2", 2'000).status == 200);
         }
