--- a/testing/raw_caller.cc
+++ b/testing/raw_caller.cc
@@ -1,5 +1,7 @@
 #include "testing/raw_caller.h"
 
+#include "testing/header_field.h"
+
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/SocketImpl.h>
@@ -13,15 +15,7 @@
 
 }
 
-std::string raw_answer::field(const std::string& name) const
-{
-    auto start = head.find("\r\n" + name + ": ");
-    if (start == std::string::npos) {
-        return {};
-    }
-    start += name.size() + 4;
-    return head.substr(start, head.find("\r\n", start) - start);
-}
+std::string raw_answer::field(const std::string& name) const { return headerField(head, name); }
 
 raw_caller::raw_caller(const std::string& address, gateway::wire_fields fields)
     : m_fields(std::move(fields))
--- a/testing/raw_upstream.cc
+++ b/testing/raw_upstream.cc
@@ -1,5 +1,7 @@
 #include "testing/raw_upstream.h"
 
+#include "testing/header_field.h"
+
 #include <Poco/Exception.h>
 #include <chrono>
 #include <sys/socket.h>
@@ -20,16 +22,6 @@
         return sent == static_cast<ssize_t>(bytes.size());
     }
 
-    std::string fieldOf(const std::string& head, const std::string& name)
-    {
-        auto start = head.find("\r\n" + name + ": ");
-        if (start == std::string::npos) {
-            return {};
-        }
-        start += name.size() + 4;
-        return head.substr(start, head.find("\r\n", start) - start);
-    }
-
 }
 
 raw_upstream::raw_upstream(
@@ -70,7 +62,7 @@
             auto end = buffer.find("\r\n\r\n");
             bool isReady = end != std::string::npos;
             if (isReady && m_response.readsBody) {
-                auto length = fieldOf(buffer.substr(0, end + 2), "Content-Length");
+                auto length = headerField(buffer.substr(0, end + 2), "Content-Length");
                 isReady = buffer.size() >= end + 4 + (length.empty() ? 0 : std::stoul(length));
             }
             if (isReady) {
@@ -98,7 +90,7 @@
     ++m_requests;
     if (auto at = bytes.find(placeholder); at != std::string_view::npos) {
         sendAll(socket, bytes.substr(0, at));
-        sendAll(socket, fieldOf(requestHead, m_fields.requestId));
+        sendAll(socket, headerField(requestHead, m_fields.requestId));
         bytes.remove_prefix(at + placeholder.size());
     }
     bool isOpen = sendAll(socket, bytes);
--- a/testing/scripted_upstream.cc
+++ b/testing/scripted_upstream.cc
@@ -1,5 +1,7 @@
 #include "testing/scripted_upstream.h"
 
+#include "testing/header_field.h"
+
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 #include <sys/socket.h>
@@ -10,16 +12,6 @@
 
     constexpr std::chrono::milliseconds workTime { 100 };
 
-    std::string fieldOf(const std::string& head, const std::string& name)
-    {
-        auto start = head.find("\r\n" + name + ": ");
-        if (start == std::string::npos) {
-            return {};
-        }
-        start += name.size() + 4;
-        return head.substr(start, head.find("\r\n", start) - start);
-    }
-
     void resetConnection(Poco::Net::StreamSocket& socket)
     {
         socket.setLinger(true, 0);
@@ -232,9 +224,9 @@
     buffer.erase(0, end + 4);
     ++m_arrivals;
     auto step = nextStep();
-    auto length = fieldOf(head, "Content-Length");
+    auto length = headerField(head, "Content-Length");
     std::size_t bodySize = length.empty() ? 0 : std::stoul(length);
-    auto request = fieldOf(head, m_fields.requestId);
+    auto request = headerField(head, m_fields.requestId);
     const std::string start = "HTTP/1.1 200 OK\r\n" + m_fields.requestId + ": " + request + "\r\n"
         + m_fields.seal + ": seal-" + request + "\r\n" + stateFields();
     const std::string whole
