broken_response_test: what has arrived at a peer is never reported as not run

Each request that reached the peer must be of unknown outcome again; only a connect that timed out may be not sent.

--- a/testing/broken_response_test.cc
+++ b/testing/broken_response_test.cc
@@ -402,9 +402,13 @@
     CHECK(most - before <= vmBytes - callerBytes - otherBytes);
     CHECK(fixture.requests(response_reader::direct) >= minArrivals);
     CHECK(fixture.requests(response_reader::fromPeer) >= minArrivals);
+    int unknown = 0;
     for (auto& each : relayed) {
-        CHECK(each.get().status != gateway::relay_status::answered);
+        auto status = each.get().status;
+        CHECK(status != gateway::relay_status::answered);
+        unknown += status == gateway::relay_status::unknown ? 1 : 0;
     }
+    CHECK(unknown >= fixture.requests(response_reader::fromPeer)); // What has arrived may have run.
 }
 
 }
