store: objects are decoded page by page, and only what is used is kept

What callers saw: after eight objects of another writer, each below the store's limit of 1 MiB, were in the list of upstreams, the daemons that watch the store took more than 160 MB and were killed, then those that watched in their place.

Cause: each object was parsed as a whole into a tree, which takes 10 to 30 times the bytes of its text, and all trees of a list were kept, and copied once more, until its last page had arrived. Only then was it found that an object is no registration. The watch, and the lists of crash records and configurations, did the same.

--- a/marlsill/store/crash_archive.h
+++ b/marlsill/store/crash_archive.h
@@ -67,7 +67,8 @@
         , m_listener(std::move(listener))
         , m_timer(io)
         , m_watcher(io, client, { .kind = m_options.kind, .watchTimeout = m_options.watchTimeout },
-              { .listed = [this](const auto& objects, auto) { handleList(objects); },
+              { .decode = [this](const auto& object) { return decode(object); },
+                  .listed = [this](const auto& objects, auto) { handleList(objects); },
                   .changed = [this](const auto& changes, auto) { handleChanges(changes); },
                   .restored = [](auto, auto) {}, // What the copy lacks is written again after the list.
                   .lost = [](const reason&, auto) {},
@@ -113,7 +114,29 @@
         std::uint64_t version = 0;
     };
 
-    void handleList(const std::vector<stored_object>& objects)
+    struct decoded_crash_object {
+        std::string name;
+        std::uint64_t fingerprint = 0;
+        stored_crash_object stored;
+    };
+
+    // Returns std::nullopt for an object that is malformed, or of another writer.
+    std::optional<decoded_crash_object> decode(const stored_object& stored) const
+    {
+        reason why;
+        auto fingerprint = crashObjectFingerprint(stored.name);
+        if (!fingerprint) {
+            why = { reason_code::invalid, "its name is not that of a request" };
+        }
+        auto object = fingerprint ? parseCrashObject(stored.content, why) : std::nullopt;
+        if (!object) {
+            m_listener.malformed(stored.name, why);
+            return std::nullopt;
+        }
+        return decoded_crash_object { stored.name, *fingerprint, { std::move(*object), stored.version } };
+    }
+
+    void handleList(const std::vector<decoded_crash_object>& objects)
     {
         m_stored.clear();
         for (const auto& each : objects) {
@@ -124,29 +147,23 @@
         wakeWriter();
     }
 
-    void handleChanges(const std::vector<object_change>& changes)
+    void handleChanges(const std::vector<value_change<decoded_crash_object>>& changes)
     {
         for (const auto& each : changes) {
             if (each.isDeleted) {
-                m_stored.erase(each.object.name);
-            } else {
-                handleObject(each.object);
+                m_stored.erase(each.name);
+            } else if (each.value) {
+                handleObject(*each.value);
             }
         }
         wakeWriter();
     }
 
-    void handleObject(const stored_object& stored)
+    void handleObject(const decoded_crash_object& decoded)
     {
-        reason why;
-        auto object = decodeCrashObject(stored.content, why);
-        auto fingerprint = crashObjectFingerprint(stored.name);
-        if (!object || !fingerprint) {
-            m_listener.malformed(stored.name, why);
-            return;
-        }
-        m_listener.records(toCrashRecords(*fingerprint, *object, steady_clock::now(), wall_clock::now()));
-        m_stored[stored.name] = { std::move(*object), stored.version };
+        m_listener.records(toCrashRecords(
+            decoded.fingerprint, decoded.stored.object, steady_clock::now(), wall_clock::now()));
+        m_stored[decoded.name] = decoded.stored;
     }
 
     // Returns the name of an object that the store lacks, or holds with less than this VM knows.
@@ -236,7 +253,7 @@
     bool m_isActive = false;
     bool m_isListed = false; // `m_stored` is complete.
     bool m_hasChanged = false; // Since the writer last slept.
-    kind_watcher<Client> m_watcher;
+    kind_watcher<Client, decoded_crash_object> m_watcher;
 };
 
 }
--- a/marlsill/store/crash_object.cc
+++ b/marlsill/store/crash_object.cc
@@ -1,5 +1,7 @@
 #include "marlsill/store/crash_object.h"
 
+#include "marlsill/store/json_text.h"
+
 #include <algorithm>
 #include <charconv>
 
@@ -96,6 +98,15 @@
     }
 }
 
+std::optional<crash_object> parseCrashObject(std::string_view text, reason& why)
+{
+    if (text.size() > maxCrashObjectBytes) {
+        return fail(why, reason_code::invalid, "larger than any crash record");
+    }
+    auto content = parseJson(text, why);
+    return content ? decodeCrashObject(*content, why) : std::nullopt;
+}
+
 crash_object merged(const crash_object& first, const crash_object& second)
 {
     auto result = first;
--- a/marlsill/store/crash_object.h
+++ b/marlsill/store/crash_object.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace marlsill::store {
@@ -49,8 +50,12 @@
 
 nlohmann::json encodeCrashObject(const crash_object& object);
 
-// Returns std::nullopt and sets `why` if a field is missing or malformed.
+// Return std::nullopt and set `why` if a field is missing or malformed. parseCrashObject() reads JSON text
+// and refuses one of more than `maxCrashObjectBytes`, which no VM writes.
 std::optional<crash_object> decodeCrashObject(const nlohmann::json& content, reason& why);
+std::optional<crash_object> parseCrashObject(std::string_view text, reason& why);
+
+constexpr std::size_t maxCrashObjectBytes = 64 * 1024; // Hundreds of upstreams.
 
 // Returns the larger of each count, and the later expiry.
 crash_object merged(const crash_object& first, const crash_object& second);
--- a/marlsill/store/crash_object_test.cc
+++ b/marlsill/store/crash_object_test.cc
@@ -57,6 +57,29 @@
     }
 }
 
+TEST_CASE("The text of an object is read up to a size that no VM writes")
+{
+    // Guards against an object of another writer that takes the memory of a VM.
+    auto text = encodeCrashObject(objectWith({ { "a", { 2, 1 } } })).dump();
+    const std::string padding(maxCrashObjectBytes - text.size(), ' ');
+    struct row {
+        const char* name;
+        std::string text;
+        bool isRead;
+    };
+    const row rows[] = { { "usual", text, true }, { "of the limit", text + padding, true },
+        { "above the limit", text + padding + " ", false }, { "not ended", text.substr(1), false },
+        { "empty", "", false } };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        reason why;
+        auto parsed = parseCrashObject(each.text, why);
+        CHECK(parsed.has_value() == each.isRead);
+        CHECK((!parsed || parsed->crashes() == 1));
+        CHECK(why.text.empty() == each.isRead);
+    }
+}
+
 TEST_CASE("Numbers of any size are kept within bounds")
 {
     // Guards against an overflow by an object of another writer.
--- a/marlsill/store/json_text.cc
+++ b/marlsill/store/json_text.cc
@@ -1,5 +1,7 @@
 #include "marlsill/store/json_text.h"
 
+#include <algorithm>
+
 namespace marlsill::store {
 
 namespace {
@@ -78,6 +80,85 @@
         return parts;
     }
 
+    constexpr const char* tooDeep = "JSON is nested too deeply";
+    constexpr const char* malformed = "malformed JSON";
+
+    // Receives the events of nlohmann's parser and keeps the wanted members of the outermost object. Each
+    // event returns whether to go on.
+    class field_collector : public nlohmann::json_sax<nlohmann::json> {
+    public:
+        field_collector(std::span<const std::string_view> names, std::size_t maxStringBytes)
+            : m_names(names)
+            , m_maxStringBytes(maxStringBytes)
+        {
+        }
+
+        bool null() override { return keep(nullptr); }
+        bool boolean(bool value) override { return keep(value); }
+        bool number_integer(number_integer_t value) override { return keep(value); }
+        bool number_unsigned(number_unsigned_t value) override { return keep(value); }
+        bool number_float(number_float_t value, const string_t&) override { return keep(value); }
+        bool binary(binary_t&) override { return false; } // Not in JSON text.
+
+        bool string(string_t& value) override
+        {
+            return value.size() > m_maxStringBytes ? keep(nlohmann::json::array()) : keep(std::move(value));
+        }
+
+        bool key(string_t& value) override
+        {
+            if (m_depth == 1) {
+                auto found = std::find(m_names.begin(), m_names.end(), value);
+                m_current = found == m_names.end() ? std::string_view() : *found;
+            }
+            return true;
+        }
+
+        bool start_object(std::size_t) override { return open(m_depth == 0); }
+        bool start_array(std::size_t) override { return open(false); }
+        bool end_object() override { return close(); }
+        bool end_array() override { return close(); }
+
+        bool parse_error(std::size_t, const std::string&, const nlohmann::detail::exception&) override
+        {
+            return false;
+        }
+
+        bool isTooDeep() const { return m_depth > maxJsonDepth; }
+
+        // Returns the members that were kept, once the whole text has been parsed.
+        nlohmann::json takeFields() { return std::move(m_fields); }
+
+    private:
+        bool open(bool isOutermostObject)
+        {
+            bool isAccepted = isOutermostObject || keep(nlohmann::json::array());
+            return ++m_depth <= maxJsonDepth && isAccepted;
+        }
+
+        bool close()
+        {
+            --m_depth;
+            return true;
+        }
+
+        // Keeps a value if it is that of a wanted member. Returns false if it is the outermost one, which is
+        // no object then.
+        template <typename Value> bool keep(Value&& value)
+        {
+            if (m_depth == 1 && !m_current.empty()) {
+                m_fields[std::string(m_current)] = std::forward<Value>(value);
+            }
+            return m_depth > 0;
+        }
+
+        const std::span<const std::string_view> m_names;
+        const std::size_t m_maxStringBytes;
+        int m_depth = 0; // Of the objects and arrays that are open.
+        std::string_view m_current; // The name of the member whose value is next; empty if it is not wanted.
+        nlohmann::json m_fields = nlohmann::json::object();
+    };
+
     int depthOf(std::string_view text)
     {
         int deepest = 0;
@@ -118,13 +199,23 @@
 std::optional<nlohmann::json> parseJson(std::string_view text, reason& why)
 {
     if (depthOf(text) > maxJsonDepth) {
-        return fail(why, reason_code::invalid, "JSON is nested too deeply");
+        return fail(why, reason_code::invalid, tooDeep);
     }
     auto value = nlohmann::json::parse(text, nullptr, false);
     if (value.is_discarded()) {
-        return fail(why, reason_code::invalid, "malformed JSON");
+        return fail(why, reason_code::invalid, malformed);
     }
     return value;
 }
 
+std::optional<nlohmann::json> parseJsonFields(
+    std::string_view text, std::span<const std::string_view> names, std::size_t maxStringBytes, reason& why)
+{
+    field_collector collector(names, maxStringBytes);
+    if (!nlohmann::json::sax_parse(text, &collector)) {
+        return fail(why, reason_code::invalid, collector.isTooDeep() ? tooDeep : malformed);
+    }
+    return collector.takeFields();
+}
+
 }
--- a/marlsill/store/json_text.h
+++ b/marlsill/store/json_text.h
@@ -9,13 +9,15 @@
 //
 // Splitting looks at brackets and strings only: numbers that overflow, unpaired surrogate escapes, control
 // characters, invalid UTF-8 and any depth of nesting inside a part leave the other parts readable. Parsing is
-// limited in depth, as copying and serializing nlohmann::json takes stack for each level.
+// limited in depth, as copying and serializing nlohmann::json takes stack for each level. A parsed value
+// takes up to 30 times the memory of its text; parseJsonFields() keeps only what is asked for.
 
 #include "marlsill/base/reason.h"
 
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <span>
 #include <string_view>
 #include <vector>
 
@@ -38,4 +40,11 @@
 // Parses one value. Returns std::nullopt if it is malformed or nested deeper than `maxJsonDepth`.
 std::optional<nlohmann::json> parseJson(std::string_view text, reason& why);
 
+// Parses the text of an object and returns its members with the given names, of which those that are missing
+// stay away. An array, an object, or a string of more than `maxStringBytes` is represented by an empty array.
+// All of the text must be well-formed, but no other part of it takes memory in the result. Returns
+// std::nullopt if it is malformed, no object, or nested deeper than `maxJsonDepth`.
+std::optional<nlohmann::json> parseJsonFields(
+    std::string_view text, std::span<const std::string_view> names, std::size_t maxStringBytes, reason& why);
+
 }
--- a/marlsill/store/json_text_test.cc
+++ b/marlsill/store/json_text_test.cc
@@ -85,6 +85,51 @@
     CHECK(parseJson("\"" + repeated("[", 1'000) + "\"", why));
 }
 
+TEST_CASE("Only the fields that are asked for are kept")
+{
+    // Guards against objects of another writer that take many times the memory of their text.
+    struct row {
+        const char* name;
+        std::string text;
+        const char* expected; // JSON; null: it cannot be read.
+    };
+    const std::string_view names[] = { "a", "b" };
+    constexpr std::size_t maxStringBytes = 8;
+    const row rows[] = {
+        { "scalars", R"({"a":1,"b":"two"})", R"({"a":1,"b":"two"})" },
+        { "of every kind", R"({"a":-1,"b":2.5})", R"({"a":-1,"b":2.5})" },
+        { "null and boolean", R"({"a":null,"b":true})", R"({"a":null,"b":true})" },
+        { "others", R"({"c":1,"a":2,"d":[3],"e":{"a":4}})", R"({"a":2})" },
+        { "none", R"({"c":{"a":1,"b":[{"b":2}]}})", "{}" },
+        { "nested values", R"({"a":{"a":1},"b":[2,"b"]})", R"({"a":[],"b":[]})" },
+        { "after a nested value", R"({"a":[{"x":1}],"x":5,"b":6})", R"({"a":[],"b":6})" },
+        { "the last of a name counts", R"({"a":1,"a":2})", R"({"a":2})" },
+        { "an escaped name", R"({"\u0061":1})", R"({"a":1})" },
+        { "an empty name", R"({"":1,"b":2})", R"({"b":2})" },
+        { "a text of the limit", R"({"a":"12345678"})", R"({"a":"12345678"})" },
+        { "a text above the limit", R"({"a":"123456789"})", R"({"a":[]})" },
+        { "deep", R"({"c":)" + repeated("[", maxJsonDepth - 1) + repeated("]", maxJsonDepth - 1) + "}",
+            "{}" },
+        { "too deep", R"({"c":)" + repeated("[", maxJsonDepth) + repeated("]", maxJsonDepth) + "}", "null" },
+        { "far too deep", R"({"c":)" + repeated("[", 400'000) + repeated("]", 400'000) + "}", "null" },
+        { "malformed elsewhere", R"({"a":1,"c":[1e400]})", "null" },
+        { "a malformed text", "{\"a\":1,\"c\":\"\xff\"}", "null" },
+        { "not ended", R"({"a":1)", "null" },
+        { "more after it", R"({"a":1}{})", "null" },
+        { "an array", R"([{"a":1}])", "null" },
+        { "a text", R"("a")", "null" },
+        { "a number", "5", "null" },
+        { "nothing", "", "null" },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        reason why;
+        auto fields = parseJsonFields(each.text, names, maxStringBytes, why);
+        CHECK(fields.value_or(nullptr) == nlohmann::json::parse(each.expected));
+        CHECK(fields.has_value() == why.text.empty());
+    }
+}
+
 TEST_CASE("Splitting arbitrary text does not crash and reads no byte outside of it")
 {
     CHECK(rc::check("text of JSON's characters", [] {
@@ -94,6 +139,8 @@
         splitJsonObject(text, why);
         splitJsonArray(text, why);
         parseJson(text, why);
+        const std::string_view names[] = { "a" };
+        parseJsonFields(text, names, 10, why);
     }));
 }
 
--- a/marlsill/store/kind_watcher.h
+++ b/marlsill/store/kind_watcher.h
@@ -2,10 +2,14 @@
 
 // Reports all objects of one kind in a store: lists them, then watches for changes.
 //
+//     watch_listener<upstream_entry> listener { .decode = decodeUpstream, .listed = ..., ... };
 //     kind_watcher watcher(io, client, { .kind = "servers" }, listener);
 //     asio::co_spawn(io, watcher.run(), asio::detached);
 //     watcher.setActive(true);
 //
+// Objects are decoded page by page as they are read, and only what they are decoded to is kept, so that the
+// objects of other writers take no memory beyond that of one page.
+//
 // If the store no longer has the history since the last known version, or has been restored from a copy, the
 // watcher lists all objects again. While the store is unavailable, it retries with exponential backoff; the
 // listener is notified when the store becomes unavailable and when it responds again. A watch that is
@@ -25,6 +29,7 @@
 #include <concepts>
 #include <functional>
 #include <optional>
+#include <span>
 #include <string>
 
 namespace marlsill::store {
@@ -61,12 +66,21 @@
     std::chrono::milliseconds maxBackoff { 800 };
 };
 
-// Callbacks of a watcher, all called from its event loop.
-struct watch_listener {
+// A created, changed or deleted object.
+template <typename Value> struct value_change {
+    std::string name; // Of the object.
+    bool isDeleted = false;
+    std::optional<Value> value; // Empty if the object is deleted or cannot be decoded.
+};
+
+// Callbacks of a watcher of objects that are decoded to `Value`, all called from its event loop.
+template <typename Value> struct watch_listener {
+    // Decodes an object that has been read. One for which it returns std::nullopt is left out of lists.
+    std::function<std::optional<Value>(const stored_object& object)> decode;
     // All objects of the kind as of `position`; replaces what was reported before.
-    std::function<void(const std::vector<stored_object>& objects, placement::store_position position)> listed;
+    std::function<void(const std::vector<Value>& values, placement::store_position position)> listed;
     // Changes up to `position`.
-    std::function<void(const std::vector<object_change>& changes, placement::store_position position)>
+    std::function<void(const std::vector<value_change<Value>>& changes, placement::store_position position)>
         changed;
     // The store has been restored from a copy, which may lack changes reported before. `listed` follows.
     std::function<void(std::uint64_t previousEra, std::uint64_t era)> restored;
@@ -79,9 +93,9 @@
     std::function<void(boot_clock::time_point point)> current {};
 };
 
-template <object_client Client> class kind_watcher {
+template <object_client Client, typename Value> class kind_watcher {
 public:
-    kind_watcher(asio::io_context& io, Client& client, watch_options options, watch_listener listener)
+    kind_watcher(asio::io_context& io, Client& client, watch_options options, watch_listener<Value> listener)
         : m_client(client)
         , m_options(std::move(options))
         , m_listener(std::move(listener))
@@ -135,7 +149,7 @@
     asio::awaitable<bool> listAll(reason& why)
     {
         auto point = boot_clock::now();
-        std::vector<stored_object> all;
+        std::vector<Value> all;
         std::string after;
         std::optional<placement::store_position> position;
         while (true) {
@@ -150,7 +164,11 @@
                 why = { reason_code::notFound, "the store was restored while it was listed" };
                 co_return false;
             }
-            all.insert(all.end(), page->objects.begin(), page->objects.end());
+            for (const auto& each : page->objects) {
+                if (auto value = m_listener.decode(each)) {
+                    all.push_back(std::move(*value));
+                }
+            }
             if (!page->hasMore || page->objects.empty()) {
                 break;
             }
@@ -183,16 +201,28 @@
             co_return false;
         }
         m_position = std::max(*m_position, page->position);
-        if (!page->changes.empty()) {
-            m_listener.changed(page->changes, *m_position);
+        bool hasChanges = !page->changes.empty();
+        if (hasChanges) {
+            m_listener.changed(decodeChanges(page->changes), *m_position);
         }
         noteCurrent(point, page->position);
-        if (!page->changes.empty()) {
+        page.reset(); // Its objects may be large.
+        if (hasChanges) {
             co_await sleepUntil(deadlineAfter(m_options.batchDelay));
         }
         co_return true;
     }
 
+    std::vector<value_change<Value>> decodeChanges(std::span<const object_change> changes) const
+    {
+        std::vector<value_change<Value>> decoded;
+        for (const auto& each : changes) {
+            decoded.push_back({ each.object.name, each.isDeleted,
+                each.isDeleted ? std::nullopt : m_listener.decode(each.object) });
+        }
+        return decoded;
+    }
+
     // Reports the point of a call whose content has been reported, unless the store has responded with an
     // earlier position than before: such a response is of a stale copy.
     void noteCurrent(boot_clock::time_point point, placement::store_position position)
@@ -234,7 +264,7 @@
 
     Client& m_client;
     const watch_options m_options;
-    const watch_listener m_listener;
+    const watch_listener<Value> m_listener;
     asio::steady_timer m_timer;
     std::chrono::milliseconds m_watchTimeout;
     std::chrono::milliseconds m_nextBackoff;
--- a/marlsill/store/kind_watcher_test.cc
+++ b/marlsill/store/kind_watcher_test.cc
@@ -61,6 +61,12 @@
         }
     };
 
+    // Decodes an object to its name, unless that begins with '-'.
+    std::optional<std::string> nameOf(const stored_object& object)
+    {
+        return object.name.starts_with('-') ? std::nullopt : std::optional(object.name);
+    }
+
     struct watch_case {
         const char* name;
         std::deque<std::optional<object_page>> lists;
@@ -99,6 +105,10 @@
             { "list ", "watch 5", "watch 7", "watch 9" }, { "listed 1 at 5", "changed 1 at 7" } },
         { "watches from the version of the first page", { page({ "a", "b" }, 5, true), page({ "c" }, 8) }, {},
             { "list ", "list b", "watch 5" }, { "listed 3 at 5" } },
+        { "objects of other writers",
+            { page({ "a", "-b" }, 5, true), page({ "-c" }, 8, true), page({ "d" }, 8) },
+            { { changes({ "-e" }, 9), none } }, { "list ", "list -b", "list -c", "watch 5", "watch 9" },
+            { "listed 2 at 5", "changed 1 at 9" } },
         { "history gone", { page({ "a" }, 5), page({ "a", "b" }, 90) },
             { { std::nullopt, reason_code::notFound } }, { "list ", "watch 5", "list ", "watch 90" },
             { "listed 1 at 5", "listed 2 at 90" } },
@@ -145,11 +155,12 @@
         asio::io_context io;
         scripted_client client { io, each.lists, each.watches };
         std::vector<std::string> notifications;
-        watch_listener listener { .listed =
-                                      [&](const auto& objects, auto position) {
-                                          notifications.push_back("listed " + std::to_string(objects.size())
-                                              + " at " + std::to_string(position.version));
-                                      },
+        watch_listener<std::string> listener { .decode = nameOf,
+            .listed =
+                [&](const auto& objects, auto position) {
+                    notifications.push_back("listed " + std::to_string(objects.size()) + " at "
+                        + std::to_string(position.version));
+                },
             .changed =
                 [&](const auto& events, auto position) {
                     notifications.push_back("changed " + std::to_string(events.size()) + " at "
@@ -210,7 +221,8 @@
         asio::io_context io;
         scripted_client client { io, each.lists, each.watches };
         std::vector<std::string> notifications;
-        watch_listener listener { .listed = [&](const auto&, auto) { notifications.push_back("listed"); },
+        watch_listener<std::string> listener { .decode = nameOf,
+            .listed = [&](const auto&, auto) { notifications.push_back("listed"); },
             .changed = [&](const auto&, auto) { notifications.push_back("changed"); },
             .restored = [](auto, auto) {},
             .lost = [](const reason&, auto) {},
@@ -236,7 +248,8 @@
     asio::io_context io;
     scripted_client client { io, { page({ "a" }, 5) },
         { { changes({}, 5), reason_code::none }, { changes({}, 5), reason_code::none } } };
-    watch_listener listener { .listed = [](const auto&, auto) {},
+    watch_listener<std::string> listener { .decode = nameOf,
+        .listed = [](const auto&, auto) {},
         .changed = [](const auto&, auto) {},
         .restored = [](auto, auto) {},
         .lost = [](const reason&, auto) {},
--- a/marlsill/store/stored_object.h
+++ b/marlsill/store/stored_object.h
@@ -5,7 +5,6 @@
 #include "marlsill/placement/store_position.h"
 
 #include <cstdint>
-#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
@@ -15,8 +14,9 @@
 struct stored_object {
     std::string name;
     std::uint64_t version = 0; // Store version of its last change; increases across all objects of one era.
-    nlohmann::json content;
-    std::string unreadable {}; // Why `content` is null although there is content; empty if it could be read.
+    // JSON text as its writer has left it, which may be malformed, large and of any shape; empty if there is
+    // none. Decoders read it without building all of it.
+    std::string content;
 };
 
 // One page of the list of a kind.
