store_availability: a VM's own cut from the store is no outage of the store

Cause: for 2.3 s after an outage a registration that is missing is kept, as it may have lapsed. Each VM went by its own calls alone, so that the loss of its own way to the store counted as an outage, although other VMs had responses all the while. A VM that watches the store for its failure domain hands that on: the others keep using what it keeps.

Change: beacons tell since when the store has been responding to their sender about upstreams ("sa", about 10 bytes; earlier builds ignore it and send none). Each VM joins this with its own responses, and the grace period starts when the store responds to any VM. A restoration from a copy delays removals as before.

--- a/marlsill/cluster/peer_message.cc
+++ b/marlsill/cluster/peer_message.cc
@@ -45,6 +45,7 @@
     constexpr const char* freshnessAnswerField = "fa"; // Query, version of the configuration, age in ms.
     constexpr const char* summaryField = "k";
     constexpr const char* beaconField = "b";
+    constexpr const char* availabilityField = "sa"; // Age and span in ms; see availability_report.
     constexpr const char* wantsConfigurationField = "x";
     constexpr const char* wantsUpstreamsField = "y";
     constexpr const char* configurationField = "gp"; // A part; see configuration_part.
@@ -261,6 +262,17 @@
         return answer;
     }
 
+    // Returns std::nullopt if an element is missing: without its age, a report would seem fresher than it is.
+    std::optional<availability_report> decodeAvailability(cbor_items item)
+    {
+        availability_report report { .ageMs = item.integer<std::uint64_t>() };
+        if (!item.hasNext()) {
+            return std::nullopt;
+        }
+        report.spanMs = item.integer<std::uint64_t>();
+        return report;
+    }
+
     std::vector<std::uint8_t> toBytes(std::span<const std::uint32_t> digests)
     {
         std::vector<std::uint8_t> bytes;
@@ -380,6 +392,9 @@
     if (message.isBeacon) {
         value[beaconField] = true;
     }
+    if (message.availability) {
+        value[availabilityField] = json::array({ message.availability->ageMs, message.availability->spanMs });
+    }
     if (message.wantsConfiguration) {
         value[wantsConfigurationField] = true;
     }
@@ -485,6 +500,9 @@
         }
     }
     message.isBeacon = fields.boolean(beaconField);
+    if (auto report = fields.items(availabilityField)) {
+        message.availability = decodeAvailability(*report);
+    }
     message.wantsConfiguration = fields.boolean(wantsConfigurationField);
     message.wantsUpstreams = fields.boolean(wantsUpstreamsField);
     if (auto part = fields.items(configurationField)) {
--- a/marlsill/cluster/peer_message.h
+++ b/marlsill/cluster/peer_message.h
@@ -10,6 +10,7 @@
 #include "marlsill/base/reason.h"
 #include "marlsill/cluster/configuration_transfer.h"
 #include "marlsill/cluster/member_list.h"
+#include "marlsill/cluster/store_availability.h"
 #include "marlsill/placement/crash_quarantine.h"
 #include "marlsill/placement/leaving_notices.h"
 #include "marlsill/placement/load_balancer.h"
@@ -87,6 +88,7 @@
     std::optional<freshness_answer> freshnessAnswer;
     std::optional<store_summary> summary;
     bool isBeacon = false; // Whether `summary` is a watcher's periodic announcement.
+    std::optional<availability_report> availability; // Of the store, to the sender; in beacons.
     bool wantsConfiguration = false; // Requests the configuration.
     bool wantsUpstreams = false; // Requests the whole upstream list.
     std::optional<configuration_part> configuration;
--- a/marlsill/cluster/peer_message_test.cc
+++ b/marlsill/cluster/peer_message_test.cc
@@ -50,6 +50,7 @@
         message.freshnessAnswer = freshness_answer { 0xfedcba9876543212, 9, 750 };
         message.summary = store_summary { 3, { 7, 40 }, 50, 60 };
         message.isBeacon = true;
+        message.availability = availability_report { 40, 5'000 };
         message.wantsConfiguration = true;
         message.wantsUpstreams = true;
         message.configuration = configuration_part { 3, 77, 78, 1, 2, std::string("\0\xff{", 3) };
@@ -245,6 +246,12 @@
                     && message.freshnessAnswer->configurationVersion == 9
                     && message.freshnessAnswer->ageMs == 750;
             } },
+        { "a beacon with the store's availability, the build that adds it",
+            "a56162f5616b840318281832183c61736831302e302e302e31627361821828191388617601",
+            [](const auto& message) {
+                return message.isBeacon && message.availability && message.availability->ageMs == 40
+                    && message.availability->spanMs == 5'000;
+            } },
         { "a member that cannot check keys, the build that adds it",
             "a3616d81896831302e302e302e3161616b31302e302e302e313a3830050601fa3e800000f4f561736831302e302e302e"
             "31617601",
@@ -290,6 +297,8 @@
         { "an unknown kind of evidence beside a known one",
             { { "e", json::array({ { "u1", 1 }, { "u2", 99 } }) } }, 1, 1 },
         { "a summary with more elements", { { "k", json::array({ 3, 40, 50, 60, 7, "more" }) } }, 1, 1 },
+        { "a report of the store's availability with more elements",
+            { { "sa", json::array({ 3, 40, "more" }) } }, 1, 1 },
         { "an answer on freshness with more elements", { { "fa", json::array({ 3, 40, 50, "more" }) } }, 1,
             1 },
         { "a later version of the build", { { "bd", "7.0.0" } }, 1, 1 },
@@ -335,6 +344,30 @@
     }
 }
 
+TEST_CASE("A report of the store's availability without its span does not count")
+{
+    using nlohmann::json;
+    struct row {
+        const char* name;
+        json report;
+        bool isTaken;
+    };
+    const row rows[] = {
+        { "whole", json::array({ 40, 5'000 }), true },
+        { "the age alone", json::array({ 40 }), false },
+        { "empty", json::array(), false },
+        { "an age that is no number", json::array({ "40", 5'000 }), false },
+        { "a negative age", json::array({ -40, 5'000 }), false },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        json value { { "v", 1 }, { "s", "10.0.0.1" }, { "sa", each.report } };
+        reason why;
+        auto decoded = decodePeerMessage(json::to_cbor(value), why);
+        CHECK((decoded && decoded->availability) == each.isTaken);
+    }
+}
+
 TEST_CASE("A datagram with a field of another type is dropped, and the reason names the sender's build")
 {
     auto value = nlohmann::json { { "v", 1 }, { "s", "10.0.0.1" }, { "bd", "7.0.0" }, { "p", "seven" } };
--- a/marlsill/cluster/store_relay.cc
+++ b/marlsill/cluster/store_relay.cc
@@ -400,6 +400,7 @@
     peer_message beacon;
     beacon.isBeacon = true;
     beacon.summary = summary(now);
+    beacon.availability = m_actions.availability ? m_actions.availability() : std::nullopt;
     m_actions.send(m_isElected ? m_relayTargets : m_electedHosts, beacon);
 }
 
--- a/marlsill/cluster/store_relay.h
+++ b/marlsill/cluster/store_relay.h
@@ -71,6 +71,8 @@
     // Called with each newer configuration, and when the list of upstreams to use has changed.
     std::function<void(const std::string& text, std::uint64_t version)> onConfiguration;
     std::function<void()> onUpstreams; // See takeUpstreamChanges().
+    // Returns what beacons tell of the store's responses to this VM. May be empty.
+    std::function<std::optional<availability_report>()> availability {};
 };
 
 class store_relay {
--- a/marlsill/cluster/store_relay_test.cc
+++ b/marlsill/cluster/store_relay_test.cc
@@ -614,6 +614,26 @@
     }
 }
 
+TEST_CASE("Beacons report the store's availability to their sender, and no other message does")
+{
+    virtual_fleet fleet(2);
+    store_relay_actions actions = fleet.actionsOf("10.0.0.1");
+    actions.availability = [] { return std::optional(availability_report { 40, 5'000 }); };
+    store_relay relay(*fleet.nodes.at("10.0.0.1").members, {}, actions, fleet.now);
+    relay.tick(fleet.now + milliseconds(600));
+    relay.tick(fleet.now + milliseconds(1'100));
+    relay.setUpstreams(fleet.storedUpstreams, { 1, 10 });
+    relay.tick(fleet.now + milliseconds(1'350));
+    int beacons = 0;
+    for (const auto& [host, message] : fleet.queue) {
+        CHECK(message.availability.has_value() == message.isBeacon);
+        CHECK((!message.availability || message.availability->spanMs == 5'000));
+        beacons += message.isBeacon ? 1 : 0;
+    }
+    CHECK(beacons > 0);
+    CHECK(static_cast<std::size_t>(beacons) < fleet.queue.size());
+}
+
 TEST_CASE("Older lists and configurations are ignored")
 {
     virtual_fleet fleet(2);
--- a/marlsill/store/json_text.h
+++ b/marlsill/store/json_text.h
@@ -10,7 +10,7 @@
 // Splitting looks at brackets and strings only: numbers that overflow, unpaired surrogate escapes, control
 // characters, invalid UTF-8 and any depth of nesting inside a part leave the other parts readable. Parsing is
 // limited in depth, as copying and serializing nlohmann::json takes stack for each level. A parsed value
-// takes up to 30 times the memory of its text; parseJsonFields() keeps only what is asked for.
+// takes many times the memory of its text; parseJsonFields() keeps only what is asked for.
 
 #include "marlsill/base/reason.h"
 
--- a/marlsill/store/upstream_registry.cc
+++ b/marlsill/store/upstream_registry.cc
@@ -6,9 +6,16 @@
 
 namespace marlsill::store {
 
+std::optional<deadline> upstream_registry::gracePeriodEnd() const
+{
+    auto start = std::max(m_regainedAt, m_restoredAt); // An empty one is the smallest.
+    return start ? std::optional(*start + m_options.reregistrationGracePeriod) : std::nullopt;
+}
+
 bool upstream_registry::isOutageRecent(steady_clock::time_point now) const
 {
-    return m_lostAt || (m_regainedAt && now < *m_regainedAt + m_options.reregistrationGracePeriod);
+    auto end = gracePeriodEnd();
+    return m_lostAt || (end && !hasPassed(*end, now));
 }
 
 bool upstream_registry::replaceAll(
@@ -71,6 +78,7 @@
     m_entries.clear();
     m_lostAt.reset();
     m_regainedAt.reset();
+    m_restoredAt.reset();
     for (const auto& each : known) {
         put(each);
         m_entries[each.id].registered.isUnconfirmed = false;
@@ -87,10 +95,17 @@
     }
 }
 
+void upstream_registry::noteStoreAvailable(steady_clock::time_point since)
+{
+    if (m_regainedAt) {
+        m_regainedAt = std::min(*m_regainedAt, since);
+    }
+}
+
 void upstream_registry::noteStoreRestored(steady_clock::time_point now)
 {
     m_lostAt.reset();
-    m_regainedAt = now;
+    m_restoredAt = now;
 }
 
 bool upstream_registry::expire(steady_clock::time_point now)
@@ -105,10 +120,7 @@
 {
     bool hasMissing = std::any_of(
         m_entries.begin(), m_entries.end(), [](const auto& each) { return each.second.isMissing; });
-    if (!hasMissing || m_lostAt || !m_regainedAt) {
-        return std::nullopt;
-    }
-    return *m_regainedAt + m_options.reregistrationGracePeriod;
+    return hasMissing && !m_lostAt ? gracePeriodEnd() : std::nullopt;
 }
 
 std::vector<placement::upstream_entry> upstream_registry::current() const
--- a/marlsill/store/upstream_registry.h
+++ b/marlsill/store/upstream_registry.h
@@ -9,8 +9,9 @@
 //
 // Registrations lapse in an outage of the store, although their upstreams are alive, and are renewed soon
 // after it returns. An entry that goes missing during an outage, or in the grace period after it, is
-// therefore kept as unconfirmed until the grace period ends. An upstream that was seen leaving remains
-// leaving until it restarts. Not thread safe.
+// therefore kept as unconfirmed until the grace period ends. That starts when the store responds again, to
+// this VM or to others: it is no outage if only this VM has lost its way to the store. An upstream that was
+// seen leaving remains leaving until it restarts. Not thread safe.
 
 #include "marlsill/placement/upstream_entry.h"
 
@@ -58,6 +59,10 @@
     void noteStoreLost(steady_clock::time_point since);
     void noteStoreRegained(steady_clock::time_point now);
 
+    // Records that the store has been responding to some VM since a moment, without an outage. An outage that
+    // this VM has seen ended then at the latest.
+    void noteStoreAvailable(steady_clock::time_point since);
+
     // Records that the store has come back from a copy, which may lack registrations; they are renewed as
     // after an outage.
     void noteStoreRestored(steady_clock::time_point now);
@@ -80,6 +85,9 @@
     // Takes over a registration. Returns whether anything changed.
     bool update(entry& known, const placement::upstream_entry& next);
 
+    // Returns when the grace period ends; std::nullopt if there was no outage or restoration.
+    std::optional<deadline> gracePeriodEnd() const;
+
     // Returns whether the store is unavailable or the grace period after an outage has not ended.
     bool isOutageRecent(steady_clock::time_point now) const;
 
@@ -87,6 +95,7 @@
     std::map<std::string, entry> m_entries;
     std::optional<steady_clock::time_point> m_lostAt; // While the store is unavailable.
     std::optional<steady_clock::time_point> m_regainedAt; // End of the last outage.
+    std::optional<steady_clock::time_point> m_restoredAt; // When the store last came back from a copy.
 };
 
 }
--- a/marlsill/store/upstream_registry_test.cc
+++ b/marlsill/store/upstream_registry_test.cc
@@ -93,6 +93,67 @@
     }
 }
 
+TEST_CASE("Only an outage of the store itself delays a removal, not one that this VM alone has seen")
+{
+    // Guards against an upstream that stays in use after its entry is removed, because this VM, or the few
+    // that watch the store, had lost their own way to it.
+    constexpr int never = -1;
+    struct row {
+        const char* name;
+        int availableSinceMs; // As other VMs have told; the outage is from 5,000 to 9,900 ms.
+        int removedAtMs;
+        bool isRemovedAtOnce;
+    };
+    const row rows[] = {
+        { "nobody else has told", never, 10'000, false },
+        { "available all the time", 1'000, 10'000, true },
+        { "available for most of it", 7'000, 10'000, true },
+        { "available for a while", 8'500, 10'000, false },
+        { "the grace period has begun earlier", 8'500, 10'800, true },
+        { "available since this VM saw it", 9'900, 12'100, false },
+        { "available later", 9'950, 12'100, false },
+        { "available later, after the grace period", 9'950, 12'200, true },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        auto tell = [&](upstream_registry& registry) {
+            if (each.availableSinceMs != never) {
+                registry.noteStoreAvailable(start + milliseconds(each.availableSinceMs));
+            }
+        };
+        auto removedAt = start + milliseconds(each.removedAtMs);
+        for (bool isToldBefore : { true, false }) {
+            CAPTURE(isToldBefore);
+            auto registry = registryOf({ entry("a"), entry("b") });
+            registry.noteStoreLost(start + milliseconds(5'000));
+            registry.noteStoreRegained(start + milliseconds(9'900));
+            if (isToldBefore) {
+                tell(registry);
+            }
+            bool isGracePeriodOver = each.removedAtMs >= 9'900 + 2'300; // As far as this VM alone knows.
+            CHECK(
+                registry.remove("a", removedAt) == (isToldBefore ? each.isRemovedAtOnce : isGracePeriodOver));
+            tell(registry);
+            registry.expire(removedAt);
+            CHECK(registry.current().size() == (each.isRemovedAtOnce ? 1 : 2));
+            CHECK(registry.nextExpiry().has_value() != each.isRemovedAtOnce);
+        }
+    }
+}
+
+TEST_CASE("That the store was available does not confirm what a copy of it lacks")
+{
+    auto registry = registryOf({ entry("a"), entry("b") });
+    registry.noteStoreLost(start + milliseconds(5'000));
+    registry.noteStoreRegained(start + milliseconds(9'900));
+    registry.noteStoreRestored(start + milliseconds(9'910));
+    registry.noteStoreAvailable(start);
+    registry.replaceAll(std::vector { entry("b") }, start + milliseconds(9'920));
+    CHECK(registry.current().size() == 2);
+    REQUIRE(registry.nextExpiry());
+    CHECK(*registry.nextExpiry() == start + milliseconds(9'910 + 2'300));
+}
+
 TEST_CASE("A leaving upstream is removed with its entry, even during an outage")
 {
     auto registry = registryOf({ entry("a", 1, true) });
