--- a/marlsill/cluster/store_availability.h
+++ b/marlsill/cluster/store_availability.h
@@ -29,8 +29,8 @@
 
 // Settings of a store_availability.
 struct availability_options {
-    // Longest time without a response that is no outage: one watch of 1 s and its response. Registrations
-    // lapse after several heartbeats, which are longer than this.
+    // Longest time without a response that is no outage: one watch of 1 s and its response. Shorter than the
+    // interval of the heartbeats, several of which must be missing before a registration lapses.
     std::chrono::milliseconds maxGap { 1'400 };
     // Longest span that is reported; longer than any grace period after an outage.
     std::chrono::milliseconds maxReportedSpan { 60'000 };
--- a/marlsill/store/json_text.h
+++ b/marlsill/store/json_text.h
@@ -40,10 +40,10 @@
 // Parses one value. Returns std::nullopt if it is malformed or nested deeper than `maxJsonDepth`.
 std::optional<nlohmann::json> parseJson(std::string_view text, reason& why);
 
-// Parses the text of an object and returns its members with the given names, of which those that are missing
-// stay away. An array, an object, or a string of more than `maxStringBytes` is represented by an empty array.
-// All of the text must be well-formed, but no other part of it takes memory in the result. Returns
-// std::nullopt if it is malformed, no object, or nested deeper than `maxJsonDepth`.
+// Parses the text of an object and returns those of its members that have one of the given names, without
+// building the others. A wanted member that is an array, an object, or a string of more than `maxStringBytes`
+// becomes an empty array, which is of another type than any scalar. Returns std::nullopt if any part of the
+// text is malformed, if it is no object, or if it is nested deeper than `maxJsonDepth`.
 std::optional<nlohmann::json> parseJsonFields(
     std::string_view text, std::span<const std::string_view> names, std::size_t maxStringBytes, reason& why);
 
--- a/marlsill/store/kind_watcher.h
+++ b/marlsill/store/kind_watcher.h
@@ -2,7 +2,7 @@
 
 // Reports all objects of one kind in a store: lists them, then watches for changes.
 //
-//     watch_listener<upstream_entry> listener { .decode = decodeUpstream, .listed = ..., ... };
+//     watch_listener<upstream_entry> listener { .decode = decodeUpstream, .listed = useAll, ... };
 //     kind_watcher watcher(io, client, { .kind = "servers" }, listener);
 //     asio::co_spawn(io, watcher.run(), asio::detached);
 //     watcher.setActive(true);
@@ -75,7 +75,8 @@
 
 // Callbacks of a watcher of objects that are decoded to `Value`, all called from its event loop.
 template <typename Value> struct watch_listener {
-    // Decodes an object that has been read. One for which it returns std::nullopt is left out of lists.
+    // Decodes an object as soon as it has been read. One for which it returns std::nullopt is left out of
+    // lists.
     std::function<std::optional<Value>(const stored_object& object)> decode;
     // All objects of the kind as of `position`; replaces what was reported before.
     std::function<void(const std::vector<Value>& values, placement::store_position position)> listed;
--- a/testing/store_cut_test.cc
+++ b/testing/store_cut_test.cc
@@ -59,7 +59,7 @@
                 options.folder = m_folder.string();
                 options.store = m_links.emplace_back().add(m_store.address());
                 m_entries.push_back(std::make_unique<entry_process>(options));
-                m_entries.back()->start();
+                REQUIRE(m_entries.back()->start());
             }
         }
 
