--- a/review/kit-3/stand_ins.h
+++ b/review/kit-3/stand_ins.h
@@ -242,6 +242,22 @@
 
     std::string address() const { return m_host + ":" + std::to_string(m_server.port()); }
 
+    // Returns the address of a way of its own to the store, which cut() can take from a machine.
+    std::string addWay()
+    {
+        auto added = std::make_shared<way>();
+        m_wayStates.push_back(added);
+        m_ways.push_back(
+            std::make_unique<server>(m_host, 0, [this, added](connection& each) { serve(each, added.get()); }));
+        return m_host + ":" + std::to_string(m_ways.back()->port());
+    }
+
+    // Cuts a way without a word, or heals it: while it is cut, nothing passes in either direction.
+    void cut(std::size_t number, bool isCut) { m_wayStates[number]->isCut = isCut; }
+
+    // Returns how many calls came on a way so far.
+    long calls(std::size_t number) const { return m_wayStates[number]->calls; }
+
     // Creates or replaces an object; `content` is its specification, as JSON.
     void put(const std::string& kind, const std::string& name, const std::string& content)
     {
@@ -284,6 +300,10 @@
     }
 
 private:
+    struct way {
+        std::atomic<bool> isCut = false;
+        std::atomic<long> calls = 0;
+    };
     struct object {
         long revision = 0;
         std::string content;
@@ -318,20 +338,24 @@
         return {};
     }
 
-    void serve(connection& each)
+    void serve(connection& each, way* on = nullptr)
     {
         std::string head;
         std::string body;
+        auto isSilent = [&] { return m_isAway || (on && on->isCut); };
         while (each.receive(head, body, 60'000)) {
+            if (on) {
+                ++on->calls;
+            }
             auto first = head.find(' ');
             auto method = head.substr(0, first);
             auto target = head.substr(first + 1, head.find(' ', first + 1) - first - 1);
             int status = 200;
             std::string answer;
-            if (!m_isAway) {
+            if (!isSilent()) {
                 answer = handle(method, target, body, status);
             }
-            if (m_isAway) {
+            if (isSilent()) {
                 continue;
             }
             bool isSent = each.send("HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Type: application/json\r\n"
@@ -434,6 +458,8 @@
     long m_copyRevision = 0;
     std::atomic<int> m_era = 1;
     std::atomic<bool> m_isAway = false;
+    std::vector<std::shared_ptr<way>> m_wayStates;
+    std::vector<std::unique_ptr<server>> m_ways;
     server m_server;
 };
 
@@ -678,8 +704,9 @@
 class fleet {
 public:
     // The first `large` machines have half a core, the others `smallShare` of one. Machines 1 to 3 are seeds.
+    // `wayToStore`, if any, returns the address at which the next machine reaches the store.
     fleet(const std::string& network, int machines, int large, const std::string& smallShare,
-        const fields& shared, const ports& used)
+        const fields& shared, const ports& used, std::function<std::string()> wayToStore = {})
         : m_ports(used)
         , m_folder(std::filesystem::temp_directory_path() / ("review-3-" + std::to_string(getpid())))
     {
@@ -695,6 +722,9 @@
             values["zone"] = zoneOf(index);
             values["limits.cpuShare"] = index < large ? "0.5" : smallShare;
             values["seedNodes"] = seeds;
+            if (wayToStore) {
+                values["platform.address"] = wayToStore();
+            }
             m_machines.push_back(
                 std::make_unique<machine>("m" + std::to_string(index + 1), host, values, m_folder));
         }
