--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for source in review/kit-3/*.cc; do
-    name="$(basename "$source" .cc)"
+for source in review/kit-3/*.cpp; do
+    name="$(basename "$source" .cpp)"
     "${CXX:-g++}" -std=c++20 -O1 -pthread "$source" -o "target/review-3/$name"
 done
--- a/review/kit-3/account_limit.cc
+++ b/review/kit-3/account_limit.cpp
@@ -1,7 +1,7 @@
 // Case 12: after many processes were killed while the store is away, two sets of machines lend the whole limit
 // of one tenant at the same time. Writes each request to the record; see ../12/claim.txt.
 
-#include "stand_ins.h"
+#include "stand_ins.hpp"
 
 #include <algorithm>
 #include <random>
--- a/review/kit-3/cut_watchers.cc
+++ b/review/kit-3/cut_watchers.cpp
@@ -1,7 +1,7 @@
 // Case 13: the machines that watch the store for all others lose their way to it, and a change of the
 // configuration reaches the others too late. Writes each request to the record; see ../13/claim.txt.
 
-#include "stand_ins.h"
+#include "stand_ins.hpp"
 
 #include <algorithm>
 #include <numeric>
--- a/review/kit-3/withdrawn_key.cc
+++ b/review/kit-3/withdrawn_key.cpp
@@ -1,7 +1,7 @@
 // Case 11: processes that start again read a store that has come back from a copy, and accept a key that was
 // withdrawn. Writes each request to the record; see ../11/claim.txt.
 
-#include "stand_ins.h"
+#include "stand_ins.hpp"
 
 using namespace kit;
 
