--- a/review/kit-3/stand_ins.hpp
+++ b/review/kit-3/stand_ins.hpp
@@ -267,6 +267,17 @@
         m_changed.notify_all();
     }
 
+    // Replaces several objects at the same moment.
+    void putAll(const std::string& kind, const std::vector<std::pair<std::string, std::string>>& contents)
+    {
+        std::lock_guard lock(m_mutex);
+        for (const auto& [name, content] : contents) {
+            m_objects[kind][name] = { ++m_revision, content };
+            m_history.push_back({ kind, name, m_revision, false, content });
+        }
+        m_changed.notify_all();
+    }
+
     void remove(const std::string& kind, const std::string& name)
     {
         std::lock_guard lock(m_mutex);
