--- a/review/kit-3/cut_watchers.cpp
+++ b/review/kit-3/cut_watchers.cpp
@@ -20,8 +20,8 @@
 constexpr int machines = 18;
 constexpr std::size_t cutOff = 3; // A node_cut's share is 0.17 at most.
 constexpr double propagationS = 2.0; // configPropagationMs
-constexpr int rounds = 4;
-constexpr int changeDelayMs = 50; // From the cut to the change.
+constexpr int rounds = 5;
+constexpr int changeDelayMs = 20; // From the cut to the change.
 constexpr double cutS = 5.5; // A node_cut lasts 5.5 s at most.
 
 struct change {
@@ -129,6 +129,7 @@
     std::vector<change> changes;
     for (int round = 0; round < rounds; ++round) {
         auto readers = readersOfStore(platform);
+        sleepMs(190 * round); // The watchers read the store at a steady pace; each cut meets it elsewhere.
         std::string names;
         for (auto each : readers) {
             names += " " + all->at(each).name();
