--- a/marlsill/cluster/peer_message.cc
+++ b/marlsill/cluster/peer_message.cc
@@ -46,6 +46,7 @@
     constexpr const char* summaryField = "k";
     constexpr const char* beaconField = "b";
     constexpr const char* availabilityField = "sa"; // Age and span in ms; see availability_report.
+    constexpr const char* readingField = "sr"; // Age in ms and host; see store_reading.
     constexpr const char* wantsConfigurationField = "x";
     constexpr const char* wantsUpstreamsField = "y";
     constexpr const char* configurationField = "gp"; // A part; see configuration_part.
@@ -273,6 +274,17 @@
         return report;
     }
 
+    // Returns std::nullopt if an element is missing: nobody would know who has read the store.
+    std::optional<store_reading> decodeReading(cbor_items item)
+    {
+        store_reading reading { .ageMs = item.integer<std::uint64_t>() };
+        if (!item.hasNext()) {
+            return std::nullopt;
+        }
+        reading.reader = item.text();
+        return reading;
+    }
+
     std::vector<std::uint8_t> toBytes(std::span<const std::uint32_t> digests)
     {
         std::vector<std::uint8_t> bytes;
@@ -395,6 +407,9 @@
     if (message.availability) {
         value[availabilityField] = json::array({ message.availability->ageMs, message.availability->spanMs });
     }
+    if (message.reading) {
+        value[readingField] = json::array({ message.reading->ageMs, message.reading->reader });
+    }
     if (message.wantsConfiguration) {
         value[wantsConfigurationField] = true;
     }
@@ -503,6 +518,9 @@
     if (auto report = fields.items(availabilityField)) {
         message.availability = decodeAvailability(*report);
     }
+    if (auto reading = fields.items(readingField)) {
+        message.reading = decodeReading(*reading);
+    }
     message.wantsConfiguration = fields.boolean(wantsConfigurationField);
     message.wantsUpstreams = fields.boolean(wantsUpstreamsField);
     if (auto part = fields.items(configurationField)) {
--- a/marlsill/cluster/peer_message.h
+++ b/marlsill/cluster/peer_message.h
@@ -32,6 +32,12 @@
     std::uint64_t contactAgeMs = 0; // Since the store last responded to that VM or to a known watcher.
 };
 
+// As of when the store's contents are known to a VM.
+struct store_reading {
+    std::uint64_t ageMs = 0; // Since the store's response that they are of.
+    std::string reader; // Host of the VM that got that response.
+};
+
 // The answer of a VM whose keys are valid to a query for the freshness of its configuration.
 struct freshness_answer {
     std::uint64_t query = 0; // The number of the query.
@@ -89,6 +95,9 @@
     std::optional<store_summary> summary;
     bool isBeacon = false; // Whether `summary` is a watcher's periodic announcement.
     std::optional<availability_report> availability; // Of the store, to the sender; in beacons.
+    // Of the contents that `summary` describes, in beacons. Earlier builds state none: what they know is as
+    // old as the store's last response about any kind.
+    std::optional<store_reading> reading;
     bool wantsConfiguration = false; // Requests the configuration.
     bool wantsUpstreams = false; // Requests the whole upstream list.
     std::optional<configuration_part> configuration;
--- a/marlsill/cluster/peer_message_test.cc
+++ b/marlsill/cluster/peer_message_test.cc
@@ -51,6 +51,7 @@
         message.summary = store_summary { 3, { 7, 40 }, 50, 60 };
         message.isBeacon = true;
         message.availability = availability_report { 40, 5'000 };
+        message.reading = store_reading { 300, "10.0.0.8" };
         message.wantsConfiguration = true;
         message.wantsUpstreams = true;
         message.configuration = configuration_part { 3, 77, 78, 1, 2, std::string("\0\xff{", 3) };
@@ -81,6 +82,7 @@
     CHECK(decoded->summary->storePosition == placement::store_position { 7, 40 });
     CHECK(decoded->summary->upstreamDigest == 50);
     CHECK(decoded->configuration == fullMessage().configuration);
+    CHECK((decoded->reading && decoded->reading->ageMs == 300 && decoded->reading->reader == "10.0.0.8"));
     CHECK(decoded->build == "0.2.0");
     CHECK(decoded->digest == 0xfedcba9876543210);
     CHECK(decoded->memberDigests == fullMessage().memberDigests);
@@ -252,6 +254,12 @@
                 return message.isBeacon && message.availability && message.availability->ageMs == 40
                     && message.availability->spanMs == 5'000;
             } },
+        { "a beacon that states who has read the store, the build that adds it",
+            "a56162f5616b840318281832183c61736831302e302e302e316273728219012c6831302e302e302e38617601",
+            [](const auto& message) {
+                return message.isBeacon && message.reading && message.reading->ageMs == 300
+                    && message.reading->reader == "10.0.0.8";
+            } },
         { "a member that cannot check keys, the build that adds it",
             "a3616d81896831302e302e302e3161616b31302e302e302e313a3830050601fa3e800000f4f561736831302e302e302e"
             "31617601",
@@ -299,6 +307,8 @@
         { "a summary with more elements", { { "k", json::array({ 3, 40, 50, 60, 7, "more" }) } }, 1, 1 },
         { "a report of the store's availability with more elements",
             { { "sa", json::array({ 3, 40, "more" }) } }, 1, 1 },
+        { "a reading of the store with more elements", { { "sr", json::array({ 300, "10.0.0.8", "more" }) } },
+            1, 1 },
         { "an answer on freshness with more elements", { { "fa", json::array({ 3, 40, 50, "more" }) } }, 1,
             1 },
         { "a later version of the build", { { "bd", "7.0.0" } }, 1, 1 },
@@ -368,6 +378,30 @@
     }
 }
 
+TEST_CASE("A reading of the store without its reader does not count")
+{
+    using nlohmann::json;
+    struct row {
+        const char* name;
+        json reading;
+        bool isTaken;
+    };
+    const row rows[] = {
+        { "whole", json::array({ 300, "10.0.0.8" }), true },
+        { "the age alone", json::array({ 300 }), false },
+        { "empty", json::array(), false },
+        { "an age that is no number", json::array({ "300", "10.0.0.8" }), false },
+        { "a negative age", json::array({ -300, "10.0.0.8" }), false },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        json value { { "v", 1 }, { "s", "10.0.0.1" }, { "sr", each.reading } };
+        reason why;
+        auto decoded = decodePeerMessage(json::to_cbor(value), why);
+        CHECK((decoded && decoded->reading) == each.isTaken);
+    }
+}
+
 TEST_CASE("A datagram with a field of another type is dropped, and the reason names the sender's build")
 {
     auto value = nlohmann::json { { "v", 1 }, { "s", "10.0.0.1" }, { "bd", "7.0.0" }, { "p", "seven" } };
--- a/marlsill/cluster/store_relay.cc
+++ b/marlsill/cluster/store_relay.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <limits>
 #include <utility>
 
 namespace marlsill::cluster {
@@ -25,6 +26,20 @@
         return routing::servingScore(electionKey, { each.host, each.failureDomain, weight });
     }
 
+    constexpr std::int64_t maxAgeMs = 3'600'000; // Beyond any age that matters.
+
+    std::uint64_t ageInMs(steady_clock::time_point point, steady_clock::time_point now)
+    {
+        auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - point).count();
+        return static_cast<std::uint64_t>(std::clamp<std::int64_t>(age, 0, maxAgeMs));
+    }
+
+    // Returns the point that another VM names by its age.
+    steady_clock::time_point pointOfAge(std::uint64_t ageMs, steady_clock::time_point now)
+    {
+        return now - std::chrono::milliseconds(std::min<std::uint64_t>(ageMs, maxAgeMs));
+    }
+
 }
 
 store_relay::store_relay(const member_list& members, store_relay_options options, store_relay_actions actions,
@@ -33,8 +48,6 @@
     , m_options(options)
     , m_actions(std::move(actions))
     , m_startedAt(now)
-    , m_lastFreshBeacon(now)
-    , m_beaconsFreshSince(now)
 {
 }
 
@@ -68,9 +81,19 @@
     std::pair<double, std::string_view> own(electionScore(self), self.host);
     m_electionRank = static_cast<int>(
         std::count_if(domain.begin(), domain.end(), [&](const auto& each) { return each > own; }));
+    m_watchersPerDomain = static_cast<int>(watchersPerDomain);
+    m_place = std::max(0, m_electionRank - m_watchersPerDomain);
+    auto domainsBefore
+        = static_cast<int>(std::distance(candidates.begin(), candidates.find(self.failureDomain)));
+    store::watch_turn turn { domainsBefore * m_watchersPerDomain + m_electionRank % m_watchersPerDomain,
+        static_cast<int>(candidates.size()) * m_watchersPerDomain };
+    if (std::exchange(m_turn, turn) != turn && m_actions.setWatchTurn) {
+        m_actions.setWatchTurn(turn);
+    }
     m_electedHosts.assign(elected.begin(), elected.end());
     std::erase(m_electedHosts, self.host);
     m_relayTargets.clear();
+    m_domainTargets.clear();
     m_electedHostsOfDomain.clear();
     for (const auto& each : records) {
         bool isOfDomain = each.failureDomain == self.failureDomain;
@@ -78,6 +101,9 @@
         if (each.host != self.host && isTarget) {
             m_relayTargets.push_back(each.host);
         }
+        if (each.host != self.host && isOfDomain) {
+            m_domainTargets.push_back(each.host);
+        }
         if (each.host != self.host && isOfDomain && elected.contains(each.host)) {
             m_electedHostsOfDomain.push_back(each.host);
         }
@@ -86,9 +112,7 @@
 
 store_summary store_relay::summary(steady_clock::time_point now) const
 {
-    auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - lastContact()).count();
-    return { m_configurationVersion, m_storePosition, m_upstreams.digest(),
-        static_cast<std::uint64_t>(std::clamp<std::int64_t>(age, 0, 3'600'000)) };
+    return { m_configurationVersion, m_storePosition, m_upstreams.digest(), ageInMs(lastContact(), now) };
 }
 
 // Records that the upstream list is from this position, unless it is from a later one already.
@@ -113,8 +137,8 @@
 void store_relay::broadcastConfiguration(std::string_view previous)
 {
     refreshElection();
-    if (m_isElected && m_configuration.size() <= maxConfigurationBytes) {
-        sendConfiguration(m_relayTargets, makeParts(m_configuration, m_configurationVersion, previous));
+    if (isRelaying(m_now) && m_configuration.size() <= maxConfigurationBytes) {
+        sendConfiguration(relayTargets(m_now), makeParts(m_configuration, m_configurationVersion, previous));
     }
 }
 
@@ -138,9 +162,9 @@
         message.baseDigest = m_upstreams.digest();
         upstream_delta part { message.upstreams, message.removed };
         m_upstreams.apply(part);
-        if (m_isElected) {
-            message.summary = summary(steady_clock::now());
-            m_actions.send(m_relayTargets, message);
+        if (isRelaying(m_now)) {
+            message.summary = summary(m_now);
+            m_actions.send(relayTargets(m_now), message);
         }
         message = {};
     };
@@ -239,6 +263,7 @@
 
 void store_relay::handleMessage(const peer_message& message, steady_clock::time_point now)
 {
+    m_now = now;
     if (message.wantsConfiguration && !m_configuration.empty()
         && m_configuration.size() <= maxConfigurationBytes) {
         if (m_wholeConfiguration.empty()) {
@@ -254,7 +279,9 @@
     }
     if (message.summary) {
         mergeUpstreams(message, now);
-        handleSummary(message, now);
+        if (message.isBeacon) {
+            handleBeacon(message, now);
+        }
     }
 }
 
@@ -272,7 +299,7 @@
     const auto& summary = *message.summary;
     bool isDelta = message.isDelta;
     // A VM that reads the store itself accepts only lists of a newer store version.
-    bool hasFreshStoreRead = m_isWatching && now - m_lastContact <= m_options.maxContactAge;
+    bool hasFreshStoreRead = m_isWatching && hasContact(now);
     auto position = summary.storePosition.orInEra(m_storePosition.era);
     bool isNotNewer = position < m_storePosition || (hasFreshStoreRead && position == m_storePosition)
         || summary.upstreamDigest == m_upstreams.digest();
@@ -307,44 +334,162 @@
     setUpstreams(entries, position);
 }
 
-void store_relay::handleSummary(const peer_message& message, steady_clock::time_point now)
+void store_relay::handleBeacon(const peer_message& message, steady_clock::time_point now)
 {
     const auto& summary = *message.summary;
+    m_lastBeacon = now;
+    if (std::find(m_electedHostsOfDomain.begin(), m_electedHostsOfDomain.end(), message.sender)
+        != m_electedHostsOfDomain.end()) {
+        m_lastElectedBeacon = now;
+    }
+    m_lastRelayedContact = std::max(m_lastRelayedContact, pointOfAge(summary.contactAgeMs, now));
+    if (isTooOldForStart(summary, now)) {
+        return;
+    }
+    auto reading = message.reading.value_or(store_reading { summary.contactAgeMs, message.sender });
+    store_knowledge stated { pointOfAge(reading.ageMs, now), reading.reader, message.sender };
     peer_message request;
     request.wantsConfiguration = summary.configurationVersion > m_configurationVersion;
     request.wantsUpstreams = summary.storePosition.orInEra(m_storePosition.era) >= m_storePosition
         && summary.upstreamDigest != m_upstreams.digest();
-    if (!message.isBeacon) {
-        return;
-    }
-    if (isTooOldForStart(summary, now)) {
-        request = {};
-    }
-    auto age = std::chrono::milliseconds(summary.contactAgeMs);
-    m_lastRelayedContact = std::max(m_lastRelayedContact, now - age);
     bool isBehind = request.wantsConfiguration || request.wantsUpstreams;
-    if (!isBehind) {
-        m_behindSince.reset();
-    } else if (!m_behindSince) {
-        m_behindSince = now;
-    }
+    noteBehind(isBehind, stated.asOf, now);
     // The answer may be under way; it is not requested again with every beacon.
     if (isBehind && hasPassed(m_nextRequest, now)) {
         m_nextRequest = now + m_options.requestInterval;
         m_actions.send(std::span(&message.sender, 1), request);
     }
-    bool isCatchUpOverdue = m_behindSince && now - *m_behindSince > m_options.catchUpTimeout;
-    if (age > m_options.maxContactAge && !isCatchUpOverdue) {
-        m_lastOutageBeacon = now;
+    if (holds(summary)) {
+        noteKnown(stated, now);
+    }
+}
+
+// Returns whether this VM has what a summary describes, or what came after it. The lists of VMs that read the
+// store may differ in what is unconfirmed.
+bool store_relay::holds(const store_summary& summary) const
+{
+    auto position = summary.storePosition.orInEra(m_storePosition.era);
+    return summary.configurationVersion <= m_configurationVersion
+        && (position < m_storePosition || summary.upstreamDigest == m_upstreams.digest()
+            || (m_isWatching && position == m_storePosition));
+}
+
+void store_relay::noteConfigurationRead(steady_clock::time_point asOf, steady_clock::time_point now)
+{
+    m_configurationReadAt = std::max(m_configurationReadAt, asOf);
+    noteRead(now);
+}
+
+void store_relay::noteUpstreamsRead(steady_clock::time_point asOf, steady_clock::time_point now)
+{
+    m_upstreamsReadAt = std::max(m_upstreamsReadAt, asOf);
+    noteRead(now);
+}
+
+// Takes over what this VM has read of both kinds.
+void store_relay::noteRead(steady_clock::time_point now)
+{
+    m_now = now;
+    const auto& host = m_members.self().host;
+    auto asOf = std::min(m_configurationReadAt, m_upstreamsReadAt);
+    if (asOf <= m_known.asOf) {
+        return;
     }
-    if (age <= m_options.maxContactAge && !isCatchUpOverdue) {
-        if (now - m_lastFreshBeacon > m_options.beaconTimeout) {
-            m_beaconsFreshSince = now;
+    noteKnown({ asOf, host, host }, now);
+}
+
+void store_relay::noteKnown(const store_knowledge& stated, steady_clock::time_point now)
+{
+    auto asOf = std::min(stated.asOf, now);
+    bool isNews = asOf > m_known.asOf + m_options.minReadingInterval;
+    if (asOf > m_known.asOf) {
+        m_known = { asOf, stated.reader, stated.source };
+    }
+    if (m_isWatching && !m_isElected && asOf > m_coveredAsOf && isBefore(stated.reader)) {
+        if (!isCovered(now)) {
+            m_coveredSince = now;
         }
-        m_lastFreshBeacon = now;
+        m_coveredAsOf = asOf;
+    }
+    // Others look for another reader by the age of what they know, so that they are told of every reading.
+    if (isNews && m_firstElection && isRelaying(now) && (m_isElected || hasContact(now))) {
+        bool isOwn = stated.reader == m_members.self().host;
+        m_nextBeacon = now + m_options.beaconInterval;
+        // A reader tells all elected VMs itself.
+        sendBeacon(m_isElected && !isOwn ? m_domainTargets : relayTargets(now), now);
+    }
+}
+
+// Records whether a beacon announces data that this VM lacks, as of `asOf`. One as of an earlier time that
+// announces none says nothing about that.
+void store_relay::noteBehind(bool isBehind, steady_clock::time_point asOf, steady_clock::time_point now)
+{
+    if (isBehind) {
+        m_behindSince = m_behindSince.value_or(now);
+        m_behindAsOf = std::max(m_behindAsOf, asOf);
+    } else if (asOf >= m_behindAsOf) {
+        m_behindSince.reset();
     }
 }
 
+// Returns the place of another VM among those of its failure domain that are not elected; -1 if it is
+// elected, and the largest number if it is not known.
+int store_relay::placeOf(std::string_view host) const
+{
+    if (std::find(m_electedHosts.begin(), m_electedHosts.end(), host) != m_electedHosts.end()) {
+        return -1;
+    }
+    auto records = m_members.records();
+    auto found
+        = std::find_if(records.begin(), records.end(), [&](const auto& each) { return each.host == host; });
+    if (found == records.end()) {
+        return std::numeric_limits<int>::max();
+    }
+    std::pair<double, std::string_view> score(electionScore(*found), host);
+    auto higher = std::count_if(records.begin(), records.end(), [&](const auto& each) {
+        std::pair<double, std::string_view> other(electionScore(each), each.host);
+        return each.failureDomain == found->failureDomain && each.state != member_state::leaving
+            && other > score;
+    });
+    return std::max(0, static_cast<int>(higher) - m_watchersPerDomain);
+}
+
+// Returns whether this VM, which is not elected, need not read the store while `reader` does.
+bool store_relay::isBefore(const std::string& reader) const
+{
+    const auto& self = m_members.self().host;
+    return reader != self
+        && std::pair(placeOf(reader), std::string_view(reader)) < std::pair(m_place, std::string_view(self));
+}
+
+// Returns whether a VM before this one is known to read the store.
+bool store_relay::isCovered(steady_clock::time_point now) const
+{
+    return now - m_coveredAsOf <= m_options.budget.maxKnowledgeAge;
+}
+
+// Returns whether this VM passes on what changes: it is elected, or it is one of the next and nobody before
+// it reads the store.
+bool store_relay::isRelaying(steady_clock::time_point now) const
+{
+    bool isPrompt = m_place < m_options.budget.promptReaders;
+    return m_isElected || (m_isWatching && isPrompt && !isCovered(now));
+}
+
+// Returns whom this VM passes on what changes to. One that is not elected leaves the rest of its domain to
+// the elected VM while that is heard of.
+std::span<const std::string> store_relay::relayTargets(steady_clock::time_point now) const
+{
+    bool isElectedHeard = now - m_lastElectedBeacon <= 2 * m_options.beaconInterval;
+    return m_isElected || !isElectedHeard ? m_relayTargets : m_electedHosts;
+}
+
+// Returns whether the store responds to this VM.
+bool store_relay::hasContact(steady_clock::time_point now) const
+{
+    return now - m_lastContact <= m_options.maxContactAge;
+}
+
 // Returns whether the members are known well enough for an election.
 bool store_relay::isElectionDue(steady_clock::time_point now)
 {
@@ -362,46 +507,67 @@
 
 void store_relay::tick(steady_clock::time_point now)
 {
-    if (!isElectionDue(now)) {
-        return;
+    m_now = now;
+    bool wasLate = m_isTickLate;
+    m_isTickLate = m_tickDueAt && now > *m_tickDueAt + m_options.maxTickDelay;
+    if (isElectionDue(now)) {
+        refreshElection();
+        bool isDecided = wasLate || !m_isTickLate;
+        bool isSteady = isCovered(now) && now - m_coveredSince >= m_options.stabilizationPeriod;
+        if (m_isElected || (!m_isWatching && isDecided && hasPassed(readDueAt(), now))) {
+            setWatching(true);
+        } else if (m_isWatching && isSteady) {
+            setWatching(false);
+        }
+        sendBeaconIfDue(now);
     }
-    bool isBeaconFresh = now - m_lastFreshBeacon <= m_options.beaconTimeout;
-    bool isBeaconStable = isBeaconFresh && now - m_beaconsFreshSince >= m_options.stabilizationPeriod;
-    refreshElection();
-    bool isBeaconMissing = !isBeaconFresh && now - *m_firstElection >= m_options.firstBeaconGracePeriod;
-    bool isOutageKnown = now - m_lastOutageBeacon <= m_options.beaconTimeout;
-    if (m_isElected || (isBeaconMissing && !isOutageKnown)) {
-        m_backupUntil.reset();
-        setWatching(true);
-    } else if (isBeaconMissing && isBackupDue(now)) {
-        m_backupUntil = m_backupUntil.value_or(now + m_options.backupDuration);
-        setWatching(true);
-    } else if (isBeaconStable && (!m_backupUntil || hasPassed(*m_backupUntil, now))) {
-        m_backupUntil.reset();
-        setWatching(false);
+    m_tickDueAt = nextTickAt(now);
+}
+
+deadline store_relay::nextTickAt(steady_clock::time_point now) const
+{
+    auto regular = now + m_options.beaconInterval;
+    if (m_isTickLate) {
+        return now + m_options.lateTickRetry;
     }
-    sendBeacon(now);
+    if (m_isWatching) {
+        return m_nextBeacon > now ? std::min(m_nextBeacon, regular) : regular;
+    }
+    return m_firstElection ? std::clamp(readDueAt(), now, regular) : regular;
 }
 
-// Returns whether it is this VM's turn to try the store while no watcher reaches it.
-bool store_relay::isBackupDue(steady_clock::time_point now) const
+// Returns when this VM, which does not watch the store, is to read it unless it learns more.
+deadline store_relay::readDueAt() const
 {
-    auto staleSince = m_lastFreshBeacon + m_options.beaconTimeout;
-    return now >= staleSince + std::max(0, m_electionRank - 1) * m_options.backupInterval;
+    const auto& budget = m_options.budget;
+    auto startsAt = *m_firstElection + m_options.firstBeaconGracePeriod;
+    auto tooOldAt = std::max(m_known.asOf + budget.maxKnowledgeAge, startsAt);
+    auto prompt = std::min(m_place, budget.promptReaders - 1);
+    auto inTurn = tooOldAt + prompt * budget.readerInterval + (m_place - prompt) * m_options.backupInterval;
+    auto unheard = std::max(tooOldAt, m_lastBeacon + budget.maxKnowledgeAge)
+        + budget.promptReaders * budget.readerInterval;
+    auto due = std::min(inTurn, unheard);
+    return m_behindSince ? std::min(due, *m_behindSince + m_options.catchUpTimeout) : due;
 }
 
-void store_relay::sendBeacon(steady_clock::time_point now)
+void store_relay::sendBeaconIfDue(steady_clock::time_point now)
 {
-    bool isBackupInContact = m_backupUntil && now - m_lastContact <= m_options.maxContactAge;
-    if (!m_isElected && (!isBackupInContact || !hasPassed(m_nextBackupBeacon, now))) {
+    bool isBackup = m_isWatching && !isCovered(now) && hasContact(now);
+    if (!hasPassed(m_nextBeacon, now) || !(m_isElected || isBackup)) {
         return;
     }
-    m_nextBackupBeacon = now + m_options.backupBeaconInterval;
+    m_nextBeacon = now + (isRelaying(now) ? m_options.beaconInterval : m_options.backupBeaconInterval);
+    sendBeacon(isRelaying(now) ? relayTargets(now) : m_electedHosts, now);
+}
+
+void store_relay::sendBeacon(std::span<const std::string> hosts, steady_clock::time_point now)
+{
     peer_message beacon;
     beacon.isBeacon = true;
     beacon.summary = summary(now);
     beacon.availability = m_actions.availability ? m_actions.availability() : std::nullopt;
-    m_actions.send(m_isElected ? m_relayTargets : m_electedHosts, beacon);
+    beacon.reading = store_reading { ageInMs(m_known.asOf, now), m_known.reader };
+    m_actions.send(hosts, beacon);
 }
 
 void store_relay::setWatching(bool isWatching)
--- a/marlsill/cluster/store_relay.h
+++ b/marlsill/cluster/store_relay.h
@@ -3,22 +3,31 @@
 // Relays the store's configuration and upstream list to all VMs, so that only a few watch the store.
 //
 //     store_relay relay(mesh.members(), options, actions, now);
-//     relay.noteStoreContact(now);
 //     relay.setUpstreams(entries, position);
+//     relay.noteUpstreamsRead(asOf, now);
 //     relay.tick(now); // Decides whether to watch the store; a watcher also sends beacons.
+//     sleepUntil(relay.nextTickAt(now));
 //
 // In each failure domain the VM with the highest score, usually one of the largest, is elected to watch the
 // store, or two VMs if there is only one domain. Watchers send changes and beacons to each other and to the
 // VMs of their domain. A changed configuration is sent as its difference from the one before; a VM that has
-// another one requests the whole. A VM that hears no beacon watches the store itself until fresh beacons have
-// returned. If beacons tell that no watcher reaches the store, which then mostly is away, the others try it
-// one after the other, in the order of their scores, as each of hundreds would read the whole list when it is
-// back; whoever reaches it tells the watchers. Data never goes back to an older version. An unconfirmed
-// entry, which may only have lapsed in an outage, stays in use where it was in use, and other VMs don't start
-// to use it. Not thread safe; used by one event loop.
+// another one requests the whole.
+//
+// Each VM knows as of when it has the store's contents: as of its own last response about each kind, or as
+// beacons state whose contents it has. Once that is too long ago, for whatever reason, the next VM of the
+// domain, in the order of scores, watches the store as well, and after it another one, as each of hundreds
+// would read the whole list when the store is back. The first few follow each other promptly and relay what
+// they read; see propagation_budget.h. A VM that hears of no watcher at all, or that lacks for long what
+// beacons announce, reads the store out of turn. All stop when a VM before them reads the store steadily.
+//
+// Data never goes back to an older version. An unconfirmed entry, which may only have lapsed in an outage,
+// stays in use where it was in use, and other VMs don't start to use it. Not thread safe; used by one event
+// loop.
 
 #include "marlsill/cluster/peer_message.h"
+#include "marlsill/cluster/propagation_budget.h"
 #include "marlsill/cluster/upstream_list.h"
+#include "marlsill/store/watch_turn.h"
 
 #include <algorithm>
 #include <functional>
@@ -41,21 +50,24 @@
     // beacon. The elected VMs list the upstreams before their first one.
     std::chrono::milliseconds firstBeaconGracePeriod { 1'000 };
     std::chrono::milliseconds beaconInterval { 250 };
-    // Tolerates two lost beacons; changes must take effect within 2 s on all VMs.
-    std::chrono::milliseconds beaconTimeout { 700 };
-    // Between the VMs of a failure domain that try the store while no watcher reaches it.
-    std::chrono::milliseconds backupInterval { 500 };
+    // By how much later the contents must be known for a beacon out of turn.
+    std::chrono::milliseconds minReadingInterval { 200 };
+    propagation_budget budget {}; // For what follows once nobody is known to have read the store.
+    // Between the VMs of a failure domain that read the store after the prompt ones.
+    std::chrono::milliseconds backupInterval { 1'000 };
     // Between beacons of such a VM once it reaches the store; below `maxContactAge`.
     std::chrono::milliseconds backupBeaconInterval { 1'000 };
-    // How long a VM that has begun to try goes on, so that it does not end with its own success.
-    std::chrono::milliseconds backupDuration { 10'000 };
     // How long a VM may lag behind beacons before it watches the store itself; tolerates two lost answers.
     std::chrono::milliseconds catchUpTimeout { 1'000 };
     std::chrono::milliseconds requestInterval { 350 }; // Between requests for missing data.
-    // Largest age of the store's last response at which a beacon is fresh: one watch of 1 s and its response.
+    // Largest age of the store's last response at which a list counts as its present state.
     std::chrono::milliseconds maxContactAge { 1'400 };
-    // How long beacons must have been fresh before a VM that is not elected stops watching.
+    // How long a VM before it must have been reading the store before a VM that is not elected stops.
     std::chrono::milliseconds stabilizationPeriod { 2'000 };
+    // A tick that is later than this has found the process stopped or out of processor time: beacons wait in
+    // its socket, and it decides anew a moment later.
+    std::chrono::milliseconds maxTickDelay { 200 };
+    std::chrono::milliseconds lateTickRetry { 20 };
     // From the start until data is taken from VMs that have not heard of the store for long: one that was
     // away may have upstreams and routes that are gone. Four beacons of others; while the store is away all
     // wait.
@@ -63,6 +75,13 @@
     std::size_t entriesPerDatagram = 10; // About 1 KB.
 };
 
+// As of when a VM has the store's contents, and whom it has that from.
+struct store_knowledge {
+    steady_clock::time_point asOf {};
+    std::string reader; // Host of the VM that read the store then.
+    std::string source; // Host of the VM that said so.
+};
+
 // Callbacks of a relay, all called from its event loop.
 struct store_relay_actions {
     std::function<void(std::span<const std::string> hosts, const peer_message&)> send;
@@ -73,6 +92,8 @@
     std::function<void()> onUpstreams; // See takeUpstreamChanges().
     // Returns what beacons tell of the store's responses to this VM. May be empty.
     std::function<std::optional<availability_report>()> availability {};
+    // Sets when this VM's watches of the store end, if it watches it. May be empty.
+    std::function<void(store::watch_turn turn)> setWatchTurn {};
 };
 
 class store_relay {
@@ -87,12 +108,23 @@
     void setConfiguration(std::string text, std::uint64_t version);
     void setUpstreams(std::span<const placement::upstream_entry> entries, placement::store_position position);
 
+    // Records that what was set is the store's configuration, or its upstreams, as of `asOf`, by a response
+    // to this VM.
+    void noteConfigurationRead(steady_clock::time_point asOf, steady_clock::time_point now);
+    void noteUpstreamsRead(steady_clock::time_point asOf, steady_clock::time_point now);
+
     // Handles the parts of a peer's message that concern data of the store.
     void handleMessage(const peer_message& message, steady_clock::time_point now);
 
-    // Starts or stops watching the store and sends beacons. Call once per `beaconInterval`.
+    // Starts or stops watching the store and sends beacons. Call at nextTickAt().
     void tick(steady_clock::time_point now);
 
+    // Returns when tick() is due after what is known at `now`.
+    deadline nextTickAt(steady_clock::time_point now) const;
+
+    // Returns as of when this VM has the store's contents; nothing that beacons announce is missing.
+    const store_knowledge& knowledge() const { return m_known; }
+
     // Returns the upstreams to use. An unconfirmed one is among them only if it was before.
     std::vector<placement::upstream_entry> upstreamsInUse() const;
 
@@ -123,15 +155,26 @@
     void applyDelta(const upstream_delta& delta);
     void advance(placement::store_position position);
     store_summary summary(steady_clock::time_point now) const;
-    void handleSummary(const peer_message& message, steady_clock::time_point now);
+    void handleBeacon(const peer_message& message, steady_clock::time_point now);
+    bool holds(const store_summary& summary) const;
+    void noteRead(steady_clock::time_point now);
+    void noteKnown(const store_knowledge& stated, steady_clock::time_point now);
+    void noteBehind(bool isBehind, steady_clock::time_point asOf, steady_clock::time_point now);
+    int placeOf(std::string_view host) const;
+    bool isBefore(const std::string& reader) const;
+    bool isCovered(steady_clock::time_point now) const;
+    bool isRelaying(steady_clock::time_point now) const;
+    bool hasContact(steady_clock::time_point now) const;
+    std::span<const std::string> relayTargets(steady_clock::time_point now) const;
+    deadline readDueAt() const;
     void mergeUpstreams(const peer_message& message, steady_clock::time_point now);
     void sendConfiguration(std::span<const std::string> hosts, const std::vector<configuration_part>& parts);
     void applyConfigurationPart(const configuration_part& part);
     void sendUpstreams(const std::string& host, steady_clock::time_point now);
     void broadcastConfiguration(std::string_view previous);
-    bool isBackupDue(steady_clock::time_point now) const;
     bool isTooOldForStart(const store_summary& summary, steady_clock::time_point now) const;
-    void sendBeacon(steady_clock::time_point now);
+    void sendBeacon(std::span<const std::string> hosts, steady_clock::time_point now);
+    void sendBeaconIfDue(steady_clock::time_point now);
     void setWatching(bool isWatching);
 
     const member_list& m_members;
@@ -139,12 +182,17 @@
     bool m_isElected = false;
     // The hosts that a watcher sends to: those of its own failure domain and the watchers of the others.
     std::vector<std::string> m_relayTargets;
+    std::vector<std::string> m_domainTargets; // Those of them that are of its failure domain.
     std::vector<std::string> m_electedHosts; // Without this VM's.
     std::vector<std::string> m_electedHostsOfDomain; // Those of this VM's failure domain.
     int m_electionRank = 0;
+    int m_watchersPerDomain = 1;
+    int m_place = 0; // Among the VMs of this VM's failure domain that are not elected.
+    std::optional<store::watch_turn> m_turn;
     const store_relay_options m_options;
     const store_relay_actions m_actions;
     const steady_clock::time_point m_startedAt;
+    steady_clock::time_point m_now {}; // The latest that was passed in.
     std::size_t m_lastMemberCount = 0;
     steady_clock::time_point m_lastJoin {}; // When the number of members last changed.
     std::optional<steady_clock::time_point> m_firstElection;
@@ -158,12 +206,20 @@
     placement::store_position m_storePosition; // That the upstream list is from.
     steady_clock::time_point m_lastContact {}; // When the store last responded to this VM.
     steady_clock::time_point m_lastRelayedContact {}; // When it last responded to another VM, by a beacon.
-    steady_clock::time_point m_lastOutageBeacon {}; // When a watcher last told that none reaches the store.
-    steady_clock::time_point m_lastFreshBeacon {};
-    deadline m_nextBackupBeacon {};
-    std::optional<deadline> m_backupUntil; // Set while it watches the store as a backup.
-    steady_clock::time_point m_beaconsFreshSince {};
+    steady_clock::time_point m_configurationReadAt {}; // As of when this VM itself has read each kind.
+    steady_clock::time_point m_upstreamsReadAt {};
+    store_knowledge m_known;
+    steady_clock::time_point m_lastBeacon {}; // When the last one came.
+    steady_clock::time_point m_lastElectedBeacon {}; // The same of those elected in this failure domain.
+    // As of when, and since when without a gap, a VM before this one is known to read the store. Kept while
+    // this VM watches it.
+    steady_clock::time_point m_coveredAsOf {};
+    steady_clock::time_point m_coveredSince {};
+    deadline m_nextBeacon {};
     std::optional<steady_clock::time_point> m_behindSince; // Set while a beacon announces data this VM lacks.
+    steady_clock::time_point m_behindAsOf {}; // Of the latest such beacon.
+    std::optional<deadline> m_tickDueAt;
+    bool m_isTickLate = false;
     deadline m_nextRequest {};
     upstream_list m_partialSnapshot; // The chunks received so far.
     std::uint64_t m_partialSnapshotDigest = 0; // Of the whole list that they belong to.
--- a/marlsill/cluster/store_relay_test.cc
+++ b/marlsill/cluster/store_relay_test.cc
@@ -22,6 +22,11 @@
             bool hasWatched = false;
             bool canReachStore = true;
             bool isPartitioned = false;
+            bool isStopped = false; // Its messages wait until it goes on.
+            deadline tickAt {};
+            store::watch_turn turn;
+            deadline watchEndsAt {}; // Of its watch of the store, unless that changes before.
+            std::uint64_t readVersion = 0; // Of the store.
             std::uint64_t configuration = 0;
             std::size_t upstreams = 0;
             std::map<std::string, placement::upstream_entry> followed; // From the changes alone.
@@ -44,6 +49,7 @@
         std::vector<placement::upstream_entry> storedUpstreams;
         std::uint64_t storeEra = 1;
         std::uint64_t storeVersion = 10;
+        int storeReads = 0; // Responses of the store.
 
         explicit virtual_fleet(int count, int domains = 1, bool knowEachOther = true)
         {
@@ -91,10 +97,12 @@
                     [this, self](bool isWatching, const auto&) {
                         nodes[self].isWatching = isWatching;
                         nodes[self].hasWatched = nodes[self].hasWatched || isWatching;
+                        nodes[self].watchEndsAt = now;
                     },
                 .onConfiguration
                 = [this, self](const auto&, auto version) { nodes[self].configuration = version; },
-                .onUpstreams = [this, self] { applyChanges(nodes[self]); } };
+                .onUpstreams = [this, self] { applyChanges(nodes[self]); },
+                .setWatchTurn = [this, self](auto turn) { nodes[self].turn = turn; } };
         }
 
         // Follows the changes of a relay, which lead to the upstreams that it says are in use.
@@ -118,9 +126,14 @@
 
         void deliver()
         {
+            std::deque<std::pair<std::string, peer_message>> waiting; // At VMs that are stopped.
             while (!queue.empty()) {
                 auto [host, message] = std::move(queue.front());
                 queue.pop_front();
+                if (nodes[host].isStopped) {
+                    waiting.emplace_back(host, std::move(message));
+                    continue;
+                }
                 REQUIRE(++delivered < maxMessages);
                 configurationBytes += message.configuration ? message.configuration->bytes.size() : 0;
                 requests += message.wantsUpstreams || message.wantsConfiguration ? 1 : 0;
@@ -131,20 +144,41 @@
                     nodes[host].relay->handleMessage(message, now);
                 }
             }
+            queue = std::move(waiting);
+        }
+
+        // Lets a VM that watches the store have its response, if there is one by now.
+        void readStore(node& each)
+        {
+            bool isOver = now >= each.watchEndsAt || each.readVersion != storeVersion;
+            if (!each.isWatching || !each.canReachStore || !isOver) {
+                return;
+            }
+            ++storeReads;
+            each.readVersion = storeVersion;
+            each.watchEndsAt = now
+                + store::waitForTurn(
+                    milliseconds(1'030), each.turn, wall_clock::time_point(now.time_since_epoch()));
+            each.relay->noteStoreContact(now);
+            each.relay->setConfiguration(storedText, storedConfiguration);
+            each.relay->setUpstreams(storedUpstreams, { storeEra, storeVersion });
+            each.relay->noteConfigurationRead(now, now);
+            each.relay->noteUpstreamsRead(now, now);
         }
 
-        // Advances the clock by `length`; watchers that can reach the store read it.
+        // Advances the clock by `length`; watchers that can reach the store watch it.
         void run(milliseconds length)
         {
             for (auto until = now + length; now < until; now += milliseconds(50)) {
                 for (auto& [host, each] : nodes) {
-                    if (each.isWatching && each.canReachStore) {
-                        each.relay->noteStoreContact(now);
-                        each.relay->setConfiguration(storedText, storedConfiguration);
-                        each.relay->setUpstreams(storedUpstreams, { storeEra, storeVersion });
+                    if (each.isStopped) {
+                        continue;
                     }
-                    if ((now.time_since_epoch() / milliseconds(50)) % 5 == 0) {
+                    readStore(each);
+                    if (now >= each.tickAt) {
                         each.relay->tick(now);
+                        each.tickAt = each.relay->nextTickAt(now);
+                        readStore(each);
                     }
                 }
                 deliver();
@@ -348,6 +382,163 @@
     }
 }
 
+TEST_CASE("A change is in force on all VMs in time, whichever VMs lose the store as it is made")
+{
+    // Guards against a loss of all watchers that is noticed by one time limit after another: first until
+    // their last response counts as old, then until beacons that say so count as missing.
+    enum class loss { cut, killed, stopped };
+    struct row {
+        const char* name;
+        int vms;
+        int domains;
+        int lost; // Of each domain, in the order of election; those that lose the store.
+        int lostDomains; // In which that happens.
+        loss kind;
+        int mostReaders; // VMs of the fleet that watch the store within the bound, with those that lost it.
+    };
+    const row rows[] = {
+        { "all watchers are cut off", 18, 3, 1, 3, loss::cut, 9 },
+        { "one watcher is cut off", 18, 3, 1, 1, loss::cut, 3 },
+        { "the watchers of two domains are cut off", 18, 3, 1, 2, loss::cut, 6 },
+        { "all watchers and the next VMs are cut off", 18, 3, 2, 3, loss::cut, 12 },
+        { "the first three VMs of all domains are cut off", 36, 3, 3, 3, loss::cut, 12 },
+        { "all watchers are killed", 18, 3, 1, 3, loss::killed, 9 },
+        { "one watcher is killed", 18, 3, 1, 1, loss::killed, 5 },
+        { "the watchers of two domains are killed", 18, 3, 1, 2, loss::killed, 7 },
+        { "all watchers and the next VMs are killed", 18, 3, 2, 3, loss::killed, 12 },
+        { "the first four VMs of all domains are killed", 18, 3, 4, 3, loss::killed, 18 },
+        { "all watchers are stopped", 18, 3, 1, 3, loss::stopped, 9 },
+        { "two failure domains, all watchers are cut off", 8, 2, 1, 2, loss::cut, 6 },
+        { "one failure domain, both watchers are cut off", 8, 1, 2, 1, loss::cut, 5 },
+        { "one failure domain, both watchers are killed", 8, 1, 2, 1, loss::killed, 5 },
+        { "a large fleet, all watchers are cut off", 444, 5, 1, 5, loss::cut, 15 },
+        { "a large fleet, all watchers are killed", 444, 5, 1, 5, loss::killed, 15 },
+    };
+    constexpr milliseconds storeReadTime { 0 }; // In this fleet; the rest of the budget's is a reserve.
+    constexpr milliseconds resolution { 50 };
+    const propagation_budget budget;
+    const auto limit = budget.total() - budget.readTime - budget.applicationTime + storeReadTime + resolution;
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        for (auto moment = milliseconds(0); moment < milliseconds(1'000); moment += milliseconds(250)) {
+            CAPTURE(moment.count());
+            virtual_fleet fleet(each.vms, each.domains);
+            fleet.run(milliseconds(5'000) + moment);
+            REQUIRE(fleet.watcherCount() == std::max(2, each.domains));
+            std::map<std::string, int> seen; // VMs of each domain, in the order of election.
+            std::set<std::string> lost;
+            for (const auto& host : fleet.byRank()) {
+                auto& node = fleet.nodes[host];
+                const auto& domain = node.members->self().failureDomain;
+                bool isLost = seen[domain]++ < each.lost && domain[0] - 'a' < each.lostDomains;
+                if (isLost) {
+                    lost.insert(host);
+                    node.canReachStore = false;
+                    node.isPartitioned = each.kind == loss::killed;
+                    node.isStopped = each.kind != loss::cut;
+                }
+            }
+            fleet.delivered = 0;
+            fleet.changeStore();
+            fleet.run(limit);
+            for (const auto& [host, node] : fleet.nodes) {
+                CAPTURE(host);
+                CHECK((lost.contains(host) || (node.configuration == 2 && node.upstreams == 25)));
+            }
+            CHECK(fleet.watcherCount() <= each.mostReaders);
+        }
+    }
+}
+
+TEST_CASE("In calm only the elected VMs read the store, once a second each")
+{
+    // Guards against VMs that take lost or late beacons for the loss of the watchers, and against more calls.
+    struct row {
+        const char* name;
+        int vms;
+        int domains;
+        unsigned lostPerThousand;
+        int mostExtraReads; // In a minute.
+    };
+    const row rows[] = {
+        { "a small fleet", 18, 3, 0, 0 },
+        { "two failure domains", 8, 2, 0, 0 },
+        { "one failure domain", 8, 1, 0, 0 },
+        { "a large fleet", 444, 5, 0, 0 },
+        { "a small fleet that loses one message of fifty", 36, 3, 20, 10 },
+    };
+    constexpr int seconds = 60;
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        virtual_fleet fleet(each.vms, each.domains);
+        fleet.run(milliseconds(5'000));
+        fleet.lostPerThousand = each.lostPerThousand;
+        fleet.storeReads = 0;
+        for (int second = 0; second < seconds; ++second) {
+            fleet.delivered = 0;
+            fleet.run(milliseconds(1'000));
+        }
+        auto watchers = std::max(2, each.domains);
+        CHECK(fleet.storeReads <= watchers * (seconds + 1) + each.mostExtraReads);
+    }
+}
+
+TEST_CASE("A VM that was stopped does not take the store from the watchers")
+{
+    // Guards against a busy VM that decides before it has read the beacons that wait in its socket.
+    virtual_fleet fleet(18, 3);
+    fleet.run(milliseconds(5'000));
+    for (auto& [host, node] : fleet.nodes) {
+        node.isStopped = !node.isWatching;
+    }
+    fleet.run(milliseconds(3'000));
+    for (auto& [host, node] : fleet.nodes) {
+        node.isStopped = false;
+    }
+    fleet.delivered = 0;
+    fleet.run(milliseconds(1'000));
+    CHECK(fleet.watcherCount() == 3);
+}
+
+TEST_CASE("A VM states as of when it has the store's contents, and whom it has that from")
+{
+    struct row {
+        const char* name;
+        std::optional<store_reading> reading; // Of a beacon; none from an earlier build.
+        std::uint64_t configuration; // That the beacon describes.
+        bool isKnown;
+        const char* reader;
+        milliseconds age;
+    };
+    const row rows[] = {
+        { "a VM that another one has told", store_reading { 300, "10.0.0.8" }, 1, true, "10.0.0.8",
+            milliseconds(300) },
+        { "a VM of an earlier build", std::nullopt, 1, true, "10.0.0.9", milliseconds(60) },
+        { "a VM with a later configuration", store_reading { 300, "10.0.0.8" }, 2, false, "", {} },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        auto now = steady_clock::now();
+        member_list members({ .host = "10.0.0.1", .failureDomain = "a" }, {});
+        store_relay relay(members, {},
+            { .send = [](auto, const auto&) {},
+                .watchStore = [](auto, const auto&) {},
+                .onConfiguration = [](const auto&, auto) {},
+                .onUpstreams = [] {} },
+            now);
+        relay.setConfiguration("{}", 1);
+        peer_message beacon;
+        beacon.sender = "10.0.0.9";
+        beacon.isBeacon = true;
+        beacon.summary = store_summary { each.configuration, {}, relay.upstreamDigest(), 60 };
+        beacon.reading = each.reading;
+        relay.handleMessage(beacon, now);
+        CHECK(relay.knowledge().reader == each.reader);
+        CHECK(relay.knowledge().source == (each.isKnown ? "10.0.0.9" : ""));
+        CHECK((!each.isKnown || relay.knowledge().asOf == now - each.age));
+    }
+}
+
 TEST_CASE("A change reaches all VMs of a large fleet in time, and costs the busiest VM little")
 {
     struct row {
--- a/marlsill/store/kind_watcher.h
+++ b/marlsill/store/kind_watcher.h
@@ -21,7 +21,9 @@
 #include "marlsill/base/reason.h"
 #include "marlsill/base/time.h"
 #include "marlsill/store/stored_object.h"
+#include "marlsill/store/watch_turn.h"
 
+#include <algorithm>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -57,6 +59,8 @@
     // Longest wait of one watch; bounds how long an unresponsive store goes undetected. See
     // setWatchTimeout().
     std::chrono::milliseconds watchTimeout { 1'000 };
+    // Of a call beside its wait, so that VMs which take turns make no more calls than others.
+    std::chrono::milliseconds callTime { 30 };
     // Pause after changes, so that the next watch returns several at once; part of the 2 s within which a
     // change must take effect.
     std::chrono::milliseconds batchDelay { 80 };
@@ -92,6 +96,9 @@
     // Every change of the kind that the store acknowledged before `point` has been reported. `point` is taken
     // before the call to the store. May be empty.
     std::function<void(boot_clock::time_point point)> current {};
+    // The store's response as of `asOf` has been reported, with or without changes: that is when it was sent
+    // at the latest, unless the store responded before the wait of a watch was over. May be empty.
+    std::function<void(steady_clock::time_point asOf)> read {};
 };
 
 template <object_client Client, typename Value> class kind_watcher {
@@ -119,8 +126,8 @@
             }
             reason why;
             auto startedAt = steady_clock::now();
-            auto watchTimeout = m_watchTimeout;
-            bool isSuccessful = m_position ? co_await watchOnce(why) : co_await listAll(why);
+            auto longestWait = nextWait();
+            bool isSuccessful = m_position ? co_await watchOnce(longestWait, why) : co_await listAll(why);
             if (isSuccessful) {
                 noteSuccess();
                 continue;
@@ -132,13 +139,16 @@
             // A call that fails before its wait is over was refused or cut off just now. One that got no
             // response in time may have been sent to a store that was away already.
             auto now = steady_clock::now();
-            co_await backOff(why, now - startedAt < watchTimeout ? now : startedAt);
+            co_await backOff(why, now - startedAt < longestWait ? now : startedAt);
         }
     }
 
     // Sets the longest wait of one watch, from the next one on.
     void setWatchTimeout(std::chrono::milliseconds timeout) { m_watchTimeout = timeout; }
 
+    // Sets when watches end, from the next one on; without a turn each waits for the watch timeout.
+    void setTurn(watch_turn turn) { m_turn = turn; }
+
     // Starts or stops watching. A call in progress is completed, and its result reported, before it stops.
     void setActive(bool isActive)
     {
@@ -150,6 +160,7 @@
     asio::awaitable<bool> listAll(reason& why)
     {
         auto point = boot_clock::now();
+        auto sentAt = steady_clock::now();
         std::vector<Value> all;
         std::string after;
         std::optional<placement::store_position> position;
@@ -182,20 +193,29 @@
             m_listener.restored(previousEra, m_era);
         }
         m_listener.listed(all, *position);
-        noteCurrent(point, *position);
+        noteCurrent(point, sentAt, *position);
         co_return true;
     }
 
-    asio::awaitable<bool> watchOnce(reason& why)
+    // Returns the longest wait of a watch that starts now.
+    std::chrono::milliseconds nextWait() const
+    {
+        return m_turn ? waitForTurn(m_watchTimeout + m_options.callTime, *m_turn, wall_clock::now())
+                      : m_watchTimeout;
+    }
+
+    asio::awaitable<bool> watchOnce(std::chrono::milliseconds longestWait, reason& why)
     {
         // After a failure, a response at once tells whether the store is there. A watch that waits may be cut
         // off again without any outage.
-        auto wait = m_isLost ? std::chrono::milliseconds(0) : m_watchTimeout;
+        auto wait = m_isLost ? std::chrono::milliseconds(0) : longestWait;
         auto point = boot_clock::now();
+        auto sentAt = steady_clock::now();
         auto page = co_await m_client.watch(m_options.kind, m_position->version, wait, why);
         if (!page) {
             co_return false;
         }
+        auto receivedAt = steady_clock::now();
         noteSuccess();
         if (page->position.era != m_position->era) {
             why = { reason_code::notFound, "the store was restored" };
@@ -206,7 +226,7 @@
         if (hasChanges) {
             m_listener.changed(decodeChanges(page->changes), *m_position);
         }
-        noteCurrent(point, page->position);
+        noteCurrent(point, std::min<steady_clock::time_point>(receivedAt, sentAt + wait), page->position);
         page.reset(); // Its objects may be large.
         if (hasChanges) {
             co_await sleepUntil(deadlineAfter(m_options.batchDelay));
@@ -224,15 +244,19 @@
         return decoded;
     }
 
-    // Reports the point of a call whose content has been reported, unless the store has responded with an
-    // earlier position than before: such a response is of a stale copy.
-    void noteCurrent(boot_clock::time_point point, placement::store_position position)
+    // Reports when a call was made whose content has been reported, and as of when that is, unless the store
+    // has responded with an earlier position than before: such a response is of a stale copy.
+    void noteCurrent(
+        boot_clock::time_point point, steady_clock::time_point asOf, placement::store_position position)
     {
         bool isStale = position < m_newest;
         m_newest = std::max(m_newest, position);
         if (!isStale && m_listener.current) {
             m_listener.current(point);
         }
+        if (!isStale && m_listener.read) {
+            m_listener.read(asOf);
+        }
     }
 
     void noteSuccess()
@@ -268,6 +292,7 @@
     const watch_listener<Value> m_listener;
     asio::steady_timer m_timer;
     std::chrono::milliseconds m_watchTimeout;
+    std::optional<watch_turn> m_turn;
     std::chrono::milliseconds m_nextBackoff;
     std::optional<placement::store_position> m_position; // To watch from; lists all objects if it is not set.
     std::uint64_t m_era = 0; // Of the last list.
--- a/marlsill/store/kind_watcher_test.cc
+++ b/marlsill/store/kind_watcher_test.cc
@@ -4,8 +4,10 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <cstdlib>
 #include <deque>
 #include <doctest/doctest.h>
+#include <thread>
 
 namespace marlsill::store {
 
@@ -265,4 +267,81 @@
     CHECK(client.waits[1] == std::chrono::milliseconds(500));
 }
 
+TEST_CASE("A response counts as of the end of its watch's wait at the latest, after its content")
+{
+    // Guards against a VM that was stopped and takes a response that waited in its socket for a recent one.
+    using std::chrono::milliseconds;
+    struct row {
+        const char* name;
+        milliseconds absence; // Until the response is read.
+        milliseconds latest; // As of when it may count, from the call on.
+    };
+    constexpr milliseconds watchTimeout { 30 };
+    const row rows[] = {
+        { "at once", milliseconds(0), watchTimeout },
+        { "the process was stopped", milliseconds(200), watchTimeout },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        asio::io_context io;
+        scripted_client client { io, { page({ "a" }, 5) }, { { changes({ "b" }, 6), reason_code::none } } };
+        std::vector<std::string> notifications;
+        std::vector<steady_clock::time_point> asOf;
+        steady_clock::time_point calledAt;
+        client.onWatch = [&] {
+            calledAt = client.calls.size() == 1 ? steady_clock::now() : calledAt;
+            std::this_thread::sleep_for(each.absence);
+        };
+        watch_listener<std::string> listener { .decode = nameOf,
+            .listed = [&](const auto&, auto) { notifications.push_back("listed"); },
+            .changed = [&](const auto&, auto) { notifications.push_back("changed"); },
+            .restored = [](auto, auto) {},
+            .lost = [](const reason&, auto) {},
+            .regained = [] {},
+            .contacted = [] {},
+            .read =
+                [&](auto point) {
+                    notifications.push_back("read");
+                    asOf.push_back(point);
+                } };
+        kind_watcher watcher(io, client, { .kind = "k", .watchTimeout = watchTimeout }, listener);
+        watcher.setActive(true);
+        asio::co_spawn(io, watcher.run(), asio::detached);
+        io.run_for(std::chrono::seconds(10));
+        CHECK(notifications == std::vector<std::string> { "listed", "read", "changed", "read" });
+        REQUIRE(asOf.size() == 2);
+        CHECK(asOf[0] <= asOf[1]);
+        CHECK(asOf[1] <= calledAt + each.latest);
+    }
+}
+
+TEST_CASE("A watch ends in its turn where one is set")
+{
+    asio::io_context io;
+    scripted_client client { io, { page({ "a" }, 5) }, { { changes({}, 5), reason_code::none } } };
+    watch_listener<std::string> listener { .decode = nameOf,
+        .listed = [](const auto&, auto) {},
+        .changed = [](const auto&, auto) {},
+        .restored = [](auto, auto) {},
+        .lost = [](const reason&, auto) {},
+        .regained = [] {},
+        .contacted = [] {} };
+    const watch_options options { .kind = "k" };
+    kind_watcher watcher(io, client, options, listener);
+    const watch_turn turn { 1, 3 };
+    watcher.setTurn(turn);
+    watcher.setActive(true);
+    auto before = wall_clock::now();
+    asio::co_spawn(io, watcher.run(), asio::detached);
+    io.run_for(std::chrono::seconds(10));
+    auto period = options.watchTimeout + options.callTime;
+    REQUIRE(!client.waits.empty());
+    // The wait is that of a moment between the start and now.
+    CHECK(client.waits[0] <= period * 11 / 10);
+    CHECK(client.waits[0] >= period * 2 / 5);
+    auto end = toUnixMilliseconds(before + client.waits[0]) % period.count();
+    bool isClamped = client.waits[0] == period + period / 10;
+    CHECK((isClamped || std::abs(end - (period * turn.index / turn.count).count()) < 100));
+}
+
 }
--- a/testing/store_cut_test.cc
+++ b/testing/store_cut_test.cc
@@ -11,6 +11,7 @@
 
 #include <Poco/Exception.h>
 #include <algorithm>
+#include <csignal>
 #include <cstdlib>
 #include <doctest/doctest.h>
 #include <filesystem>
@@ -37,6 +38,13 @@
     constexpr milliseconds returnLimit { 5'000 }; // For VMs to call the store after a cut.
     constexpr milliseconds responseTime { 20 }; // Of the store, on loopback.
     constexpr milliseconds drainTime { 2'000 }; // The users' `drainMs`.
+    constexpr milliseconds propagationTime { 2'000 }; // The users' `configPropagationMs`.
+    constexpr int otherServiceCount = 3; // Upstreams of the service that a route is moved to.
+    constexpr milliseconds changeDelay { 20 }; // From the loss of the watchers.
+    constexpr milliseconds momentStep { 250 }; // Between the moments of a watch at which it is lost.
+    constexpr milliseconds recoveryTime {
+        4'000
+    }; // From the end of a cut until only watchers call the store.
     constexpr milliseconds settleTime { 3'000 }; // The users' `stableWindowMs`.
 
     // Daemons that each reach one store through a proxy of their own.
@@ -48,12 +56,13 @@
                     + std::to_string(steady_clock::now().time_since_epoch().count())))
         {
             std::filesystem::create_directories(m_folder);
-            m_store.put(platform_adapter::configurationKind, platform_adapter::configurationName,
-                platform_adapter::configurationObject(
-                    1, "h.example", "s", { { "repeat", "/repeat/", false, 4'000 } }));
+            putConfiguration("s");
             for (int index = 0; index < upstreamCount; ++index) {
                 addUpstream();
             }
+            for (int index = 0; index < otherServiceCount; ++index) {
+                addUpstreamTo(m_others, "t");
+            }
             for (auto& options : planFleet(entryCount)) {
                 options.program = MARLSILL_ENTRY_PROGRAM;
                 options.folder = m_folder.string();
@@ -147,6 +156,31 @@
 
         steady_clock::time_point removedAt() const { return m_removedAt; }
 
+        // Moves the only route to the other one of two services.
+        void moveRoute()
+        {
+            m_isMoved = !m_isMoved;
+            putConfiguration(m_isMoved ? "t" : "s");
+            m_movedAt = steady_clock::now();
+        }
+
+        steady_clock::time_point movedAt() const { return m_movedAt; }
+
+        // Returns how many requests reached the service that the route led to before, later than the time
+        // within which a change has to be in force.
+        int lateToPreviousService() const
+        {
+            int late = 0;
+            for (const auto& each : m_isMoved ? m_upstreams : m_others) {
+                for (auto arrivedAt : each->arrivalTimes()) {
+                    late += arrivedAt > m_movedAt + propagationTime ? 1 : 0;
+                }
+            }
+            return late;
+        }
+
+        entry_process& entry(std::size_t number) { return *m_entries[number]; }
+
         // Calls some daemons, or all others. Returns how many calls were not served.
         int callSome(const std::vector<std::size_t>& entries, bool isOthers)
         {
@@ -176,12 +210,23 @@
         // The daemons name no source address, so that the system chooses that of the proxies.
         static constexpr const char* storeCaller = "127.0.0.1";
 
-        void addUpstream()
+        using upstreams = std::vector<std::unique_ptr<scripted_upstream>>;
+
+        void putConfiguration(const std::string& service)
         {
-            m_upstreams.push_back(std::make_unique<scripted_upstream>(
-                "u" + std::to_string(m_upstreams.size()), platformFields()));
-            m_store.put(platform_adapter::upstreamKind, m_upstreams.back()->id(),
-                platform_adapter::upstreamObject("s", m_upstreams.back()->address(), "ready"));
+            m_store.put(platform_adapter::configurationKind, platform_adapter::configurationName,
+                platform_adapter::configurationObject(
+                    ++m_version, "h.example", service, { { "repeat", "/repeat/", false, 4'000 } }));
+        }
+
+        void addUpstream() { addUpstreamTo(m_upstreams, "s"); }
+
+        void addUpstreamTo(upstreams& known, const std::string& service)
+        {
+            known.push_back(std::make_unique<scripted_upstream>(
+                (service == "s" ? "u" : service) + std::to_string(known.size()), platformFields()));
+            m_store.put(platform_adapter::upstreamKind, known.back()->id(),
+                platform_adapter::upstreamObject(service, known.back()->address(), "ready"));
         }
 
         int call(std::size_t entry)
@@ -198,9 +243,13 @@
         const std::filesystem::path m_folder;
         platform_adapter::fake_object_store m_store;
         std::list<partition_proxy> m_links; // One for each daemon.
-        std::vector<std::unique_ptr<scripted_upstream>> m_upstreams;
+        upstreams m_upstreams; // Of service "s".
+        upstreams m_others; // Of service "t".
         std::vector<std::unique_ptr<entry_process>> m_entries;
         steady_clock::time_point m_removedAt {};
+        steady_clock::time_point m_movedAt {};
+        bool m_isMoved = false; // Whether the route leads to "t".
+        int m_version = 0; // Of the configuration.
         int m_requests = 0;
     };
 
@@ -262,4 +311,69 @@
     }
 }
 
+TEST_CASE("Changes are in force in time, whichever watchers lose the store as they are made")
+{
+    // Guards against a loss of all watchers that is noticed by one time limit after another, so that routes
+    // and upstreams which are gone stay in use longer than operators allow.
+    enum class loss { cut, killed, stopped };
+    struct row {
+        const char* name;
+        loss kind;
+        int rounds; // At different moments of a watch; in the first upstreams leave, then routes move.
+        bool isOneLost;
+    };
+    const row rows[] = {
+        { "all watchers are cut off", loss::cut, 5, false },
+        { "one watcher is cut off", loss::cut, 2, true },
+        { "all watchers are killed", loss::killed, 2, false },
+        { "all watchers are stopped", loss::stopped, 2, false },
+    };
+    for (const auto& each : rows) {
+        CAPTURE(std::string(each.name));
+        store_fleet fleet;
+        REQUIRE(fleet.awaitServing());
+        std::this_thread::sleep_for(electionTime);
+        std::vector<std::size_t> away; // Daemons that have lost the store, or were killed earlier.
+        for (int round = 0; round < each.rounds; ++round) {
+            CAPTURE(round);
+            if (each.kind != loss::killed) {
+                away.clear();
+            }
+            auto lost = fleet.watchers();
+            REQUIRE(!lost.empty());
+            REQUIRE(lost.size() <= entryCount / 2);
+            lost.resize(each.isOneLost ? 1 : lost.size());
+            away.insert(away.end(), lost.begin(), lost.end());
+            std::this_thread::sleep_for(momentStep * round);
+            for (auto entry : lost) {
+                if (each.kind == loss::cut) {
+                    fleet.setCut(entry, true);
+                } else {
+                    fleet.entry(entry).signal(each.kind == loss::killed ? SIGKILL : SIGSTOP);
+                }
+            }
+            std::this_thread::sleep_for(changeDelay);
+            bool isRouteMoved = round > 0; // Else upstreams leave.
+            if (isRouteMoved) {
+                fleet.moveRoute();
+            } else {
+                fleet.replaceUpstreams();
+            }
+            auto limit = isRouteMoved ? fleet.movedAt() + propagationTime : fleet.removedAt() + drainTime;
+            std::this_thread::sleep_until(limit + milliseconds(1));
+            CHECK(fleet.callSome(away, true) == 0);
+            CHECK((isRouteMoved ? fleet.lateToPreviousService() : fleet.lateArrivals()) == 0);
+            for (auto entry : lost) {
+                fleet.setCut(entry, false);
+                if (each.kind == loss::stopped) {
+                    fleet.entry(entry).signal(SIGCONT);
+                }
+            }
+            if (round + 1 < each.rounds) {
+                std::this_thread::sleep_for(recoveryTime);
+            }
+        }
+    }
+}
+
 }
