test fixtures: planned fleets hold the peer port for connections too; a daemon that does not serve leaves its log's end

held_ports held the peer port for datagrams only, while a daemon listens there for relayed requests over TCP: another fleet could be given the number for its listeners, and a plan could have one number for two of its own. It holds both now, takes another number if one of them is taken, and so keeps the four numbers of a plan apart. POCO's usual listeners let others share their port; the held ones do not.

Each fixture that waits for a daemon prints its state and the last 4 KB of its log when it gives up.

--- a/testing/account_daemon_test.cc
+++ b/testing/account_daemon_test.cc
@@ -105,6 +105,7 @@
                 }
                 std::this_thread::sleep_for(pollInterval);
             } while (!hasPassed(until, steady_clock::now()));
+            reportNotServing(*m_entries[entry]);
             return false;
         }
 
--- a/testing/account_limit_test.cc
+++ b/testing/account_limit_test.cc
@@ -112,7 +112,11 @@
         {
             auto until = deadlineAfter(startLimit);
             while (call(entry, "probe") != 200) {
-                REQUIRE(!hasPassed(until, steady_clock::now()));
+                bool isOver = hasPassed(until, steady_clock::now());
+                if (isOver) {
+                    reportNotServing(*m_entries[entry]);
+                }
+                REQUIRE(!isOver);
                 std::this_thread::sleep_for(milliseconds(20));
             }
         }
--- a/testing/caller_memory_test.cc
+++ b/testing/caller_memory_test.cc
@@ -99,10 +99,14 @@
             }
             m_entries = startFleet(2, MARLSILL_ENTRY_PROGRAM, m_folder.string(), m_store.address());
             auto until = deadlineAfter(startLimit);
-            for (int served = 0; served < usualCalls && !hasPassed(until, steady_clock::now());) {
+            int served = 0;
+            while (served < usualCalls && !hasPassed(until, steady_clock::now())) {
                 served += call() == 200 ? 1 : 0;
                 std::this_thread::sleep_for(milliseconds(20));
             }
+            if (served < usualCalls) {
+                reportNotServing(*m_entries.front());
+            }
         }
 
         ~daemon_fixture()
--- a/testing/crash_fleet.cc
+++ b/testing/crash_fleet.cc
@@ -93,6 +93,7 @@
         }
         std::this_thread::sleep_for(milliseconds(20));
     }
+    reportNotServing(*m_entries[entry]);
     return false;
 }
 
--- a/testing/cut_off_vm_test.cc
+++ b/testing/cut_off_vm_test.cc
@@ -196,7 +196,11 @@
         {
             auto until = std::chrono::steady_clock::now() + startLimit;
             while (call(entry, false) != 200) {
-                REQUIRE(std::chrono::steady_clock::now() < until);
+                bool isOver = std::chrono::steady_clock::now() >= until;
+                if (isOver) {
+                    reportNotServing(*m_entries[entry]);
+                }
+                REQUIRE(!isOver);
                 std::this_thread::sleep_for(milliseconds(20));
             }
         }
--- a/testing/key_revocation_test.cc
+++ b/testing/key_revocation_test.cc
@@ -145,6 +145,7 @@
                 }
                 std::this_thread::sleep_for(milliseconds(20));
             }
+            reportNotServing(*m_entries[entry]);
             return false;
         }
 
--- a/testing/rate_limit_fleet.cc
+++ b/testing/rate_limit_fleet.cc
@@ -55,6 +55,9 @@
             call(entry);
             std::this_thread::sleep_for(milliseconds(20));
         }
+        if (served() == before) {
+            reportNotServing(*m_entries[entry]);
+        }
         REQUIRE(served() > before);
     }
     m_calls = {};
--- a/testing/single_daemon.cc
+++ b/testing/single_daemon.cc
@@ -55,6 +55,7 @@
         }
         std::this_thread::sleep_for(readinessInterval);
     }
+    reportNotServing(*m_daemon);
     return false;
 }
 
--- a/testing/soak/entry_process.cc
+++ b/testing/soak/entry_process.cc
@@ -5,8 +5,11 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/DatagramSocket.h>
 #include <Poco/Net/ServerSocket.h>
+#include <algorithm>
 #include <csignal>
 #include <fstream>
+#include <iostream>
+#include <optional>
 #include <sstream>
 
 namespace marlsill::testing {
@@ -15,34 +18,54 @@
 
     std::string hostOf(int entry) { return "127.0.1." + std::to_string(entry + 1); }
 
-    constexpr const char* holdingHost = "127.0.1.254"; // Of no daemon.
+    constexpr int maxPortAttempts = 100; // For a number that is free for both kinds of sockets.
+    constexpr std::streamoff loggedEndBytes = 4'096; // About 20 lines.
 
 }
 
-// Ports of one fleet, the same on all its hosts. The kernel gives a port on the holding host to one socket
-// only, so no other fleet on this machine, of any process, gets one while the sockets are open.
+// Ports of one fleet, the same on all its hosts, and all different. The kernel gives a port on the holding
+// host to one socket of a kind only, so no other fleet on this machine, of any process, gets one while the
+// sockets are open. A daemon uses the peer port for datagrams and, for relayed requests, for connections.
 class held_ports {
 public:
     held_ports()
-        : m_caller(anyPort())
-        , m_readiness(anyPort())
-        , m_directory(anyPort())
-        , m_peer(anyPort())
+        : m_caller(listenAnywhere())
+        , m_readiness(listenAnywhere())
+        , m_directory(listenAnywhere())
+        , m_relay(listenAnywhere())
     {
+        for (int attempt = 1; !m_peer; ++attempt) {
+            try {
+                m_peer.emplace(m_relay.address(), false);
+            } catch (const Poco::Exception&) {
+                if (attempt == maxPortAttempts) {
+                    throw;
+                }
+                m_relay = listenAnywhere();
+            }
+        }
     }
 
     int caller() const { return m_caller.address().port(); }
     int readiness() const { return m_readiness.address().port(); }
     int directory() const { return m_directory.address().port(); }
-    int peer() const { return m_peer.address().port(); }
+    int peer() const { return m_relay.address().port(); }
 
 private:
-    static Poco::Net::SocketAddress anyPort() { return { holdingHost, 0 }; }
+    // Returns a listener at a port that no other socket may share, which POCO's usual ones allow.
+    static Poco::Net::ServerSocket listenAnywhere()
+    {
+        Poco::Net::ServerSocket listener;
+        listener.bind(Poco::Net::SocketAddress(holdingHost, 0), false, false);
+        listener.listen();
+        return listener;
+    }
 
     Poco::Net::ServerSocket m_caller;
     Poco::Net::ServerSocket m_readiness;
     Poco::Net::ServerSocket m_directory;
-    Poco::Net::DatagramSocket m_peer;
+    Poco::Net::ServerSocket m_relay; // The peer port.
+    std::optional<Poco::Net::DatagramSocket> m_peer; // The same.
 };
 
 std::vector<entry_options> planFleet(int entries)
@@ -127,6 +150,31 @@
     return m_process->start();
 }
 
+std::string entry_process::logEnd() const
+{
+    std::string state = "not started";
+    if (m_process) {
+        state = m_process->isRunning() ? "running" : m_process->endText();
+    }
+    std::ifstream log(logPath(), std::ios::binary | std::ios::ate);
+    std::ostringstream text;
+    text << m_options.name << " (" << state << "), the end of its log:\n";
+    if (!log) {
+        text << "there is no log\n";
+        return text.str();
+    }
+    log.seekg(std::max<std::streamoff>(0, log.tellg() - loggedEndBytes));
+    if (log.peek() != std::ifstream::traits_type::eof()) {
+        text << log.rdbuf();
+    }
+    return text.str();
+}
+
+void reportNotServing(const entry_process& entry)
+{
+    std::cout << "does not serve: " << entry.logEnd() << '\n';
+}
+
 void entry_process::signal(int number)
 {
     if (isRunning()) {
--- a/testing/soak/entry_process.h
+++ b/testing/soak/entry_process.h
@@ -23,6 +23,9 @@
 constexpr int retrySlack = 56;
 constexpr std::chrono::seconds retryWindow { 10 };
 
+// The host on which the ports of planned fleets are held; no daemon has it.
+constexpr const char* holdingHost = "127.0.1.254";
+
 class held_ports;
 
 // What an entry daemon is started with.
@@ -73,6 +76,9 @@
     std::string logPath() const { return m_options.folder + "/" + m_options.name + ".log"; }
     std::string settingsPath() const { return m_options.folder + "/" + m_options.name + ".conf"; }
 
+    // Returns the name, whether the process runs or how it ended, and the last 4 KB of its log.
+    std::string logEnd() const;
+
     // Sends a signal. The first SIGTERM of a life starts its grace time.
     void signal(int number);
 
@@ -113,4 +119,8 @@
     int m_starts = 0;
 };
 
+// Prints why a daemon that a fixture waited for may not serve: the end of its log. Fixtures remove their
+// logs.
+void reportNotServing(const entry_process& entry);
+
 }
--- a/testing/soak/soak_run.cc
+++ b/testing/soak/soak_run.cc
@@ -145,6 +145,7 @@
         }
         std::this_thread::sleep_for(pauseAfterRefusal);
     }
+    reportNotServing(*entry.process);
     return false;
 }
 
--- a/testing/store_cut_test.cc
+++ b/testing/store_cut_test.cc
@@ -89,6 +89,7 @@
             for (std::size_t entry = 0; entry < m_entries.size(); ++entry) {
                 while (call(entry) != 200) {
                     if (hasPassed(limit, steady_clock::now())) {
+                        reportNotServing(*m_entries[entry]);
                         return false;
                     }
                     std::this_thread::sleep_for(milliseconds(20));
