--- a/marlsill/cluster/propagation_budget.h
+++ b/marlsill/cluster/propagation_budget.h
@@ -15,8 +15,9 @@
 namespace marlsill::cluster {
 
 struct propagation_budget {
-    // Age of a VM's knowledge of the store from which it looks for another reader. While the elected VMs take
-    // turns it is below a third of a second for a reader, and two beacon intervals more at most for the rest.
+    // Age of a VM's knowledge of the store from which it looks for another reader. With three elected VMs
+    // that take turns the knowledge is a third of a second old at most, and 0.75 s after a change, plus the
+    // time of a datagram; two lost beacons are tolerated in calm.
     std::chrono::milliseconds maxKnowledgeAge { 1'000 };
     // Between the first VMs of a failure domain that then read the store. Longer than one of them takes to
     // tell the next, so that usually one reads.
--- a/marlsill/cluster/store_relay.h
+++ b/marlsill/cluster/store_relay.h
@@ -50,9 +50,9 @@
     // beacon. The elected VMs list the upstreams before their first one.
     std::chrono::milliseconds firstBeaconGracePeriod { 1'000 };
     std::chrono::milliseconds beaconInterval { 250 };
-    // By how much later the contents must be known for a beacon out of turn.
+    // By how much more recent the knowledge must be for a beacon before the next regular one.
     std::chrono::milliseconds minReadingInterval { 200 };
-    propagation_budget budget {}; // For what follows once nobody is known to have read the store.
+    propagation_budget budget {}; // Decides when VMs that are not elected read the store.
     // Between the VMs of a failure domain that read the store after the prompt ones.
     std::chrono::milliseconds backupInterval { 1'000 };
     // Between beacons of such a VM once it reaches the store; below `maxContactAge`.
@@ -64,8 +64,8 @@
     std::chrono::milliseconds maxContactAge { 1'400 };
     // How long a VM before it must have been reading the store before a VM that is not elected stops.
     std::chrono::milliseconds stabilizationPeriod { 2'000 };
-    // A tick that is later than this has found the process stopped or out of processor time: beacons wait in
-    // its socket, and it decides anew a moment later.
+    // If a tick comes later than this, the process was stopped or short of processor time, and beacons wait
+    // in its socket; whether to read the store is decided a moment later.
     std::chrono::milliseconds maxTickDelay { 200 };
     std::chrono::milliseconds lateTickRetry { 20 };
     // From the start until data is taken from VMs that have not heard of the store for long: one that was
@@ -122,7 +122,8 @@
     // Returns when tick() is due after what is known at `now`.
     deadline nextTickAt(steady_clock::time_point now) const;
 
-    // Returns as of when this VM has the store's contents; nothing that beacons announce is missing.
+    // Returns as of when this VM has the store's contents. While it lacks what beacons announce, that stays
+    // as it was.
     const store_knowledge& knowledge() const { return m_known; }
 
     // Returns the upstreams to use. An unconfirmed one is among them only if it was before.
@@ -187,7 +188,7 @@
     std::vector<std::string> m_electedHostsOfDomain; // Those of this VM's failure domain.
     int m_electionRank = 0;
     int m_watchersPerDomain = 1;
-    int m_place = 0; // Among the VMs of this VM's failure domain that are not elected.
+    int m_place = 0; // By score among the VMs of this failure domain that are not elected; from 0.
     std::optional<store::watch_turn> m_turn;
     const store_relay_options m_options;
     const store_relay_actions m_actions;
@@ -217,7 +218,7 @@
     steady_clock::time_point m_coveredSince {};
     deadline m_nextBeacon {};
     std::optional<steady_clock::time_point> m_behindSince; // Set while a beacon announces data this VM lacks.
-    steady_clock::time_point m_behindAsOf {}; // Of the latest such beacon.
+    steady_clock::time_point m_behindAsOf {}; // As of when the latest such beacon describes the store.
     std::optional<deadline> m_tickDueAt;
     bool m_isTickLate = false;
     deadline m_nextRequest {};
