--- a/marlsill/cluster/store_relay_test.cc
+++ b/marlsill/cluster/store_relay_test.cc
@@ -23,6 +23,7 @@
             bool canReachStore = true;
             bool isPartitioned = false;
             bool isStopped = false; // Its messages wait until it goes on.
+            bool isSlow = false; // Runs once a second only; its messages wait until then.
             deadline tickAt {};
             store::watch_turn turn;
             deadline watchEndsAt {}; // Of its watch of the store, unless that changes before.
@@ -130,7 +131,7 @@
             while (!queue.empty()) {
                 auto [host, message] = std::move(queue.front());
                 queue.pop_front();
-                if (nodes[host].isStopped) {
+                if (!isRunning(nodes[host])) {
                     waiting.emplace_back(host, std::move(message));
                     continue;
                 }
@@ -147,6 +148,12 @@
             queue = std::move(waiting);
         }
 
+        bool isRunning(const node& each) const
+        {
+            return !each.isStopped
+                && (!each.isSlow || now.time_since_epoch() % milliseconds(1'000) < milliseconds(50));
+        }
+
         // Lets a VM that watches the store have its response, if there is one by now.
         void readStore(node& each)
         {
@@ -171,7 +178,7 @@
         {
             for (auto until = now + length; now < until; now += milliseconds(50)) {
                 for (auto& [host, each] : nodes) {
-                    if (each.isStopped) {
+                    if (!isRunning(each)) {
                         continue;
                     }
                     readStore(each);
@@ -386,7 +393,7 @@
 {
     // Guards against a loss of all watchers that is noticed by one time limit after another: first until
     // their last response counts as old, then until beacons that say so count as missing.
-    enum class loss { cut, killed, stopped };
+    enum class loss { cut, killed, stopped, slow };
     struct row {
         const char* name;
         int vms;
@@ -408,6 +415,8 @@
         { "all watchers and the next VMs are killed", 18, 3, 2, 3, loss::killed, 12 },
         { "the first four VMs of all domains are killed", 18, 3, 4, 3, loss::killed, 18 },
         { "all watchers are stopped", 18, 3, 1, 3, loss::stopped, 9 },
+        { "all watchers run once a second", 18, 3, 1, 3, loss::slow, 9 },
+        { "one watcher runs once a second", 18, 3, 1, 1, loss::slow, 6 },
         { "two failure domains, all watchers are cut off", 8, 2, 1, 2, loss::cut, 6 },
         { "one failure domain, both watchers are cut off", 8, 1, 2, 1, loss::cut, 5 },
         { "one failure domain, both watchers are killed", 8, 1, 2, 1, loss::killed, 5 },
@@ -433,9 +442,10 @@
                 bool isLost = seen[domain]++ < each.lost && domain[0] - 'a' < each.lostDomains;
                 if (isLost) {
                     lost.insert(host);
-                    node.canReachStore = false;
+                    node.canReachStore = each.kind == loss::slow;
                     node.isPartitioned = each.kind == loss::killed;
-                    node.isStopped = each.kind != loss::cut;
+                    node.isStopped = each.kind == loss::killed || each.kind == loss::stopped;
+                    node.isSlow = each.kind == loss::slow;
                 }
             }
             fleet.delivered = 0;
