--- a/marlsill/events/events.cc
+++ b/marlsill/events/events.cc
@@ -88,7 +88,8 @@
         { event::platformBudgetSpent, severity::warning, "platform_budget_spent",
             "A call to the platform was held back by this daemon's own rate limit." },
         { event::storeWatchChanged, severity::info, "store_watch_changed",
-            "This VM began to watch the store by itself, or left that to others of its failure domain." },
+            "This VM began to watch the store by itself, or left that to others. `known_ms`: how old its "
+            "knowledge of the store was then; `reader` had read the store, `source` told it." },
         { event::storeRestored, severity::warning, "store_restored",
             "The store came back from a copy; all objects of a kind are listed again." },
         { event::storeEraUnreadable, severity::warning, "store_era_unreadable",
