--- a/marlsill/cluster/store_relay_test.cc
+++ b/marlsill/cluster/store_relay_test.cc
@@ -451,9 +451,10 @@
             fleet.delivered = 0;
             fleet.changeStore();
             fleet.run(limit);
-            for (const auto& [host, node] : fleet.nodes) {
-                CAPTURE(host);
-                CHECK((lost.contains(host) || (node.configuration == 2 && node.upstreams == 25)));
+            for (const auto& item : fleet.nodes) {
+                CAPTURE(item.first);
+                bool isInForce = item.second.configuration == 2 && item.second.upstreams == 25;
+                CHECK((lost.contains(item.first) || isInForce));
             }
             CHECK(fleet.watcherCount() <= each.mostReaders);
         }
